--- /dev/null
+++ b/lapispass/balance.py
@@ -0,0 +1,556 @@
+"""All decisions of lapispass: which server owns which slice, and when that may change.
+
+A front makes one `Controller` for each instance and calls `turn(now_us, events)` for every
+batch of news; the orders it returns take effect together, as one message for each proxy.
+The events and orders stand in `lapispass/interface.py`. Nothing here reads a clock, does I/O
+or keeps state outside the instance. `docs/design.md` tells what is kept of the design, and why.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from lapispass import interface as face
+
+SECOND = 1_000_000
+NEVER = 1 << 62
+MARKS = 1 << 16
+
+
+class Chance:
+    """A linear congruential generator; its high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % (1 << 64)
+        return (self.state >> 33) / (1 << 31)
+
+
+@dataclass(slots=True)
+class Fading:
+    """A decaying sum, brought up to date when it is read."""
+
+    half_us: int
+    total: float = 0.0
+    at: int = 0
+
+    def read(self, now: int) -> float:
+        self.total *= 0.5 ** ((now - self.at) / self.half_us)
+        self.at = now
+        return self.total
+
+    def add(self, now: int, amount: float) -> None:
+        self.total = self.read(now) + amount
+
+
+# Notes between the parts
+
+
+class Tick(NamedTuple):
+    """Look at the time."""
+
+
+class Standing(NamedTuple):
+    """A backend tells the ledger how it stands."""
+
+    backend: int
+    state: str
+    ill: bool
+    warmth: float
+    weight: float
+    zone: str
+
+
+class Carries(NamedTuple):
+    """The ledger tells a backend what its slices bring."""
+
+    visits_per_s: float
+    slices: int
+
+
+class Clear(NamedTuple):
+    """The roll tells the ledger up to which mark no proxy can act on older tables."""
+
+    mark: int
+    settle_us: int
+    unmarked: bool
+
+
+class MayWrite(NamedTuple):
+    """The channel offers a turn of so many lines."""
+
+    lines: int
+    ordinary: bool
+
+
+class Write(NamedTuple):
+    """Orders for the channel."""
+
+    orders: list[face.Order]
+
+
+class Sent(NamedTuple):
+    """The channel has written a turn under this mark, to so many proxies."""
+
+    mark: int
+
+
+class Mail:
+    """The inboxes of all parts, emptied by one loop, and the orders of the turn."""
+
+    def __init__(self, seed: int) -> None:
+        self.now = 0
+        self.waiting: deque[Part] = deque()
+        self.orders: list[face.Order] = []
+        self.chance = Chance(seed)
+
+    def post(self, part: Part, note: Any) -> None:
+        part.inbox.append(note)
+        self.waiting.append(part)
+
+    def run(self) -> None:
+        while self.waiting:
+            part = self.waiting.popleft()
+            part.take(part.inbox.popleft())
+
+    def log(self, text: str) -> None:
+        self.orders.append(face.Log(text))
+
+
+class Part:
+    """Something with an inbox."""
+
+    def __init__(self, mail: Mail) -> None:
+        self.mail = mail
+        self.inbox: deque[Any] = deque()
+
+    def take(self, note: Any) -> None:
+        raise NotImplementedError
+
+
+class Backend(Part):
+    """One server: what the list says of it, and its health as late sums and probes show it."""
+
+    def __init__(self, mail: Mail, number: int, rules: Rules, ledger: Part) -> None:
+        super().__init__(mail)
+        self.number, self.rules, self.ledger = number, rules, ledger
+        self.state, self.zone, self.weight, self.born = "gone", "", 1.0, 0
+        self.mode, self.since = "well", mail.now
+        self.tries, self.lost = Fading(2 * SECOND), Fading(2 * SECOND)
+        self.good_at = mail.now
+        self.rate, self.slices = 0.0, 0
+        self.probe_at, self.misses, self.answers = 0, 0, 0
+
+    def take(self, note: Any) -> None:
+        match note:
+            case face.Entry(_, zone, state, weight, born):
+                if born and born != self.born and self.born:
+                    self.turn_to("well", "started anew")
+                self.state, self.zone, self.weight = state, zone, weight or 1.0
+                self.born = born or self.born
+            case face.Met(_, _, lost, tries, _, _, _):
+                self.tries.add(self.mail.now, tries)
+                self.lost.add(self.mail.now, lost)
+                if tries > lost:
+                    self.good_at = self.mail.now
+            case face.Probed(_, reason, _, _):
+                self.misses = 0 if reason in (0, 2) else self.misses + 1
+                self.answers = self.answers + 1 if reason == 0 else 0
+            case Carries(rate, slices):
+                if not self.slices:
+                    self.good_at = self.mail.now
+                self.rate, self.slices = rate, slices
+            case Tick():
+                self.judge()
+                self.mail.post(self.ledger, Standing(self.number, self.state, self.mode != "well",
+                                                     self.warmth(), self.weight, self.zone))
+
+    def warmth(self) -> float:
+        """The least share of its work a backend can do: it rises no slower than evenly."""
+        age = self.mail.now - self.born
+        if not self.born or age >= self.rules.cold_us:
+            return 1.0
+        return self.rules.cold_share + (1 - self.rules.cold_share) * max(0, age) / self.rules.cold_us
+
+    def turn_to(self, mode: str, why: str) -> None:
+        if mode != self.mode:
+            self.mail.log(f"backend {self.number} {self.mode}->{mode}: {why}")
+            self.mode, self.since, self.misses, self.answers = mode, self.mail.now, 0, 0
+            self.good_at = self.mail.now
+
+    def judge(self) -> None:
+        now, rules = self.mail.now, self.rules
+        if self.state != "ready":
+            return
+        quiet = now - self.good_at
+        suspect = self.mode == "well" and self.slices and (
+            quiet > rules.quiet_us and quiet * self.rate > 6 * SECOND)
+        tries, lost = self.tries.read(now), self.lost.read(now)
+        if self.mode == "well":
+            # Guards against a server that takes visits and answers none, or has gone silent: nothing
+            # good came back for a while although visits went there, and probes stay without answer.
+            if suspect and (self.misses >= 2 or quiet > 3 * rules.quiet_us):
+                self.turn_to("silent", f"no good answer for {quiet} us at {self.rate:.1f}/s, {self.misses} probes lost")
+            # Guards against quick errors: most tries fail, by more than a handful.
+            elif self.slices and tries > 8 and lost > 0.5 * tries:
+                self.turn_to("failing", f"{lost:.1f} of {tries:.1f} tries lost")
+        elif self.mode == "silent" and self.answers >= 2 and now - self.since > 4 * SECOND:
+            self.turn_to("well", f"{self.answers} probes answered")
+        elif now - self.since > 15 * SECOND and self.misses == 0:
+            self.turn_to("well", "its time away is over")
+        if rules.may_probe and (suspect or self.mode == "silent") and now >= self.probe_at:
+            self.probe_at = now + (SECOND // 2 if suspect else 2 * SECOND)
+            self.mail.orders.append(face.Probe(self.number))
+
+
+@dataclass(slots=True)
+class Proxy:
+    """What the roll knows of one proxy."""
+
+    joined: bool = False
+    answered: int = -1
+    gone_at: int = 0
+    joined_after: int = 0
+
+
+class Roll(Part):
+    """The proxies: who is joined, what each has answered, and how slow answers have been."""
+
+    def __init__(self, mail: Mail, rules: Rules, expected: int, ledger: Part) -> None:
+        super().__init__(mail)
+        self.rules, self.ledger = rules, ledger
+        # After a start nobody has joined: each may still act on an older table for one lease.
+        self.proxies = {number: Proxy(gone_at=mail.now) for number in range(expected)}
+        self.mark = -1
+        self.slowest = Fading(8 * SECOND, float(SECOND), mail.now)
+
+    def take(self, note: Any) -> None:
+        now = self.mail.now
+        match note:
+            case face.Joined(number, _, _, _):
+                self.proxies[number] = Proxy(True, joined_after=self.mark)
+            case face.Left(number):
+                proxy = self.proxies.setdefault(number, Proxy())
+                proxy.joined, proxy.gone_at = False, now
+            case face.Answered(number, mark, took_us):
+                proxy = self.proxies.get(number)
+                if proxy is not None and proxy.joined and self.mark >= 0:
+                    heard = self.mark - (self.mark - mark) % MARKS
+                    proxy.answered = max(proxy.answered, heard)
+                    self.slowest.add(now, max(0.0, took_us - self.slowest.read(now)))
+            case Sent(mark):
+                self.mark = mark
+            case Tick():
+                joined = [proxy for proxy in self.proxies.values() if proxy.joined]
+                settle = min(int(self.slowest.read(now)), self.rules.lease_us * 9 // 10)
+                self.mail.post(self.ledger, Clear(
+                    min((self.cleared(proxy) for proxy in self.proxies.values()), default=NEVER), settle,
+                    any(proxy.joined_after == self.mark for proxy in joined)))
+
+    def cleared(self, proxy: Proxy) -> int:
+        """The mark up to which this proxy cannot write by an older table."""
+        if not proxy.joined and self.mail.now >= proxy.gone_at + self.rules.lease_us:
+            return NEVER
+        return proxy.answered
+
+
+@dataclass(slots=True)
+class Slice:
+    """A slice in this controller's charge and how far its handover is."""
+
+    number: int
+    kept_until: int
+    owner: int | None = None
+    former: int | None = None
+    step: str = "steady"  # steady, emptied, closing
+    mark: int = NEVER  # of the step's message
+    since: int = 0
+    gate_at: int | None = None  # when every proxy had taken the empty step
+    clean_at: int = 0  # from when no earlier owner can hold a write
+    shut: bool = False  # its writes are not let in
+    demand: dict[str, Fading] = field(default_factory=dict)
+
+
+class Ledger(Part):
+    """The slices and their handovers: empty step, gate, settle wait, new owner, closing."""
+
+    def __init__(self, mail: Mail, rules: Rules) -> None:
+        super().__init__(mail)
+        self.rules = rules
+        self.slices: dict[int, Slice] = {}
+        self.standings: dict[int, Standing] = {}
+        self.backends: dict[int, Backend] = {}
+        self.clear = Clear(-1, SECOND, False)
+        self.withdrawn: set[int] = set()
+        self.channel: Part
+        self.published: list[Slice] = []
+
+    def take(self, note: Any) -> None:
+        now = self.mail.now
+        match note:
+            case Standing(backend):
+                self.standings[backend] = note
+            case Clear():
+                self.clear = note
+            case face.Given(number, ours):
+                self.slices.pop(number, None)
+                if ours:
+                    # The store's table is kept, and nothing starts here for one lease.
+                    self.slices[number] = Slice(number, now + self.rules.lease_us, step="emptied", since=now)
+            case face.Held(number, backend):
+                if number in self.slices:
+                    self.slices[number].owner, self.slices[number].step = backend, "steady"
+            case face.Came(number, visit_class, visits, _, over_us):
+                if number in self.slices and over_us:
+                    demand = self.slices[number].demand
+                    if visit_class not in demand:
+                        demand[visit_class] = Fading(self.rules.demand_us)
+                    demand[visit_class].add(now, visits)
+            case face.Joined():
+                self.withdrawn.clear()  # a joiner has not heard of what this stream's orders shut out
+            case MayWrite():
+                self.compose(note)
+            case Sent(mark):
+                for slice_ in self.published:
+                    slice_.mark = mark
+                self.published = []
+
+    def rate(self, slice_: Slice) -> float:
+        """Visits a second, from the decaying sums; a little above nothing for the unheard of."""
+        seen = sum(fading.read(self.mail.now) for fading in slice_.demand.values())
+        return 0.2 + seen * SECOND * 0.693 / self.rules.demand_us
+
+    def compose(self, offer: MayWrite) -> None:
+        now = self.mail.now
+        ill = sum(standing.ill for standing in self.standings.values() if standing.state == "ready")
+        ready = sum(standing.state == "ready" for standing in self.standings.values())
+        # Guards against blaming servers for what strikes all of them: the fault is nearer then.
+        trust = ill * 3 <= ready
+        self.open = {number: standing for number, standing in self.standings.items()
+                     if standing.state == "ready" and not (standing.ill and trust)}
+        self.loads = dict.fromkeys(self.standings, 0.0)
+        counts = dict.fromkeys(self.standings, 0)
+        for slice_ in self.slices.values():
+            if slice_.owner in self.loads:
+                self.loads[slice_.owner] += self.rate(slice_)
+                counts[slice_.owner] += 1
+        for number, backend in self.backends.items():
+            self.mail.post(backend, Carries(self.loads.get(number, 0.0), counts.get(number, 0)))
+        orders: list[face.Order] = []
+        lines = offer.lines
+        in_motion = False
+        for slice_ in self.slices.values():
+            if len(orders) >= lines:
+                break
+            if slice_.step != "steady":
+                in_motion = True
+                orders += self.advance(slice_)
+        for slice_ in self.to_open(offer.ordinary):
+            if len(orders) >= lines:
+                break
+            orders.append(face.Empty(slice_.number))
+            slice_.step, slice_.former, slice_.owner = "emptied", slice_.owner, None
+            slice_.since, slice_.gate_at, slice_.mark = now, None, NEVER
+            self.published.append(slice_)
+        orders += self.withdrawals()
+        unsent = any(slice_.step == "emptied" and slice_.mark == NEVER for slice_ in self.slices.values())
+        if orders or unsent or (in_motion and self.clear.unmarked):
+            self.published += [s for s in self.slices.values()
+                               if s.step == "emptied" and s.mark == NEVER and s not in self.published]
+            self.mail.post(self.channel, Write(orders))
+
+    def withdrawals(self) -> Iterable[face.Order]:
+        """Guards the drain grace where a slice may not be opened yet: its owner is shut out meanwhile."""
+        held = {slice_.owner for slice_ in self.slices.values() if slice_.step == "steady"}
+        for number, standing in self.standings.items():
+            if standing.state != "ready" and number in held and number not in self.withdrawn:
+                self.withdrawn.add(number)
+                yield face.Withdraw(number, True)
+            elif standing.state == "ready" and number in self.withdrawn:
+                self.withdrawn.discard(number)
+                yield face.Withdraw(number, False)
+
+    def to_open(self, ordinary: bool) -> list[Slice]:
+        """Which slices leave their owner now: all of those that drain, died or fell ill."""
+        now = self.mail.now
+        movable = [s for s in self.slices.values() if s.step == "steady" and now >= s.kept_until]
+        if not self.open:
+            return []
+        urgent = [s for s in movable if s.owner not in self.open]
+        return sorted(urgent, key=self.rate, reverse=True)
+
+    def advance(self, slice_: Slice) -> list[face.Order]:
+        """The next step of a handover, when it is due."""
+        now, rules = self.mail.now, self.rules
+        if slice_.gate_at is None and self.clear.mark >= slice_.mark:
+            slice_.gate_at = max(now, slice_.kept_until - rules.lease_us)
+            if not slice_.shut:
+                slice_.clean_at = now + rules.linger_us
+        former = self.standings.get(slice_.former) if slice_.former is not None else None
+        clean = slice_.gate_at is not None and (
+            now >= slice_.clean_at or (former is not None and former.state == "gone"))
+        if slice_.step == "emptied":
+            settled = slice_.gate_at is not None and now >= slice_.gate_at + self.clear.settle_us
+            # The exception for rule 1: when half the time a slice may be bare is gone, the new owner
+            # is published with writes shut; that needs no gate, for only reads can go there.
+            if now < slice_.kept_until or not (settled or now > slice_.since + rules.bare_us // 2):
+                return []
+            owner = self.choose(slice_)
+            if owner is None:
+                return []
+            slice_.owner, slice_.step = owner, "closing"
+            self.loads[owner] += self.rate(slice_)
+            self.published.append(slice_)
+            slice_.shut = not clean and rules.write_classes > 0
+            return ([face.Admit(slice_.number, rules.write_classes, rules.retry, 0.0)] if slice_.shut else []) + [
+                face.Own(slice_.number, owner, 1.0)]
+        if self.clear.mark < slice_.mark:
+            return []
+        if slice_.shut:
+            if not clean:
+                return []
+            slice_.shut = False
+            slice_.step = "steady"
+            return [face.Admit(slice_.number, rules.write_classes, rules.retry, 1.0)]
+        slice_.step = "steady"
+        return []
+
+    def choose(self, slice_: Slice) -> int | None:
+        """The server with least load per listed weight, a cold one counted by what it surely can do."""
+        best, least = None, float("inf")
+        rate = self.rate(slice_)
+        for number, standing in self.open.items():
+            able = standing.weight * (1.0 if standing.warmth >= 1 else 0.5 * standing.warmth)
+            load = (self.loads[number] + rate) / able
+            if load < least:
+                best, least = number, load
+        return best
+
+
+class Channel(Part):
+    """The way to the proxies: its waiting lines and the messages written to each proxy."""
+
+    def __init__(self, mail: Mail, rules: Rules, ledger: Part, roll: Roll) -> None:
+        super().__init__(mail)
+        self.rules, self.ledger, self.roll = rules, ledger, roll
+        self.waiting, self.at, self.mark = 0.0, mail.now, 0
+        self.written: deque[int] = deque()
+        self.proxies: set[int] = set()
+
+    def take(self, note: Any) -> None:
+        now, rules = self.mail.now, self.rules
+        match note:
+            case face.Joined(number, _, _, _):
+                self.proxies.add(number)
+            case face.Left(number):
+                self.proxies.discard(number)
+            case Tick():
+                # The channel may run slower than it should: half its pace is counted on.
+                self.waiting = max(0.0, self.waiting - (now - self.at) * rules.lines_per_s / SECOND / 2)
+                self.at = now
+                while self.written and self.written[0] <= now - rules.messages_over_us:
+                    self.written.popleft()
+                last = self.written[-1] if self.written else -NEVER
+                left = rules.messages_most - 1 - len(self.written)
+                gap = rules.gap_us if left > rules.messages_most // 2 else 3 * rules.gap_us
+                lines = int((rules.queue_lines * 0.5 - self.waiting) / max(1, len(self.proxies)) - rules.head_lines - 2)
+                if left > 0 and now >= last + gap and lines > 0 and self.proxies:
+                    self.mail.post(self.ledger, MayWrite(lines, left > rules.messages_most // 3))
+            case Write(orders):
+                self.mark += 1
+                self.written.append(now)
+                self.waiting += len(self.proxies) * (len(orders) + 1 + rules.head_lines)
+                self.mail.orders += [*orders, face.Mark(self.mark % MARKS, True)]
+                self.mail.post(self.roll, Sent(self.mark))
+                self.mail.post(self.ledger, Sent(self.mark))
+
+
+class Rules:
+    """The few figures that decisions use, derived from the deployment at the start."""
+
+    def __init__(self, told: face.Deployment) -> None:
+        self.lease_us, self.linger_us = told.lease_us, told.linger_us
+        self.bare_us = told.bare_us
+        self.cold_us, self.cold_share = told.cold_us, told.cold_share
+        self.write_classes = sum(1 << place for place, kind in enumerate(told.classes) if kind.writes)
+        self.retry = told.usual_retry
+        self.may_probe = told.may_probe
+        self.quiet_us = 2 * told.report_every_us + SECOND
+        self.demand_us = 4 * max(told.report_every_us, SECOND)
+        self.lines_per_s, self.head_lines = told.lines_per_s, told.head_lines
+        self.queue_lines = told.queue_lines
+        self.messages_over_us = told.messages_over_us or 10 * SECOND
+        self.messages_most = told.messages_most or 100
+        self.gap_us = self.messages_over_us // self.messages_most // 2
+
+
+class Controller:
+    """One instance: routes events to the parts, empties their inboxes, hands back the orders."""
+
+    BEAT_US = SECOND // 20
+
+    def __init__(self, told: face.Deployment, seed: int, now: int) -> None:
+        self.mail = Mail(seed)
+        self.mail.now = now
+        self.rules = Rules(told)
+        self.ledger = Ledger(self.mail, self.rules)
+        self.roll = Roll(self.mail, self.rules, told.proxies, self.ledger)
+        self.channel = Channel(self.mail, self.rules, self.ledger, self.roll)
+        self.ledger.channel = self.channel
+        self.backends = self.ledger.backends
+        self.must_ask, self.ask_at = told.asks_for_list, now
+        self.woken_at = -1
+
+    def turn(self, now: int, events: Iterable[face.Event]) -> list[face.Order]:
+        mail = self.mail
+        mail.now, mail.orders = now, []
+        for event in events:
+            self.route(event)
+        if self.must_ask and now >= self.ask_at:
+            mail.orders.append(face.Follow())
+            self.ask_at = NEVER
+        mail.run()
+        for backend in self.backends.values():
+            mail.post(backend, Tick())
+        mail.post(self.roll, Tick())
+        mail.run()
+        mail.post(self.channel, Tick())
+        mail.run()
+        if now >= self.woken_at:
+            self.woken_at = now + self.BEAT_US
+            mail.orders.append(face.Wake(0, self.woken_at))
+        return mail.orders
+
+    def route(self, event: face.Event) -> None:
+        post = self.mail.post
+        match event:
+            case face.Listed(kind, entries):
+                if kind == "lost":
+                    self.ask_at = self.mail.now + int(SECOND * (0.5 + self.mail.chance.draw()))
+                named = {entry.backend for entry in entries}
+                for entry in entries:
+                    if entry.backend not in self.backends:
+                        self.backends[entry.backend] = Backend(self.mail, entry.backend, self.rules, self.ledger)
+                    post(self.backends[entry.backend], entry)
+                if kind in ("whole", "remembered"):
+                    for number, backend in self.backends.items():
+                        if number not in named:
+                            post(backend, face.Entry(number, backend.zone, "gone", backend.weight, None))
+            case face.Met() | face.Probed():
+                if event.backend in self.backends:
+                    post(self.backends[event.backend], event)
+            case face.Joined():
+                for part in (self.roll, self.channel, self.ledger):
+                    post(part, event)
+            case face.Left():
+                post(self.roll, event)
+                post(self.channel, event)
+            case face.Answered():
+                post(self.roll, event)
+            case face.Given() | face.Held() | face.Came():
+                post(self.ledger, event)
--- /dev/null
+++ b/lapispass/drill/codec.py
@@ -0,0 +1,239 @@
+"""The simulator's wire: lines in, events out; orders in, lines out. No decisions."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from typing import Any, TextIO
+
+from lapispass import interface as face
+
+
+class WireError(Exception):
+    """A line that does not follow the wire."""
+
+
+STATES = {"live": "ready", "quiescing": "draining", "dead": "gone"}
+LIST_KINDS = {"incr": "changes", "total": "whole", "warm_copy": "remembered", "lost": "lost"}
+LOAD_FIELDS = {"busy_reqs": "held", "pending": "waiting", "cpu_share": "busy", "svc_ms": "service_ms",
+               "served_ps": "completed_per_s", "failed_ps": "failed_per_s"}
+ALL_TABLES = 65535
+
+
+def whole(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise ValueError(f"negative number {text!r}")
+    return value
+
+
+def maybe(read: Callable[[str], Any]) -> Callable[[str], Any]:
+    return lambda text: None if text == "-" else read(text)
+
+
+def flag(text: str) -> bool:
+    if text not in ("0", "1"):
+        raise ValueError(f"bool {text!r}")
+    return text == "1"
+
+
+def gauge(text: str) -> tuple[float | None, ...] | None:
+    if text == "-":
+        return None
+    return tuple(None if part in ("-", "") else float(part) for part in text.split(","))
+
+
+def named(names: dict[str, str]) -> Callable[[str], str]:
+    def read(text: str) -> str:
+        if text not in names:
+            raise ValueError(f"unknown word {text!r}")
+        return names[text]
+    return read
+
+
+number = maybe(float)
+count = maybe(whole)
+
+# verb: (readers of the parts after the instance, maker of the event)
+EVENTS: dict[str, tuple[tuple[Callable[[str], Any], ...], Callable[..., face.Event]]] = {
+    "FIRED": ((whole,), face.Woken),
+    "CHECK_RESULT": ((whole, whole, whole, gauge), face.Probed),
+    "MESSAGE": ((whole, lambda text: b"" if text == "-" else bytes.fromhex(text)), face.Said),
+    "ENROLLED": ((flag, whole, str, number), lambda first, proxy, zone, w: face.Joined(proxy, first, zone, w)),
+    "DROPPED_OFF": ((whole,), face.Left),
+    "STATS": ((whole, whole, whole, whole, whole, str, gauge),
+              lambda lost, tries, took, over, backend, zone, load:
+              face.Met(backend, zone, lost, tries, took, over, load)),
+    "INGRESS": ((str, whole, whole, whole, whole),
+                lambda name, lost, visits, over, proxy: face.Came(proxy, name, visits, lost, over)),
+    "PRESSURE": ((whole, whole, whole, whole, str),
+                 lambda lost, table, over, visits, name: face.Came(table, name, visits, lost, over)),
+    "GIVEN": ((whole, flag), face.Given),
+    "RECORDED": ((whole, whole, number), lambda table, backend, _w: face.Held(table, backend)),
+    "TOOK_EFFECT": ((whole, whole, whole), lambda mark, proxy, took: face.Answered(proxy, mark, took)),
+}
+ENTRY = (whole, str, str, whole, named(STATES), number, count)
+
+
+def parts_of(line: str, readers: tuple[Callable[[str], Any], ...], skip: int) -> list[Any]:
+    parts = line.split("\t")
+    if len(parts) != len(readers) + skip:
+        raise WireError(f"{parts[0]}: {len(parts) - 1} values where {len(readers) + skip - 1} belong")
+    try:
+        return [read(part) for read, part in zip(readers, parts[skip:])]
+    except ValueError as error:
+        raise WireError(f"{parts[0]}: {error}") from None
+
+
+def deployment(text: str) -> face.Deployment:
+    """Reads the settings; keys it does not know are passed over."""
+    try:
+        env = json.loads(text)
+        extra = env.get("extra", {})
+        rules = env.get("rules", {})
+        limits = env.get("limits", {})
+        grades = env["grades"]
+        writes = extra.get("class-writes") or [False] * len(grades)
+        home = extra.get("home-only") or [False] * len(grades)
+        classes = tuple(
+            face.VisitClass(grade["name"], int(grade["target-us"]), int(grade["hard-limit-us"]),
+                            float(grade["worth"]), bool(write), bool(own))
+            for grade, write, own in zip(grades, writes, home, strict=True))
+        return face.Deployment(
+            classes=classes,
+            zones=tuple(env.get("zones", ())),
+            proxies=int(extra.get("data-plane-size", 0)),
+            slices=int(extra.get("key-ranges", 0)),
+            lease_us=int(extra.get("lease-us", 0)),
+            linger_us=int(extra.get("lingers-us", 0)),
+            bare_us=int(extra.get("blackhole-us", 0)),
+            lines_per_s=float(extra.get("lines-per-s", 0)),
+            head_lines=float(extra.get("fixed-cost", 0)),
+            queue_lines=float(extra.get("queue-cap", 0)),
+            messages_most=int(extra.get("pushes-allowed", 0)),
+            messages_over_us=int(extra.get("update-window-us", 0)),
+            report_every_us=int(extra.get("report-every-us", 0)),
+            late_us=int(extra.get("push-delay-us", 0)),
+            usual_retry=int(extra.get("usual-how", 0)),
+            asks_for_list=env.get("discovery") == "subscribe",
+            may_probe=bool(limits.get("probes", False)),
+            admits_share=extra.get("admit") == "fraction",
+            drain_grace_us=int(rules.get("drain-grace-us", 0)),
+            cold_us=int(rules.get("cold-us", 0)),
+            cold_share=float(rules.get("start-capacity", 1)),
+            fall_multiple=float(rules.get("fall-multiple", 1)),
+            load_fields=tuple(LOAD_FIELDS.get(name, name) for name in env.get("stats", {}).get("fields", ())),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise WireError(f"SPAWN: settings: {type(error).__name__} {error}") from None
+
+
+class Spawn:
+    """An instance starts."""
+
+    def __init__(self, line: str) -> None:
+        parts = line.split("\t", 3)
+        if len(parts) != 4:
+            raise WireError("SPAWN: too few values")
+        try:
+            self.seed = whole(parts[2])
+        except ValueError as error:
+            raise WireError(f"SPAWN: {error}") from None
+        self.deployment = deployment(parts[3])
+
+
+class Detach:
+    """An instance is killed."""
+
+
+class Batch:
+    """One round: its time, its number and what each instance is told."""
+
+    def __init__(self, now: int, round_number: int) -> None:
+        self.now = now
+        self.round_number = round_number
+        self.news: list[tuple[int, face.Event | Spawn | Detach]] = []
+
+
+def read_batches(stream: TextIO) -> Iterator[Batch]:
+    """Reads rounds until the end of input; says where the input goes wrong."""
+    at = 0
+
+    def following() -> str:
+        nonlocal at
+        line = stream.readline()
+        at += bool(line)
+        return line.rstrip("\r\n") if line else "\0"
+
+    while (line := following()) != "\0":
+        try:
+            if not line:
+                continue
+            if line.split("\t")[0] != "SYNC":
+                raise WireError(f"SYNC expected, not {line[:40]!r}")
+            batch = Batch(*parts_of(line, (whole, whole), 1))
+            while (line := following()) != "EOF_BATCH":
+                if line == "\0":
+                    raise WireError("input ends inside a batch")
+                batch.news.append(_event(line, following))
+        except WireError as error:
+            raise WireError(f"line {at}: {error}") from None
+        yield batch
+
+
+def _event(line: str, following: Callable[[], str]) -> tuple[int, face.Event | Spawn | Detach]:
+    verb, _, rest = line.partition("\t")
+    try:
+        who = whole(rest.split("\t", 1)[0])
+    except ValueError as error:
+        raise WireError(f"{verb[:40]}: instance: {error}") from None
+    if verb == "SPAWN":
+        return who, Spawn(line)
+    if verb == "DETACH":
+        parts_of(line, (whole,), 1)
+        return who, Detach()
+    if verb == "TOPOLOGY":
+        kind, _, rows = parts_of(line, (named(LIST_KINDS), maybe(whole), maybe(whole)), 2)
+        entries = []
+        for _ in range(rows or 0):
+            row = following()
+            if row.split("\t")[0] != "ENTRY":
+                raise WireError(f"ENTRY expected, not {row[:40]!r}")
+            backend, zone, _, _, state, weight, born = parts_of(row, ENTRY, 1)
+            entries.append(face.Entry(backend, zone, state, weight, born or None))
+        return who, face.Listed(kind, tuple(entries))
+    if verb not in EVENTS:
+        raise WireError(f"unknown verb {verb[:40]!r}")
+    readers, make = EVENTS[verb]
+    return who, make(*parts_of(line, readers, 2))
+
+
+def figure(value: float) -> str:
+    return str(int(value)) if value == int(value) else format(value, ".6g")
+
+
+def written(who: int, order: face.Order) -> str:
+    """One order as a line of the wire."""
+    match order:
+        case face.Own(table, backend, weight):
+            return f"UPSERT\t{who}\t{table}\t{figure(weight)}\t{backend}\n"
+        case face.Empty(table):
+            return f"DROP_LINES\t{who}\t{table}\n"
+        case face.Withdraw(backend, out):
+            return f"BENCH\t{who}\t{int(out)}\t{backend}\n"
+        case face.Admit(table, classes, retry, share):
+            wide = ALL_TABLES if table is None else table
+            return f"VALVE\t{who}\t{wide}\t{classes}\t{retry}\t{figure(share)}\n"
+        case face.Mark(mark, every_proxy):
+            return f"CHECKPOINT\t{who}\t{int(every_proxy)}\t{mark}\n"
+        case face.Bind(proxy, table, classes):
+            return f"PIN\t{who}\t{proxy}\t{table}\t{classes}\n"
+        case face.Probe(backend):
+            return f"INSPECT\t{who}\t{backend}\n"
+        case face.Wake(token, at_us):
+            return f"NOTIFY_ME\t{who}\t{token}\t{at_us}\n"
+        case face.Follow():
+            return f"TAIL\t{who}\t1\n"
+        case face.Log(text):
+            return f"RECORD\t{who}\t{text}\n"
+    raise TypeError(f"no such order: {order!r}")
