Let a slice leave a draining owner while its writes are shut; limit cold owners

Change: a handover closes with its answers; writes stay shut beyond that on their own clock. A cold owner lets in no more than its sure share of what warm servers complete per listed weight.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -65,6 +65,7 @@
     weight: float
     zone: str
     fit: float
+    pace: float
 
 
 class Carries(NamedTuple):
@@ -172,7 +173,9 @@
             case Tick():
                 self.judge()
                 self.mail.post(self.ledger, Standing(self.number, self.state, self.mode != "well",
-                                                     self.warmth(), self.weight, self.zone, self.fit))
+                                                     self.warmth(), self.weight, self.zone, self.fit,
+                                                     max(0.0, self.tries.read(self.mail.now) - self.lost.read(
+                                                         self.mail.now)) * 0.347))
 
     def warmth(self) -> float:
         """The least share of its work a backend can do: it rises no slower than evenly."""
@@ -283,7 +286,7 @@
     mark: int = NEVER  # of the step's message
     since: int = 0
     gate_at: int | None = None  # when every proxy had taken the empty step
-    clean_at: int = 0  # from when no earlier owner can hold a write
+    clean_at: int | None = 0  # from when no earlier owner can hold a write; None until the gate
     shut: bool = False  # its writes are not let in
     demand: dict[str, Fading] = field(default_factory=dict)
     levels: dict[int, float] = field(default_factory=dict)
@@ -315,10 +318,12 @@
                 self.slices.pop(number, None)
                 if ours:
                     # The store's table is kept, and nothing starts here for one lease.
-                    self.slices[number] = Slice(number, now + self.rules.lease_us, step="emptied", since=now)
+                    self.slices[number] = Slice(number, now + self.rules.lease_us, step="emptied", since=now,
+                                                clean_at=None)
             case face.Held(number, backend):
                 if number in self.slices:
                     self.slices[number].owner, self.slices[number].step = backend, "steady"
+                    self.slices[number].clean_at = 0
             case face.Came(number, visit_class, visits, _, over_us):
                 if number in self.slices and over_us:
                     demand = self.slices[number].demand
@@ -361,53 +366,59 @@
         for slice_ in self.slices.values():
             if len(orders) >= lines:
                 break
-            if slice_.step != "steady":
-                in_motion = True
+            if slice_.step != "steady" or slice_.shut:
+                in_motion = in_motion or slice_.step != "steady"
                 orders += self.advance(slice_)
         for slice_ in self.to_open(offer.ordinary):
             if len(orders) >= lines:
                 break
             orders.append(face.Empty(slice_.number))
-            slice_.step, slice_.former, slice_.owner = "emptied", slice_.owner, None
+            if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
+                slice_.former, slice_.clean_at = slice_.owner, None
+            slice_.step, slice_.owner = "emptied", None
             slice_.since, slice_.gate_at, slice_.mark = now, None, NEVER
             slice_.levels.clear()
             self.published.append(slice_)
         orders += self.withdrawals()
-        if offer.ordinary:
-            orders += self.levels()
+        orders += self.levels(offer.ordinary)
         unsent = any(slice_.step == "emptied" and slice_.mark == NEVER for slice_ in self.slices.values())
         if orders or unsent or (in_motion and self.clear.unmarked):
             self.published += [s for s in self.slices.values()
                                if s.step == "emptied" and s.mark == NEVER and s not in self.published]
             self.mail.post(self.channel, Write(orders))
 
-    def levels(self) -> Iterable[face.Order]:
-        """Lets in what each owner can complete, the classes of most benefit first."""
-        brought: dict[int, dict[str, float]] = {}
+    def levels(self, ordinary: bool) -> Iterable[face.Order]:
+        """Lets in what each owner can complete, the classes of most benefit first; no writes where shut."""
+        owned: dict[int, list[Slice]] = {}
         for slice_ in self.slices.values():
-            if slice_.owner is not None:
-                sums = brought.setdefault(slice_.owner, {})
-                for name, fading in slice_.demand.items():
-                    sums[name] = sums.get(name, 0.0) + fading.read(self.mail.now)
-        for number, sums in brought.items():
-            standing = self.standings.get(number)
-            if standing is None:
-                continue
-            left = standing.fit * sum(sums.values())
+            if slice_.owner in self.standings:
+                owned.setdefault(slice_.owner, []).append(slice_)
+        warm = [s for s in self.standings.values() if s.state == "ready" and s.warmth >= 1]
+        usual = sum(s.pace for s in warm) / max(0.1, sum(s.weight for s in warm))
+        for number, slices in owned.items():
+            standing = self.standings[number]
+            sums = {name: sum(s.demand[name].read(self.mail.now) for s in slices if name in s.demand)
+                    for _, _, name in self.rules.classes}
+            coming = sum(sums.values()) * SECOND * 0.693 / self.rules.demand_us
+            fit, cold = standing.fit, standing.warmth < 1
+            if cold:
+                # Guards a cold server: no more than its sure part of what the warm ones complete.
+                fit = min(fit, 0.6 * standing.warmth * standing.weight * usual / max(0.1, coming))
+            left = fit * sum(sums.values())
             for _, place, name in self.rules.classes:
-                coming = sums.get(name, 0.0)
-                share = 1.0 if standing.fit >= 1 or coming <= left else round(max(0.05, left / coming), 2)
-                left = max(0.0, left - coming)
-                for slice_ in self.slices.values():
+                share = 1.0 if fit >= 1 or sums[name] <= left else round(max(0.05, left / sums[name]), 2)
+                left = max(0.0, left - sums[name])
+                for slice_ in slices:
                     old = slice_.levels.get(place, 1.0)
-                    if slice_.owner == number and share != old and (share == 1 or abs(share - old) > 0.1) and not (
-                            slice_.shut and self.rules.write_classes >> place & 1):
-                        slice_.levels[place] = share
-                        yield face.Admit(slice_.number, 1 << place, self.rules.retry, share)
+                    want = 0.0 if slice_.shut and self.rules.write_classes >> place & 1 else share
+                    urgent = (want == 0) != (old == 0) or (cold and want < old - 0.1)
+                    if urgent or ordinary and (abs(want - old) > 0.1 or (want != old and want == 1)):
+                        slice_.levels[place] = want
+                        yield face.Admit(slice_.number, 1 << place, self.rules.retry, want)
 
     def withdrawals(self) -> Iterable[face.Order]:
         """Guards the drain grace where a slice may not be opened yet: its owner is shut out meanwhile."""
-        held = {slice_.owner for slice_ in self.slices.values() if slice_.step == "steady"}
+        held = {slice_.owner for slice_ in self.slices.values()}
         for number, standing in self.standings.items():
             if standing.state != "ready" and number in held and number not in self.withdrawn - self.repeat:
                 self.withdrawn.add(number)
@@ -429,13 +440,14 @@
     def advance(self, slice_: Slice) -> list[face.Order]:
         """The next step of a handover, when it is due."""
         now, rules = self.mail.now, self.rules
-        if slice_.gate_at is None and self.clear.mark >= slice_.mark:
-            slice_.gate_at = max(now, slice_.kept_until - rules.lease_us)
-            if not slice_.shut:
+        answered = self.clear.mark >= slice_.mark
+        if answered and slice_.gate_at is None:
+            slice_.gate_at = now
+            if slice_.clean_at is None:
                 slice_.clean_at = now + rules.linger_us
         former = self.standings.get(slice_.former) if slice_.former is not None else None
         clean = slice_.gate_at is not None and (
-            now >= slice_.clean_at or (former is not None and former.state == "gone"))
+            now >= (slice_.clean_at or 0) or (former is not None and former.state == "gone"))
         if slice_.step == "emptied":
             settled = slice_.gate_at is not None and now >= slice_.gate_at + self.clear.settle_us
             # The exception for rule 1: when half the time a slice may be bare is gone, the new owner
@@ -445,21 +457,16 @@
             owner = self.choose(slice_)
             if owner is None:
                 return []
-            slice_.owner, slice_.step = owner, "closing"
+            slice_.owner, slice_.step, slice_.mark = owner, "closing", NEVER
             self.loads[owner] += self.rate(slice_)
             self.published.append(slice_)
+            # The exception for rule 2: an earlier owner may hold writes for longer than the settle time;
+            # until it cannot, the new owner is published for reads only.
             slice_.shut = not clean and rules.write_classes > 0
-            return ([face.Admit(slice_.number, rules.write_classes, rules.retry, 0.0)] if slice_.shut else []) + [
-                face.Own(slice_.number, owner, 1.0)]
-        if self.clear.mark < slice_.mark:
-            return []
-        if slice_.shut:
-            if not clean:
-                return []
-            slice_.shut = False
+            return [face.Own(slice_.number, owner, 1.0)]
+        if answered:
             slice_.step = "steady"
-            return [face.Admit(slice_.number, rules.write_classes, rules.retry, 1.0)]
-        slice_.step = "steady"
+            slice_.shut = slice_.shut and not clean
         return []
 
     def choose(self, slice_: Slice) -> int | None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -30,11 +30,12 @@
 
 @dataclass
 class Table:
-    """A slice's table: its owner, the count of owners so far, and whether writes are let in."""
+    """A slice's table: its owner, the count of owners so far, and what is let in."""
 
     owner: int | None = None
     count: int = 0
     writes: bool = True
+    share: float = 1.0
 
 
 @dataclass
@@ -155,6 +156,7 @@
                 case face.Admit(table, classes, _, share):
                     if classes >> 1 & 1:
                         self.store[table].writes = share > 0
+                    self.store[table].share = share
                     message.append((order, 0))
                 case face.Withdraw() | face.Mark():
                     message.append((order, 0))
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -154,3 +154,24 @@
     fading = Fading(SECOND)
     fading.add(0, 8.0)
     assert fading.read(2 * SECOND) == pytest.approx(2.0)
+
+
+def test_a_new_owner_that_drains_while_its_writes_are_shut_is_left_in_time() -> None:
+    fleet = Fleet(deployment(linger_us=6 * SECOND), 4, seed=8)
+    fleet.run(3)
+    fleet.change(102, "draining")
+    while None in owners(fleet) or 102 in owners(fleet):
+        fleet.run(0.05)
+    assert not all(table.writes for table in fleet.store.values())
+    fleet.change(next(t.owner for t in fleet.store.values() if not t.writes), "draining")
+    fleet.run(15)  # the model holds the drain grace and the single owner
+
+
+def test_a_restarted_owner_is_let_in_by_its_sure_part() -> None:
+    fleet = Fleet(deployment(slices=3), 3, seed=9, visits=20)
+    fleet.run(5)
+    fleet.change(101, "ready", fleet.now)
+    fleet.run(0.2)
+    assert {table.owner: table.share for table in fleet.store.values()}[101] < 0.2
+    fleet.run(14)
+    assert {table.owner: table.share for table in fleet.store.values()}[101] == 1
