Relieve cut owners where another server has room; keep the limit in visits a second

Cause: slices start on servers of unequal speed and some slices are in demand for a while, so single servers queue while others idle. Change: an owner's limit is absolute (visits a second) and follows what it completes; while it cuts, the smallest slice that covers the excess moves to a server with clearly less load per able weight, a tenth of the pending ones a turn. Busy reports give the able weight where there are any. Kept: cut to what is completed, rise by a fifth.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -64,8 +64,9 @@
     warmth: float
     weight: float
     zone: str
-    fit: float
+    limit: float
     pace: float
+    speed: float | None
 
 
 class Carries(NamedTuple):
@@ -145,7 +146,8 @@
         self.mode, self.since = "well", mail.now
         self.tries, self.lost = Fading(2 * SECOND), Fading(2 * SECOND)
         self.spent = Fading(2 * SECOND)
-        self.fit, self.fit_at = 1.0, 0
+        self.limit, self.limit_at = float("inf"), 0
+        self.speed: float | None = None
         self.good_at = mail.now
         self.rate, self.slices = 0.0, 0
         self.probe_at, self.misses, self.answers = 0, 0, 0
@@ -155,9 +157,11 @@
             case face.Entry(_, zone, state, weight, born):
                 if born and born != self.born and self.born:
                     self.turn_to("well", "started anew")
+                    self.limit = float("inf")
                 self.state, self.zone, self.weight = state, zone, weight or 1.0
                 self.born = born or self.born
-            case face.Met(_, _, lost, tries, took_us, _, _):
+            case face.Met(_, _, lost, tries, took_us, _, load):
+                self.learn(dict(zip(self.rules.load_fields, load or ())))
                 self.spent.add(self.mail.now, (tries - lost) * took_us)
                 self.tries.add(self.mail.now, tries)
                 self.lost.add(self.mail.now, lost)
@@ -173,9 +177,16 @@
             case Tick():
                 self.judge()
                 self.mail.post(self.ledger, Standing(self.number, self.state, self.mode != "well",
-                                                     self.warmth(), self.weight, self.zone, self.fit,
+                                                     self.warmth(), self.weight, self.zone, self.limit,
                                                      max(0.0, self.tries.read(self.mail.now) - self.lost.read(
-                                                         self.mail.now)) * 0.347))
+                                                         self.mail.now)) * 0.347, self.speed))
+
+    def learn(self, load: dict[str, float | None]) -> None:
+        """How many visits a second its whole work would be, where its load reports tell."""
+        busy = load.get("busy")
+        if busy and busy > 0.1 and self.rate > 0.5 and self.warmth() >= 1:
+            speed = self.rate / busy / self.weight
+            self.speed = speed if self.speed is None else 0.8 * self.speed + 0.2 * speed
 
     def warmth(self) -> float:
         """The least share of its work a backend can do: it rises no slower than evenly."""
@@ -207,13 +218,13 @@
             # Guards against quick errors: most tries fail, by more than a handful.
             elif self.slices and tries > 8 and lost > 0.4 * tries and mean < 0.3 * rules.agreed_us:
                 self.turn_to("failing", f"{lost:.1f} of {tries:.1f} tries lost, the rest took {mean:.0f} us")
-            elif now - self.fit_at > rules.echo_us and tries > 2:
-                self.fit_at = now
+            elif now - self.limit_at > rules.echo_us and tries > 2:
+                self.limit_at = now
                 # Guards against a queue that makes every visit late: let in what it completes.
                 if lost > 0.15 * tries or mean > 0.7 * rules.agreed_us:
-                    self.fit = max(0.1, self.fit * 0.9 * max(0.5, 1 - lost / tries))
+                    self.limit = max(0.5, min(self.limit, self.rate) * max(0.6, 1 - lost / tries))
                 else:
-                    self.fit = min(1.0, self.fit * 1.1 + 0.02)
+                    self.limit = self.limit * 1.2 if self.limit < 1.5 * self.rate else float("inf")
         elif self.mode == "silent" and self.answers >= 2 and now - self.since > 4 * SECOND:
             self.turn_to("well", f"{self.answers} probes answered")
         elif now - self.since > 15 * SECOND and self.misses == 0:
@@ -304,6 +315,7 @@
         self.clear = Clear(-1, SECOND, False)
         self.withdrawn: set[int] = set()
         self.repeat: set[int] = set()
+        self.relieved: dict[int | None, int] = {}
         self.channel: Part
         self.published: list[Slice] = []
 
@@ -352,6 +364,11 @@
         trust = ill * 3 <= ready
         self.open = {number: standing for number, standing in self.standings.items()
                      if standing.state == "ready" and not (standing.ill and trust)}
+        speeds = [standing.speed for standing in self.standings.values() if standing.speed]
+        usual = sum(speeds) / len(speeds) if speeds else 1.0
+        self.able = {number: standing.weight * (standing.speed or usual) *
+                     (1.0 if standing.warmth >= 1 else 0.5 * standing.warmth)
+                     for number, standing in self.standings.items()}
         self.loads = dict.fromkeys(self.standings, 0.0)
         counts = dict.fromkeys(self.standings, 0)
         for slice_ in self.slices.values():
@@ -400,7 +417,7 @@
             sums = {name: sum(s.demand[name].read(self.mail.now) for s in slices if name in s.demand)
                     for _, _, name in self.rules.classes}
             coming = sum(sums.values()) * SECOND * 0.693 / self.rules.demand_us
-            fit, cold = standing.fit, standing.warmth < 1
+            fit, cold = min(1.0, standing.limit / max(0.1, coming)), standing.warmth < 1
             if cold:
                 # Guards a cold server: no more than its sure part of what the warm ones complete.
                 fit = min(fit, 0.6 * standing.warmth * standing.weight * usual / max(0.1, coming))
@@ -435,7 +452,14 @@
         if not self.open:
             return []
         urgent = [s for s in movable if s.owner not in self.open]
-        return sorted(urgent, key=self.rate, reverse=True)
+        urgent.sort(key=self.rate, reverse=True)
+        if not ordinary or urgent or any(s.step != "steady" for s in self.slices.values()):
+            return urgent
+        others = self.to_relieve(movable)
+        others = others[:max(1, len(others) // 10)]
+        for slice_ in others:
+            self.relieved[slice_.owner] = now
+        return others
 
     def advance(self, slice_: Slice) -> list[face.Order]:
         """The next step of a handover, when it is due."""
@@ -471,14 +495,27 @@
 
     def choose(self, slice_: Slice) -> int | None:
         """The server with least load per listed weight, a cold one counted by what it surely can do."""
-        best, least = None, float("inf")
-        rate = self.rate(slice_)
+        return min(self.open, key=lambda number: self.load_with(number, slice_), default=None)
+
+    def load_with(self, number: int, slice_: Slice) -> float:
+        """A backend's load per weight with this slice; one that is cut already counts double."""
+        cut = 2.0 if self.open[number].limit < float("inf") else 1.0
+        return cut * (self.loads[number] + self.rate(slice_)) / self.able[number]
+
+    def to_relieve(self, movable: list[Slice]) -> list[Slice]:
+        """Slices whose owner lets in less than what comes, where another server has room for one."""
+        chosen = []
         for number, standing in self.open.items():
-            able = standing.weight * (1.0 if standing.warmth >= 1 else 0.5 * standing.warmth)
-            load = (self.loads[number] + rate) / able
-            if load < least:
-                best, least = number, load
-        return best
+            excess = self.loads[number] - standing.limit
+            mine = sorted((s for s in movable if s.owner == number), key=self.rate)
+            if excess <= 0 or len(mine) < 2 or self.mail.now < self.relieved.get(number, 0) + self.rules.echo_us:
+                continue
+            slice_ = next((s for s in mine if self.rate(s) >= 0.7 * excess), mine[-1])
+            target = self.choose(slice_)
+            if target is not None and target != number and self.open[target].limit == float("inf") and (
+                    self.load_with(target, slice_) < 0.75 * self.loads[number] / self.able[number]):
+                chosen.append(slice_)
+        return chosen
 
 
 class Channel(Part):
@@ -528,6 +565,7 @@
         self.cold_us, self.cold_share = told.cold_us, told.cold_share
         self.write_classes = sum(1 << place for place, kind in enumerate(told.classes) if kind.writes)
         self.retry = told.usual_retry
+        self.load_fields = told.load_fields
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in enumerate(told.classes)),
                               reverse=True)
         self.agreed_us = sum(kind.agreed_us for kind in told.classes) / max(1, len(told.classes))
