Cut an owner whose visits are slow though few are lost

Cause: with nothing lost the limit stayed at what came, so a standing queue stayed and no slice was relieved.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -221,8 +221,10 @@
             elif now - self.limit_at > rules.echo_us and tries > 2:
                 self.limit_at = now
                 # Guards against a queue that makes every visit late: let in what it completes.
-                if lost > 0.15 * tries or mean > 0.7 * rules.agreed_us:
+                if lost > 0.15 * tries:
                     self.limit = max(0.5, min(self.limit, self.rate) * max(0.6, 1 - lost / tries))
+                elif mean > 0.6 * rules.agreed_us:
+                    self.limit = max(0.5, min(self.limit, self.rate) * 0.85)
                 else:
                     self.limit = self.limit * 1.2 if self.limit < 1.5 * self.rate else float("inf")
         elif self.mode == "silent" and self.answers >= 2 and now - self.since > 4 * SECOND:
