Steer the share let in; fold the roll into the channel; plain spread without slices

The share itself is steered now, never below half an owner's best pace, and rises by half while answers are quick. Also: what was shut out is said again to joiners and let in after a restart; a server that fails again stays away twice as long; one part fewer.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -56,7 +56,7 @@
 
 
 class Standing(NamedTuple):
-    """A backend tells the ledger how it stands."""
+    """A backend tells how it stands."""
 
     backend: int
     state: str
@@ -64,7 +64,7 @@
     warmth: float
     weight: float
     zone: str
-    limit: float
+    fit: float
     pace: float
     speed: float | None
 
@@ -76,19 +76,14 @@
     slices: int
 
 
-class Clear(NamedTuple):
-    """The roll tells the ledger up to which mark no proxy can act on older tables."""
-
-    mark: int
-    settle_us: int
-    unmarked: bool
-
-
-class MayWrite(NamedTuple):
-    """The channel offers a turn of so many lines."""
+class Offer(NamedTuple):
+    """The channel offers a turn: so many lines, and how far the proxies' answers have come."""
 
     lines: int
     ordinary: bool
+    cleared: int  # no proxy can write by a table older than this mark
+    settle_us: int
+    unmarked: bool  # some proxy has joined since the last mark
 
 
 class Write(NamedTuple):
@@ -98,7 +93,7 @@
 
 
 class Sent(NamedTuple):
-    """The channel has written a turn under this mark, to so many proxies."""
+    """The channel has written a turn under this mark."""
 
     mark: int
 
@@ -106,8 +101,8 @@
 class Mail:
     """The inboxes of all parts, emptied by one loop, and the orders of the turn."""
 
-    def __init__(self, seed: int) -> None:
-        self.now = 0
+    def __init__(self, seed: int, now: int) -> None:
+        self.now = now
         self.waiting: deque[Part] = deque()
         self.orders: list[face.Order] = []
         self.chance = Chance(seed)
@@ -119,35 +114,33 @@
     def run(self) -> None:
         while self.waiting:
             part = self.waiting.popleft()
-            part.take(part.inbox.popleft())
+            part.take(part.inbox.popleft())  # type: ignore[attr-defined]
 
     def log(self, text: str) -> None:
         self.orders.append(face.Log(text))
 
 
 class Part:
-    """Something with an inbox."""
+    """Something with an inbox; each kind has its own way to take a note."""
 
     def __init__(self, mail: Mail) -> None:
         self.mail = mail
         self.inbox: deque[Any] = deque()
 
-    def take(self, note: Any) -> None:
-        raise NotImplementedError
-
 
 class Backend(Part):
     """One server: what the list says of it, and its health as late sums and probes show it."""
 
-    def __init__(self, mail: Mail, number: int, rules: Rules, ledger: Part) -> None:
+    def __init__(self, mail: Mail, number: int, rules: Rules, table: Part) -> None:
         super().__init__(mail)
-        self.number, self.rules, self.ledger = number, rules, ledger
+        self.number, self.rules, self.table = number, rules, table
         self.state, self.zone, self.weight, self.born = "gone", "", 1.0, 0
         self.mode, self.since = "well", mail.now
         self.tries, self.lost = Fading(2 * SECOND), Fading(2 * SECOND)
         self.spent = Fading(2 * SECOND)
-        self.limit, self.limit_at = float("inf"), 0
+        self.fit, self.fit_at = 1.0, 0
         self.speed: float | None = None
+        self.best, self.away_us = 0.0, 15 * SECOND
         self.good_at = mail.now
         self.rate, self.slices = 0.0, 0
         self.probe_at, self.misses, self.answers = 0, 0, 0
@@ -157,7 +150,7 @@
             case face.Entry(_, zone, state, weight, born):
                 if born and born != self.born and self.born:
                     self.turn_to("well", "started anew")
-                    self.limit = float("inf")
+                    self.fit = 1.0
                 self.state, self.zone, self.weight = state, zone, weight or 1.0
                 self.born = born or self.born
             case face.Met(_, _, lost, tries, took_us, _, load):
@@ -173,13 +166,14 @@
             case Carries(rate, slices):
                 if not self.slices:
                     self.good_at = self.mail.now
+                elif slices != self.slices:  # the share follows what is left to let in
+                    self.fit = min(1.0, self.fit * self.rate / max(0.1, rate))
                 self.rate, self.slices = rate, slices
             case Tick():
                 self.judge()
-                self.mail.post(self.ledger, Standing(self.number, self.state, self.mode != "well",
-                                                     self.warmth(), self.weight, self.zone, self.limit,
-                                                     max(0.0, self.tries.read(self.mail.now) - self.lost.read(
-                                                         self.mail.now)) * 0.347, self.speed))
+                self.mail.post(self.table, Standing(self.number, self.state, self.mode != "well",
+                                                     self.warmth(), self.weight, self.zone, self.fit,
+                                                     self.pace(), self.speed))
 
     def learn(self, load: dict[str, float | None]) -> None:
         """How many visits a second its whole work would be, where its load reports tell."""
@@ -188,6 +182,10 @@
             speed = self.rate / busy / self.weight
             self.speed = speed if self.speed is None else 0.8 * self.speed + 0.2 * speed
 
+    def pace(self) -> float:
+        """Visits completed a second."""
+        return max(0.0, self.tries.read(self.mail.now) - self.lost.read(self.mail.now)) * 0.347
+
     def warmth(self) -> float:
         """The least share of its work a backend can do: it rises no slower than evenly."""
         age = self.mail.now - self.born
@@ -214,79 +212,31 @@
             # Guards against a server that takes visits and answers none, or has gone silent: nothing
             # good came back for a while although visits went there, and probes stay without answer.
             if suspect and (self.misses >= 2 or quiet > 3 * rules.quiet_us):
-                self.turn_to("silent", f"no good answer for {quiet} us at {self.rate:.1f}/s, {self.misses} probes lost")
+                self.turn_to("silent", f"nothing for {quiet} us at {self.rate:.1f}/s, {self.misses} probes lost")
             # Guards against quick errors: most tries fail, by more than a handful.
             elif self.slices and tries > 8 and lost > 0.4 * tries and mean < 0.3 * rules.agreed_us:
                 self.turn_to("failing", f"{lost:.1f} of {tries:.1f} tries lost, the rest took {mean:.0f} us")
-            elif now - self.limit_at > rules.echo_us and tries > 2:
-                self.limit_at = now
+            elif now - self.fit_at > rules.echo_us and tries > 2:
+                self.fit_at = now
                 # Guards against a queue that makes every visit late: let in what it completes.
-                if lost > 0.15 * tries:
-                    self.limit = max(0.5, min(self.limit, self.rate) * max(0.6, 1 - lost / tries))
-                elif mean > 0.6 * rules.agreed_us:
-                    self.limit = max(0.5, min(self.limit, self.rate) * 0.85)
+                slow, short = mean / rules.agreed_us, lost / tries
+                if slow > 0.6 or short > 0.15:
+                    if tries * 0.347 > 0.5 * self.best:
+                        self.fit = max(0.05, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
                 else:
-                    self.limit = self.limit * 1.2 if self.limit < 1.5 * self.rate else float("inf")
+                    self.fit = min(1.0, self.fit * (1.5 if slow < 0.3 else 1.2))
+                    self.best = max(self.best, self.pace())
+                self.best *= 0.95
         elif self.mode == "silent" and self.answers >= 2 and now - self.since > 4 * SECOND:
             self.turn_to("well", f"{self.answers} probes answered")
-        elif now - self.since > 15 * SECOND and self.misses == 0:
+        elif now - self.since > self.away_us and self.misses == 0:
+            self.away_us *= 2  # one that fails again stays away for longer
             self.turn_to("well", "its time away is over")
         if rules.may_probe and (suspect or self.mode == "silent") and now >= self.probe_at:
             self.probe_at = now + (SECOND // 2 if suspect else 2 * SECOND)
             self.mail.orders.append(face.Probe(self.number))
 
 
-@dataclass(slots=True)
-class Proxy:
-    """What the roll knows of one proxy."""
-
-    joined: bool = False
-    answered: int = -1
-    gone_at: int = 0
-    joined_after: int = 0
-
-
-class Roll(Part):
-    """The proxies: who is joined, what each has answered, and how slow answers have been."""
-
-    def __init__(self, mail: Mail, rules: Rules, expected: int, ledger: Part) -> None:
-        super().__init__(mail)
-        self.rules, self.ledger = rules, ledger
-        # After a start nobody has joined: each may still act on an older table for one lease.
-        self.proxies = {number: Proxy(gone_at=mail.now) for number in range(expected)}
-        self.mark = -1
-        self.slowest = Fading(8 * SECOND, float(SECOND), mail.now)
-
-    def take(self, note: Any) -> None:
-        now = self.mail.now
-        match note:
-            case face.Joined(number, _, _, _):
-                self.proxies[number] = Proxy(True, joined_after=self.mark)
-            case face.Left(number):
-                proxy = self.proxies.setdefault(number, Proxy())
-                proxy.joined, proxy.gone_at = False, now
-            case face.Answered(number, mark, took_us):
-                proxy = self.proxies.get(number)
-                if proxy is not None and proxy.joined and self.mark >= 0:
-                    heard = self.mark - (self.mark - mark) % MARKS
-                    proxy.answered = max(proxy.answered, heard)
-                    self.slowest.add(now, max(0.0, took_us - self.slowest.read(now)))
-            case Sent(mark):
-                self.mark = mark
-            case Tick():
-                joined = [proxy for proxy in self.proxies.values() if proxy.joined]
-                settle = min(int(self.slowest.read(now)), self.rules.lease_us * 9 // 10)
-                self.mail.post(self.ledger, Clear(
-                    min((self.cleared(proxy) for proxy in self.proxies.values()), default=NEVER), settle,
-                    any(proxy.joined_after == self.mark for proxy in joined)))
-
-    def cleared(self, proxy: Proxy) -> int:
-        """The mark up to which this proxy cannot write by an older table."""
-        if not proxy.joined and self.mail.now >= proxy.gone_at + self.rules.lease_us:
-            return NEVER
-        return proxy.answered
-
-
 @dataclass(slots=True)
 class Slice:
     """A slice in this controller's charge and how far its handover is."""
@@ -311,23 +261,19 @@
     def __init__(self, mail: Mail, rules: Rules) -> None:
         super().__init__(mail)
         self.rules = rules
+        self.backends: dict[int, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.standings: dict[int, Standing] = {}
-        self.backends: dict[int, Backend] = {}
-        self.clear = Clear(-1, SECOND, False)
-        self.withdrawn: set[int] = set()
-        self.repeat: set[int] = set()
+        self.offer = Offer(0, False, -1, SECOND, False)
+        self.said: dict[int, bool | None] = {}  # whether a server is shut out; None: to be said again
         self.relieved: dict[int | None, int] = {}
         self.channel: Part
-        self.published: list[Slice] = []
 
     def take(self, note: Any) -> None:
         now = self.mail.now
         match note:
             case Standing(backend):
                 self.standings[backend] = note
-            case Clear():
-                self.clear = note
             case face.Given(number, ours):
                 self.slices.pop(number, None)
                 if ours:
@@ -344,82 +290,73 @@
                     if visit_class not in demand:
                         demand[visit_class] = Fading(self.rules.demand_us)
                     demand[visit_class].add(now, visits)
-            case face.Joined():
-                self.repeat = set(self.withdrawn)  # a joiner has not heard of what these orders shut out
-            case MayWrite():
-                self.compose(note)
+            case face.Joined(_, first, _, _):
+                # A joiner has not heard of earlier orders, and holds what an earlier stream shut out.
+                self.said.update(dict.fromkeys(self.said, None) if first or self.said else
+                                 dict.fromkeys(self.standings, None))
+            case Offer():
+                self.offer = note
+                self.compose()
             case Sent(mark):
-                for slice_ in self.published:
-                    slice_.mark = mark
-                self.published = []
+                for slice_ in self.slices.values():
+                    if slice_.step != "steady" and slice_.mark == NEVER:
+                        slice_.mark = mark
 
     def rate(self, slice_: Slice) -> float:
         """Visits a second, from the decaying sums; a little above nothing for the unheard of."""
         seen = sum(fading.read(self.mail.now) for fading in slice_.demand.values())
         return 0.2 + seen * SECOND * 0.693 / self.rules.demand_us
 
-    def compose(self, offer: MayWrite) -> None:
-        now = self.mail.now
-        ill = sum(standing.ill for standing in self.standings.values() if standing.state == "ready")
-        ready = sum(standing.state == "ready" for standing in self.standings.values())
-        # Guards against blaming servers for what strikes all of them: the fault is nearer then.
-        trust = ill * 3 <= ready
-        self.open = {number: standing for number, standing in self.standings.items()
-                     if standing.state == "ready" and not (standing.ill and trust)}
-        speeds = [standing.speed for standing in self.standings.values() if standing.speed]
-        usual = sum(speeds) / len(speeds) if speeds else 1.0
-        self.able = {number: standing.weight * (standing.speed or usual) *
-                     (1.0 if standing.warmth >= 1 else 0.5 * standing.warmth)
-                     for number, standing in self.standings.items()}
-        self.loads = dict.fromkeys(self.standings, 0.0)
-        counts = dict.fromkeys(self.standings, 0)
-        for slice_ in self.slices.values():
-            if slice_.owner in self.loads:
-                self.loads[slice_.owner] += self.rate(slice_)
-                counts[slice_.owner] += 1
-        for number, backend in self.backends.items():
-            self.mail.post(backend, Carries(self.loads.get(number, 0.0), counts.get(number, 0)))
+    def compose(self) -> None:
+        """One turn: steps that are due, slices to open, servers to shut out, shares to let in."""
+        self.survey()
         orders: list[face.Order] = []
-        lines = offer.lines
-        in_motion = False
+        moving = [slice_ for slice_ in self.slices.values() if slice_.step != "steady"]
         for slice_ in self.slices.values():
-            if len(orders) >= lines:
-                break
-            if slice_.step != "steady" or slice_.shut:
-                in_motion = in_motion or slice_.step != "steady"
+            if (slice_.step != "steady" or slice_.shut) and len(orders) < self.offer.lines:
                 orders += self.advance(slice_)
-        for slice_ in self.to_open(offer.ordinary):
-            if len(orders) >= lines:
-                break
+        for slice_ in self.to_open()[:max(0, self.offer.lines - len(orders))]:
             orders.append(face.Empty(slice_.number))
             if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
                 slice_.former, slice_.clean_at = slice_.owner, None
-            slice_.step, slice_.owner = "emptied", None
-            slice_.since, slice_.gate_at, slice_.mark = now, None, NEVER
+            slice_.step, slice_.owner, slice_.since = "emptied", None, self.mail.now
+            slice_.gate_at, slice_.mark = None, NEVER
             slice_.levels.clear()
-            self.published.append(slice_)
         orders += self.withdrawals()
-        orders += self.levels(offer.ordinary)
-        unsent = any(slice_.step == "emptied" and slice_.mark == NEVER for slice_ in self.slices.values())
-        if orders or unsent or (in_motion and self.clear.unmarked):
-            self.published += [s for s in self.slices.values()
-                               if s.step == "emptied" and s.mark == NEVER and s not in self.published]
+        orders += self.levels()
+        if orders or moving and (self.offer.unmarked or any(slice_.mark == NEVER for slice_ in moving)):
             self.mail.post(self.channel, Write(orders))
 
-    def levels(self, ordinary: bool) -> Iterable[face.Order]:
-        """Lets in what each owner can complete, the classes of most benefit first; no writes where shut."""
-        owned: dict[int, list[Slice]] = {}
+    def survey(self) -> None:
+        """Which servers are open to slices, what they carry and what they are able to."""
+        ready = [standing for standing in self.standings.values() if standing.state == "ready"]
+        # Guards against blaming servers for what strikes all of them: the fault is nearer then.
+        trust = sum(standing.ill for standing in ready) * 3 <= len(ready)
+        self.open = {standing.backend: standing for standing in ready if not (standing.ill and trust)}
+        speeds = [standing.speed for standing in ready if standing.speed]
+        usual = sum(speeds) / len(speeds) if speeds else 1.0
+        self.able = {standing.backend: standing.weight * (standing.speed or usual) *
+                     (1.0 if standing.warmth >= 1 else 0.5 * standing.warmth) for standing in ready}
+        self.loads = dict.fromkeys(self.standings, 0.0)
+        self.owned: dict[int, list[Slice]] = {number: [] for number in self.standings}
         for slice_ in self.slices.values():
-            if slice_.owner in self.standings:
-                owned.setdefault(slice_.owner, []).append(slice_)
+            if slice_.owner in self.loads:
+                self.loads[slice_.owner] += self.rate(slice_)
+                self.owned[slice_.owner].append(slice_)
+        for number, backend in self.backends.items():
+            if number in self.loads:
+                self.mail.post(backend, Carries(self.loads[number], len(self.owned[number])))
+
+    def levels(self) -> Iterable[face.Order]:
+        """Lets in what each owner can complete, the classes of most benefit first; no writes where shut."""
         warm = [s for s in self.standings.values() if s.state == "ready" and s.warmth >= 1]
         usual = sum(s.pace for s in warm) / max(0.1, sum(s.weight for s in warm))
-        for number, slices in owned.items():
-            standing = self.standings[number]
+        for standing in self.standings.values():
+            slices = [slice_ for slice_ in self.slices.values() if slice_.owner == standing.backend]
             sums = {name: sum(s.demand[name].read(self.mail.now) for s in slices if name in s.demand)
                     for _, _, name in self.rules.classes}
             coming = sum(sums.values()) * SECOND * 0.693 / self.rules.demand_us
-            fit, cold = min(1.0, standing.limit / max(0.1, coming)), standing.warmth < 1
+            fit, cold = standing.fit, standing.warmth < 1
             if cold:
                 # Guards a cold server: no more than its sure part of what the warm ones complete.
                 fit = min(fit, 0.6 * standing.warmth * standing.weight * usual / max(0.1, coming))
@@ -431,42 +368,38 @@
                     old = slice_.levels.get(place, 1.0)
                     want = 0.0 if slice_.shut and self.rules.write_classes >> place & 1 else share
                     urgent = (want == 0) != (old == 0) or (cold and want < old - 0.1)
-                    if urgent or ordinary and (abs(want - old) > 0.1 or (want != old and want == 1)):
+                    if urgent or self.offer.ordinary and want != old and (abs(want - old) > 0.1 or want == 1):
                         slice_.levels[place] = want
                         yield face.Admit(slice_.number, 1 << place, self.rules.retry, want)
 
     def withdrawals(self) -> Iterable[face.Order]:
-        """Guards the drain grace where a slice may not be opened yet: its owner is shut out meanwhile."""
+        """Guards the drain grace where a slice may not be opened yet: its owner is shut out meanwhile.
+        What was ever shut out is told to joiners, and let in again when it is ready."""
         held = {slice_.owner for slice_ in self.slices.values()}
         for number, standing in self.standings.items():
-            if standing.state != "ready" and number in held and number not in self.withdrawn - self.repeat:
-                self.withdrawn.add(number)
-                self.repeat.discard(number)
-                yield face.Withdraw(number, True)
-            elif standing.state == "ready" and number in self.withdrawn:
-                self.withdrawn.discard(number)
-                yield face.Withdraw(number, False)
-
-    def to_open(self, ordinary: bool) -> list[Slice]:
-        """Which slices leave their owner now: all of those that drain, died or fell ill."""
-        now = self.mail.now
-        movable = [s for s in self.slices.values() if s.step == "steady" and now >= s.kept_until]
+            out = standing.state != "ready"
+            if (out and number in held or number in self.said) and self.said.get(number) is not out:
+                self.said[number] = out
+                yield face.Withdraw(number, out)
+
+    def to_open(self) -> list[Slice]:
+        """Which slices leave their owner now: all of those that drain, died or fell ill come first."""
+        movable = [s for s in self.slices.values() if s.step == "steady" and self.mail.now >= s.kept_until]
+        urgent = sorted((s for s in movable if s.owner not in self.open), key=self.rate, reverse=True)
         if not self.open:
             return []
-        urgent = [s for s in movable if s.owner not in self.open]
-        urgent.sort(key=self.rate, reverse=True)
-        if not ordinary or urgent or any(s.step != "steady" for s in self.slices.values()):
+        if urgent or not self.offer.ordinary or any(s.step != "steady" for s in self.slices.values()):
             return urgent
         others = self.to_relieve(movable)
         others = others[:max(1, len(others) // 10)]
         for slice_ in others:
-            self.relieved[slice_.owner] = now
+            self.relieved[slice_.owner] = self.mail.now
         return others
 
     def advance(self, slice_: Slice) -> list[face.Order]:
         """The next step of a handover, when it is due."""
         now, rules = self.mail.now, self.rules
-        answered = self.clear.mark >= slice_.mark
+        answered = self.offer.cleared >= slice_.mark
         if answered and slice_.gate_at is None:
             slice_.gate_at = now
             if slice_.clean_at is None:
@@ -475,7 +408,7 @@
         clean = slice_.gate_at is not None and (
             now >= (slice_.clean_at or 0) or (former is not None and former.state == "gone"))
         if slice_.step == "emptied":
-            settled = slice_.gate_at is not None and now >= slice_.gate_at + self.clear.settle_us
+            settled = slice_.gate_at is not None and now >= slice_.gate_at + self.offer.settle_us
             # The exception for rule 1: when half the time a slice may be bare is gone, the new owner
             # is published with writes shut; that needs no gate, for only reads can go there.
             if now < slice_.kept_until or not (settled or now > slice_.since + rules.bare_us // 2):
@@ -485,7 +418,6 @@
                 return []
             slice_.owner, slice_.step, slice_.mark = owner, "closing", NEVER
             self.loads[owner] += self.rate(slice_)
-            self.published.append(slice_)
             # The exception for rule 2: an earlier owner may hold writes for longer than the settle time;
             # until it cannot, the new owner is published for reads only.
             slice_.shut = not clean and rules.write_classes > 0
@@ -501,75 +433,148 @@
 
     def load_with(self, number: int, slice_: Slice) -> float:
         """A backend's load per weight with this slice; one that is cut already counts double."""
-        cut = 2.0 if self.open[number].limit < float("inf") else 1.0
+        cut = 2.0 if self.open[number].fit < 1 else 1.0
         return cut * (self.loads[number] + self.rate(slice_)) / self.able[number]
 
     def to_relieve(self, movable: list[Slice]) -> list[Slice]:
         """Slices whose owner lets in less than what comes, where another server has room for one."""
         chosen = []
         for number, standing in self.open.items():
-            excess = self.loads[number] - standing.limit
+            excess = self.loads[number] * (1 - standing.fit)
             mine = sorted((s for s in movable if s.owner == number), key=self.rate)
-            if excess <= 0 or len(mine) < 2 or self.mail.now < self.relieved.get(number, 0) + self.rules.echo_us:
+            again_at = self.relieved.get(number, 0) + self.rules.echo_us
+            if excess <= 0 or len(mine) < 2 or self.mail.now < again_at:
                 continue
             slice_ = next((s for s in mine if self.rate(s) >= 0.7 * excess), mine[-1])
             target = self.choose(slice_)
-            if target is not None and target != number and self.open[target].limit == float("inf") and (
+            if target is not None and target != number and self.open[target].fit >= 1 and (
                     self.load_with(target, slice_) < 0.75 * self.loads[number] / self.able[number]):
                 chosen.append(slice_)
         return chosen
 
 
+@dataclass(slots=True)
+class Proxy:
+    """What is known of one proxy."""
+
+    joined: bool = False
+    answered: int = -1
+    gone_at: int = 0
+    joined_after: int = 0
+
+
 class Channel(Part):
-    """The way to the proxies: its waiting lines and the messages written to each proxy."""
+    """The way to the proxies: its waiting lines, its marks, and what each proxy has answered."""
 
-    def __init__(self, mail: Mail, rules: Rules, ledger: Part, roll: Roll) -> None:
+    def __init__(self, mail: Mail, rules: Rules, proxies: int, table: Part) -> None:
         super().__init__(mail)
-        self.rules, self.ledger, self.roll = rules, ledger, roll
-        self.waiting, self.at, self.mark = 0.0, mail.now, 0
+        self.rules, self.table = rules, table
+        # After a start nobody has joined: each may still act on an older table for one lease.
+        self.proxies = {number: Proxy(gone_at=mail.now) for number in range(proxies)}
+        self.waiting, self.at, self.mark, self.joined = 0.0, mail.now, 0, 0
+        self.slowest = Fading(8 * SECOND, float(SECOND), mail.now)
         self.written: deque[int] = deque()
-        self.proxies: set[int] = set()
 
     def take(self, note: Any) -> None:
         now, rules = self.mail.now, self.rules
         match note:
             case face.Joined(number, _, _, _):
-                self.proxies.add(number)
+                self.proxies[number] = Proxy(True, joined_after=self.mark)
             case face.Left(number):
-                self.proxies.discard(number)
+                proxy = self.proxies.setdefault(number, Proxy())
+                proxy.joined, proxy.gone_at = False, now
+            case face.Answered(number, mark, took_us):
+                proxy = self.proxies.get(number)
+                if proxy is not None and proxy.joined:
+                    proxy.answered = max(proxy.answered, self.mark - (self.mark - mark) % MARKS)
+                    self.slowest.add(now, max(0.0, took_us - self.slowest.read(now)))
             case Tick():
+                self.joined = sum(proxy.joined for proxy in self.proxies.values())
                 # The channel may run slower than it should: half its pace is counted on.
                 self.waiting = max(0.0, self.waiting - (now - self.at) * rules.lines_per_s / SECOND / 2)
                 self.at = now
                 while self.written and self.written[0] <= now - rules.messages_over_us:
                     self.written.popleft()
-                last = self.written[-1] if self.written else -NEVER
                 left = rules.messages_most - 1 - len(self.written)
                 gap = rules.gap_us if left > rules.messages_most // 2 else 3 * rules.gap_us
-                lines = int((rules.queue_lines * 0.5 - self.waiting) / max(1, len(self.proxies)) - rules.head_lines - 2)
-                if left > 0 and now >= last + gap and lines > 0 and self.proxies:
-                    self.mail.post(self.ledger, MayWrite(lines, left > rules.messages_most // 3))
+                room = rules.queue_lines / 2 - self.waiting
+                lines = int(room / max(1, self.joined) - rules.head_lines - 2)
+                if min(left, lines, self.joined) > 0 and (not self.written or now >= self.written[-1] + gap):
+                    proxies = self.proxies.values()
+                    self.mail.post(self.table, Offer(
+                        lines, left > rules.messages_most // 3, min(map(self.cleared, proxies)),
+                        min(int(self.slowest.read(now)), rules.lease_us * 9 // 10),
+                        any(proxy.joined and proxy.joined_after == self.mark for proxy in proxies)))
             case Write(orders):
                 self.mark += 1
                 self.written.append(now)
-                self.waiting += len(self.proxies) * (len(orders) + 1 + rules.head_lines)
+                self.waiting += self.joined * (len(orders) + 1 + rules.head_lines)
                 self.mail.orders += [*orders, face.Mark(self.mark % MARKS, True)]
-                self.mail.post(self.roll, Sent(self.mark))
-                self.mail.post(self.ledger, Sent(self.mark))
+                self.mail.post(self.table, Sent(self.mark))
+
+    def cleared(self, proxy: Proxy) -> int:
+        """The mark up to which this proxy cannot write by an older table."""
+        if not proxy.joined and self.mail.now >= proxy.gone_at + self.rules.lease_us:
+            return NEVER
+        return proxy.answered
+
+
+class Spread(Part):
+    """Where there are no slices: every server in one table a zone and one for all, by listed weight."""
+
+    def __init__(self, mail: Mail, rules: Rules) -> None:
+        super().__init__(mail)
+        self.rules = rules
+        self.standings: dict[int, Standing] = {}
+        self.backends: dict[int, Backend] = {}
+        self.lines: dict[tuple[int, int], float] = {}
+        self.joiners: dict[int, str] = {}
+        self.channel: Part
+
+    def take(self, note: Any) -> None:
+        match note:
+            case Standing(backend):
+                self.standings[backend] = note
+            case face.Joined(proxy, _, zone, _):
+                self.joiners[proxy] = zone
+            case face.Left(proxy):
+                self.joiners.pop(proxy, None)
+            case Offer(lines):
+                orders = list(self.changes())[:lines]
+                for order in orders:
+                    self.lines[order.table, order.backend] = order.weight
+                for proxy, zone in self.joiners.items():
+                    orders.append(face.Bind(proxy, 0, self.rules.any_zone))
+                    if self.rules.own_zone and zone in self.rules.zones:
+                        orders.append(face.Bind(proxy, 1 + self.rules.zones.index(zone), self.rules.own_zone))
+                self.joiners.clear()
+                if orders:
+                    self.mail.post(self.channel, Write(orders))
+
+    def changes(self) -> Iterable[face.Own]:
+        """Lines that differ from what stands: a server is in while ready and well, a cold one in part."""
+        well = {s.zone for s in self.standings.values() if s.state == "ready" and not s.ill and s.warmth >= 1}
+        for number, standing in self.standings.items():
+            fit = standing.state == "ready" and not (standing.ill and standing.zone in well)
+            weight = standing.weight * (0.25 * int(4 * standing.warmth) or 0.1) if fit else 0.0
+            zones = self.rules.zones if self.rules.own_zone else ()
+            for table in [0] + [1 + place for place, zone in enumerate(zones) if zone == standing.zone]:
+                if self.lines.get((table, number), 0.0) != weight:
+                    yield face.Own(table, number, weight)
 
 
 class Rules:
     """The few figures that decisions use, derived from the deployment at the start."""
 
     def __init__(self, told: face.Deployment) -> None:
-        self.lease_us, self.linger_us = told.lease_us, told.linger_us
-        self.bare_us = told.bare_us
+        places = list(enumerate(told.classes))
+        self.lease_us, self.linger_us, self.bare_us = told.lease_us, told.linger_us, told.bare_us
         self.cold_us, self.cold_share = told.cold_us, told.cold_share
-        self.write_classes = sum(1 << place for place, kind in enumerate(told.classes) if kind.writes)
-        self.retry = told.usual_retry
-        self.load_fields = told.load_fields
-        self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in enumerate(told.classes)),
-                              reverse=True)
+        self.write_classes = sum(1 << place for place, kind in places if kind.writes)
+        self.own_zone = sum(1 << place for place, kind in places if kind.own_zone)
+        self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
+        self.zones, self.retry, self.load_fields = told.zones, told.usual_retry, told.load_fields
+        self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
         self.agreed_us = sum(kind.agreed_us for kind in told.classes) / max(1, len(told.classes))
         self.echo_us = told.report_every_us + 2 * SECOND
         self.may_probe = told.may_probe
@@ -588,16 +593,13 @@
     BEAT_US = SECOND // 20
 
     def __init__(self, told: face.Deployment, seed: int, now: int) -> None:
-        self.mail = Mail(seed)
-        self.mail.now = now
+        self.mail = Mail(seed, now)
         self.rules = Rules(told)
-        self.ledger = Ledger(self.mail, self.rules)
-        self.roll = Roll(self.mail, self.rules, told.proxies, self.ledger)
-        self.channel = Channel(self.mail, self.rules, self.ledger, self.roll)
-        self.ledger.channel = self.channel
-        self.backends = self.ledger.backends
-        self.must_ask, self.ask_at = told.asks_for_list, now
-        self.woken_at = -1
+        self.backends: dict[int, Backend] = {}
+        self.table = Ledger(self.mail, self.rules) if told.slices else Spread(self.mail, self.rules)
+        self.table.backends = self.backends
+        self.channel = self.table.channel = Channel(self.mail, self.rules, told.proxies, self.table)
+        self.must_ask, self.ask_at, self.woken_at = told.asks_for_list, now, -1
 
     def turn(self, now: int, events: Iterable[face.Event]) -> list[face.Order]:
         mail = self.mail
@@ -608,11 +610,8 @@
             mail.orders.append(face.Follow())
             self.ask_at = NEVER
         mail.run()
-        for backend in self.backends.values():
-            mail.post(backend, Tick())
-        mail.post(self.roll, Tick())
-        mail.run()
-        mail.post(self.channel, Tick())
+        for part in (*self.backends.values(), self.channel):
+            mail.post(part, Tick())
         mail.run()
         if now >= self.woken_at:
             self.woken_at = now + self.BEAT_US
@@ -627,9 +626,10 @@
                     self.ask_at = self.mail.now + int(SECOND * (0.5 + self.mail.chance.draw()))
                 named = {entry.backend for entry in entries}
                 for entry in entries:
-                    if entry.backend not in self.backends:
-                        self.backends[entry.backend] = Backend(self.mail, entry.backend, self.rules, self.ledger)
-                    post(self.backends[entry.backend], entry)
+                    number = entry.backend
+                    if number not in self.backends:
+                        self.backends[number] = Backend(self.mail, number, self.rules, self.table)
+                    post(self.backends[number], entry)
                 if kind in ("whole", "remembered"):
                     for number, backend in self.backends.items():
                         if number not in named:
@@ -637,13 +637,10 @@
             case face.Met() | face.Probed():
                 if event.backend in self.backends:
                     post(self.backends[event.backend], event)
-            case face.Joined():
-                for part in (self.roll, self.channel, self.ledger):
-                    post(part, event)
-            case face.Left():
-                post(self.roll, event)
+            case face.Joined() | face.Left():
                 post(self.channel, event)
+                post(self.table, event)
             case face.Answered():
-                post(self.roll, event)
+                post(self.channel, event)
             case face.Given() | face.Held() | face.Came():
-                post(self.ledger, event)
+                post(self.table, event)
--- a/lapispass/drill/__main__.py
+++ b/lapispass/drill/__main__.py
@@ -26,7 +26,8 @@
             while place is not None and place.tb_next is not None:
                 place = place.tb_next
             where = f" at line {place.tb_lineno}" if place is not None else ""
-            lines.append(f"PANIC\t{who}\t{type(error).__name__}{where}: {error}\n".replace("\n", " ").rstrip() + "\n")
+            reason = f"{type(error).__name__}{where}: {error}".replace("\n", " ")
+            lines.append(f"PANIC\t{who}\t{reason}\n")
 
     for who, news in batch.news:
         match news:
--- a/lapispass/drill/codec.py
+++ b/lapispass/drill/codec.py
@@ -59,7 +59,8 @@
     "FIRED": ((whole,), face.Woken),
     "CHECK_RESULT": ((whole, whole, whole, gauge), face.Probed),
     "MESSAGE": ((whole, lambda text: b"" if text == "-" else bytes.fromhex(text)), face.Said),
-    "ENROLLED": ((flag, whole, str, number), lambda first, proxy, zone, w: face.Joined(proxy, first, zone, w)),
+    "ENROLLED": ((flag, whole, str, number),
+                 lambda first, proxy, zone, visits_per_s: face.Joined(proxy, first, zone, visits_per_s)),
     "DROPPED_OFF": ((whole,), face.Left),
     "STATS": ((whole, whole, whole, whole, whole, str, gauge),
               lambda lost, tries, took, over, backend, zone, load:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -22,8 +22,8 @@
                  face.VisitClass("pay", 2 * SECOND, 4 * SECOND, 3.0, True, False)),
         zones=("east", "west"), proxies=4, slices=12, lease_us=1200 * MS, linger_us=3 * SECOND,
         bare_us=14 * SECOND, lines_per_s=9000.0, head_lines=12.0, queue_lines=14000.0, messages_most=24,
-        messages_over_us=10 * SECOND, report_every_us=SECOND, late_us=200 * MS, usual_retry=1, asks_for_list=False,
-        may_probe=True, admits_share=True, drain_grace_us=2500 * MS, cold_us=12 * SECOND, cold_share=0.2,
+        messages_over_us=10 * SECOND, report_every_us=SECOND, late_us=200 * MS, usual_retry=1,
+        asks_for_list=False, may_probe=True, admits_share=True, drain_grace_us=2500 * MS, cold_us=12 * SECOND, cold_share=0.2,
         fall_multiple=2.5, load_fields=())
     return face.Deployment(**{**told, **changes})
 
@@ -56,7 +56,8 @@
     def __init__(self, told: face.Deployment, backends: int, seed: int, visits: int = 3) -> None:
         self.told, self.chance, self.now = told, random.Random(seed), 100 * SECOND
         self.visits = visits
-        self.list = {100 + n: face.Entry(100 + n, told.zones[n % 2], "ready", 1.0, None) for n in range(backends)}
+        self.list = {100 + n: face.Entry(100 + n, told.zones[n % 2], "ready", 1.0, None)
+                     for n in range(backends)}
         self.up = set(self.list)
         self.store = {s: Table(100 + s % backends) for s in range(told.slices)}
         self.proxies = [Proxy() for _ in range(told.proxies)]
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -12,7 +12,8 @@
 from lapispass.drill.codec import read_batches, written
 
 ENV = json.dumps({"grades": [{"name": "pay", "target-us": 10, "hard-limit-us": 20, "worth": 2.0}],
-                  "extra": {"key-ranges": 2, "class-writes": [True], "unheard-of": 1}, "discovery": "subscribe"})
+                  "extra": {"key-ranges": 2, "class-writes": [True], "unheard-of": 1},
+                  "discovery": "subscribe"})
 
 
 def play(text: str) -> tuple[int, str, str]:
@@ -24,7 +25,8 @@
     lines = ["STATS\t3\t1\t14\t4\t5\t6\tz\t0.5,-", "STATS\t3\t1\t14\t4\t5\t6\tz\t-", "TOPOLOGY\t3\tincr\t1\t1",
              "ENTRY\t9\tz\tk\t0\tquiescing\t-\t0", "PRESSURE\t3\t2\t117\t10\t23\tpay", "TOOK_EFFECT\t3\t12\t41\t5",
              "ENROLLED\t3\t1\t41\tz\t6.5"]
-    batch, empty = read_batches(io.StringIO("SYNC\t7\t1\n" + "\n".join(lines) + "\nEOF_BATCH\n\nSYNC\t8\t2\nEOF_BATCH"))
+    text = "SYNC\t7\t1\n" + "\n".join(lines) + "\nEOF_BATCH\n\nSYNC\t8\t2\nEOF_BATCH"
+    batch, empty = read_batches(io.StringIO(text))
     assert [event for _, event in batch.news] == [
         face.Met(6, "z", 1, 14, 4, 5, (0.5, None)), face.Met(6, "z", 1, 14, 4, 5, None),
         face.Listed("changes", (face.Entry(9, "z", "draining", None, None),)),
@@ -44,7 +46,8 @@
 
 def test_an_instance_starts_is_killed_and_starts_again_in_one_batch() -> None:
     spawn = f"SPAWN\t0\t5\t{ENV}\nTOPOLOGY\t0\twarm_copy\t1\t0\n"
-    status, said, complaint = play(f"SYNC\t7\t1\n{spawn}EOF_BATCH\nSYNC\t9\t2\nFIRED\t0\t0\nDETACH\t0\n{spawn}EOF_BATCH\n")
+    status, said, complaint = play(
+        f"SYNC\t7\t1\n{spawn}EOF_BATCH\nSYNC\t9\t2\nFIRED\t0\t0\nDETACH\t0\n{spawn}EOF_BATCH\n")
     assert (status, complaint) == (0, "")
     assert said.count("TAIL\t0\t1\n") == 2 and said.endswith("NEXT\t2\n") and "PANIC" not in said
 
