Judge an owner by the time it needs to work off what waits, where reported

Cause: mean times mix queueing with slow servers and cold caches, so slow servers were cut or raised too slowly.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -140,6 +140,7 @@
         self.spent = Fading(2 * SECOND)
         self.fit, self.fit_at = 1.0, 0
         self.speed: float | None = None
+        self.waiting: float | None = None
         self.best, self.away_us = 0.0, 15 * SECOND
         self.good_at = mail.now
         self.rate, self.slices = 0.0, 0
@@ -177,7 +178,9 @@
 
     def learn(self, load: dict[str, float | None]) -> None:
         """How many visits a second its whole work would be, where its load reports tell."""
-        busy = load.get("busy")
+        busy, waiting = load.get("busy"), load.get("waiting")
+        if waiting is not None:
+            self.waiting = waiting if self.waiting is None else 0.5 * (self.waiting + waiting)
         if busy and busy > 0.1 and self.rate > 0.5 and self.warmth() >= 1:
             speed = self.rate / busy / self.weight
             self.speed = speed if self.speed is None else 0.8 * self.speed + 0.2 * speed
@@ -219,7 +222,9 @@
             elif now - self.fit_at > rules.echo_us and tries > 2:
                 self.fit_at = now
                 # Guards against a queue that makes every visit late: let in what it completes.
-                slow, short = mean / rules.agreed_us, lost / tries
+                short, slow = lost / tries, mean / rules.agreed_us
+                if self.waiting is not None:  # the time to work off what waits tells more than the mean
+                    slow = max(slow - 0.3, 2 * self.waiting / max(0.5, self.pace()) * SECOND / rules.agreed_us)
                 if slow > 0.6 or short > 0.15:
                     if tries * 0.347 > 0.5 * self.best:
                         self.fit = max(0.05, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
