Relieve owners beside other handovers, half of the pending ones a turn

Cause: one relief at a time, with nothing else under way, left single owners queueing for many turns.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -393,10 +393,10 @@
         urgent = sorted((s for s in movable if s.owner not in self.open), key=self.rate, reverse=True)
         if not self.open:
             return []
-        if urgent or not self.offer.ordinary or any(s.step != "steady" for s in self.slices.values()):
+        if urgent or not self.offer.ordinary:
             return urgent
         others = self.to_relieve(movable)
-        others = others[:max(1, len(others) // 10)]
+        others = others[:max(1, len(others) // 2)]
         for slice_ in others:
             self.relieved[slice_.owner] = self.mail.now
         return others
