--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -116,9 +116,6 @@
             part = self.waiting.popleft()
             part.take(part.inbox.popleft())  # type: ignore[attr-defined]
 
-    def log(self, text: str) -> None:
-        self.orders.append(face.Log(text))
-
 
 class Part:
     """Something with an inbox; each kind has its own way to take a note."""
@@ -198,7 +195,7 @@
 
     def turn_to(self, mode: str, why: str) -> None:
         if mode != self.mode:
-            self.mail.log(f"backend {self.number} {self.mode}->{mode}: {why}")
+            self.mail.orders.append(face.Log(f"backend {self.number} {self.mode}->{mode}: {why}"))
             self.mode, self.since, self.misses, self.answers = mode, self.mail.now, 0, 0
             self.good_at = self.mail.now
 
