Relieve a nearly busy server before it queues, where busy is reported

A server whose load passes 0.9 of what its busy reports make it able to is relieved, only towards one that stays under 0.75.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -138,7 +138,7 @@
         self.fit, self.fit_at = 1.0, 0
         self.speed: float | None = None
         self.waiting: float | None = None
-        self.best, self.away_us = 0.0, 15 * SECOND
+        self.away_us = 15 * SECOND
         self.good_at = mail.now
         self.rate, self.slices = 0.0, 0
         self.probe_at, self.misses, self.answers = 0, 0, 0
@@ -212,7 +212,7 @@
             # Guards against a server that takes visits and answers none, or has gone silent: nothing
             # good came back for a while although visits went there, and probes stay without answer.
             if suspect and (self.misses >= 2 or quiet > 3 * rules.quiet_us):
-                self.turn_to("silent", f"nothing for {quiet} us at {self.rate:.1f}/s, {self.misses} probes lost")
+                self.turn_to("silent", f"{quiet} us quiet at {self.rate:.1f}/s, {self.misses} probes lost")
             # Guards against quick errors: most tries fail, by more than a handful.
             elif self.slices and tries > 8 and lost > 0.4 * tries and mean < 0.3 * rules.agreed_us:
                 self.turn_to("failing", f"{lost:.1f} of {tries:.1f} tries lost, the rest took {mean:.0f} us")
@@ -221,14 +221,11 @@
                 # Guards against a queue that makes every visit late: let in what it completes.
                 short, slow = lost / tries, mean / rules.agreed_us
                 if self.waiting is not None:  # the time to work off what waits tells more than the mean
-                    slow = max(slow - 0.3, 2 * self.waiting / max(0.5, self.pace()) * SECOND / rules.agreed_us)
+                    slow = max(slow - 0.3, 2 * SECOND * self.waiting / max(0.5, self.pace()) / rules.agreed_us)
                 if slow > 0.6 or short > 0.15:
-                    if tries * 0.347 > 0.5 * self.best:
-                        self.fit = max(0.05, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
+                    self.fit = max(0.05, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
                 else:
                     self.fit = min(1.0, self.fit * (1.5 if slow < 0.3 else 1.2))
-                    self.best = max(self.best, self.pace())
-                self.best *= 0.95
         elif self.mode == "silent" and self.answers >= 2 and now - self.since > 4 * SECOND:
             self.turn_to("well", f"{self.answers} probes answered")
         elif now - self.since > self.away_us and self.misses == 0:
@@ -443,6 +440,8 @@
         chosen = []
         for number, standing in self.open.items():
             excess = self.loads[number] * (1 - standing.fit)
+            if standing.speed:  # a server that is nearly all busy is relieved before it queues
+                excess = max(excess, self.loads[number] - 0.9 * self.able[number])
             mine = sorted((s for s in movable if s.owner == number), key=self.rate)
             again_at = self.relieved.get(number, 0) + self.rules.echo_us
             if excess <= 0 or len(mine) < 2 or self.mail.now < again_at:
@@ -450,7 +449,8 @@
             slice_ = next((s for s in mine if self.rate(s) >= 0.7 * excess), mine[-1])
             target = self.choose(slice_)
             if target is not None and target != number and self.open[target].fit >= 1 and (
-                    self.load_with(target, slice_) < 0.75 * self.loads[number] / self.able[number]):
+                    self.load_with(target, slice_) < min(0.75 * self.loads[number] / self.able[number],
+                                                         0.75 if standing.speed else NEVER)):
                 chosen.append(slice_)
         return chosen
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,8 +23,8 @@
         zones=("east", "west"), proxies=4, slices=12, lease_us=1200 * MS, linger_us=3 * SECOND,
         bare_us=14 * SECOND, lines_per_s=9000.0, head_lines=12.0, queue_lines=14000.0, messages_most=24,
         messages_over_us=10 * SECOND, report_every_us=SECOND, late_us=200 * MS, usual_retry=1,
-        asks_for_list=False, may_probe=True, admits_share=True, drain_grace_us=2500 * MS, cold_us=12 * SECOND, cold_share=0.2,
-        fall_multiple=2.5, load_fields=())
+        asks_for_list=False, may_probe=True, admits_share=True, drain_grace_us=2500 * MS,
+        cold_us=12 * SECOND, cold_share=0.2, fall_multiple=2.5, load_fields=())
     return face.Deployment(**{**told, **changes})
 
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -22,8 +22,10 @@
 
 
 def test_events_are_read_with_absent_values() -> None:
-    lines = ["STATS\t3\t1\t14\t4\t5\t6\tz\t0.5,-", "STATS\t3\t1\t14\t4\t5\t6\tz\t-", "TOPOLOGY\t3\tincr\t1\t1",
-             "ENTRY\t9\tz\tk\t0\tquiescing\t-\t0", "PRESSURE\t3\t2\t117\t10\t23\tpay", "TOOK_EFFECT\t3\t12\t41\t5",
+    lines = ["STATS\t3\t1\t14\t4\t5\t6\tz\t0.5,-", "STATS\t3\t1\t14\t4\t5\t6\tz\t-",
+             "TOPOLOGY\t3\tincr\t1\t1",
+             "ENTRY\t9\tz\tk\t0\tquiescing\t-\t0", "PRESSURE\t3\t2\t117\t10\t23\tpay",
+             "TOOK_EFFECT\t3\t12\t41\t5",
              "ENROLLED\t3\t1\t41\tz\t6.5"]
     text = "SYNC\t7\t1\n" + "\n".join(lines) + "\nEOF_BATCH\n\nSYNC\t8\t2\nEOF_BATCH"
     batch, empty = read_batches(io.StringIO(text))
@@ -36,7 +38,8 @@
 
 @pytest.mark.parametrize(("order", "line"), [
     (face.Own(117, 9, 0.75), "UPSERT\t3\t117\t0.75\t9\n"), (face.Empty(117), "DROP_LINES\t3\t117\n"),
-    (face.Withdraw(9, True), "BENCH\t3\t1\t9\n"), (face.Admit(None, 2, 1, 0.5), "VALVE\t3\t65535\t2\t1\t0.5\n"),
+    (face.Withdraw(9, True), "BENCH\t3\t1\t9\n"),
+    (face.Admit(None, 2, 1, 0.5), "VALVE\t3\t65535\t2\t1\t0.5\n"),
     (face.Mark(12, False), "CHECKPOINT\t3\t0\t12\n"), (face.Bind(4, 1, 0), "PIN\t3\t4\t1\t0\n"),
     (face.Probe(9), "INSPECT\t3\t9\n"), (face.Wake(0, 99), "NOTIFY_ME\t3\t0\t99\n"),
     (face.Follow(), "TAIL\t3\t1\n"), (face.Log("a b"), "RECORD\t3\ta b\n")])
