--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -219,11 +219,11 @@
             elif now - self.fit_at > rules.echo_us and tries > 2:
                 self.fit_at = now
                 # Guards against a queue that makes every visit late: let in what it completes.
-                short, slow = lost / tries, mean / rules.agreed_us
+                short, slow = lost / max(2, tries), mean / rules.agreed_us
                 if self.waiting is not None:  # the time to work off what waits tells more than the mean
                     slow = max(slow - 0.3, 2 * SECOND * self.waiting / max(0.5, self.pace()) / rules.agreed_us)
                 if slow > 0.6 or short > 0.15:
-                    self.fit = max(0.05, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
+                    self.fit = max(0.2, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
                 else:
                     self.fit = min(1.0, self.fit * (1.5 if slow < 0.3 else 1.2))
         elif self.mode == "silent" and self.answers >= 2 and now - self.since > 4 * SECOND:
@@ -367,7 +367,7 @@
                     old = slice_.levels.get(place, 1.0)
                     want = 0.0 if slice_.shut and self.rules.write_classes >> place & 1 else share
                     urgent = (want == 0) != (old == 0) or (cold and want < old - 0.1)
-                    if urgent or self.offer.ordinary and want != old and (abs(want - old) > 0.1 or want == 1):
+                    if urgent or self.offer.ordinary and want != old and (abs(want - old) > 0.15 * old or want == 1):
                         slice_.levels[place] = want
                         yield face.Admit(slice_.number, 1 << place, self.rules.retry, want)
 
