--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -226,11 +226,10 @@
                     self.fit = max(0.2, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
                 else:
                     self.fit = min(1.0, self.fit * (1.5 if slow < 0.3 else 1.2))
-        elif self.mode == "silent" and self.answers >= 2 and now - self.since > 4 * SECOND:
-            self.turn_to("well", f"{self.answers} probes answered")
-        elif now - self.since > self.away_us and self.misses == 0:
+        elif self.misses == 0 and now - self.since > (
+                self.away_us // 3 if self.mode == "silent" and self.answers > 1 else self.away_us):
             self.away_us *= 2  # one that fails again stays away for longer
-            self.turn_to("well", "its time away is over")
+            self.turn_to("well", f"away for {now - self.since} us, {self.answers} probes answered")
         if rules.may_probe and (suspect or self.mode == "silent") and now >= self.probe_at:
             self.probe_at = now + (SECOND // 2 if suspect else 2 * SECOND)
             self.mail.orders.append(face.Probe(self.number))
