--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -178,8 +178,8 @@
         busy, waiting = load.get("busy"), load.get("waiting")
         if waiting is not None:
             self.waiting = waiting if self.waiting is None else 0.5 * (self.waiting + waiting)
-        if busy and busy > 0.1 and self.rate > 0.5 and self.warmth() >= 1:
-            speed = self.rate / busy / self.weight
+        if busy and busy > 0.1 and self.tries.read(self.mail.now) > 2 and self.warmth() >= 1:
+            speed = self.tries.total * 0.347 / busy / self.weight
             self.speed = speed if self.speed is None else 0.8 * self.speed + 0.2 * speed
 
     def pace(self) -> float:
