Cut an owner the deeper the longer its queue

Where waiting visits are reported they alone tell how slow an owner is, and the cut grows with them.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -221,9 +221,9 @@
                 # Guards against a queue that makes every visit late: let in what it completes.
                 short, slow = lost / max(2, tries), mean / rules.agreed_us
                 if self.waiting is not None:  # the time to work off what waits tells more than the mean
-                    slow = max(slow - 0.3, 2 * SECOND * self.waiting / max(0.5, self.pace()) / rules.agreed_us)
+                    slow = 2 * SECOND * self.waiting / max(0.5, self.pace()) / rules.agreed_us
                 if slow > 0.6 or short > 0.15:
-                    self.fit = max(0.2, self.fit * (max(0.6, 1 - short) if short > 0.15 else 0.85))
+                    self.fit = max(0.2, self.fit * (max(0.5, 1 - max(short, slow / 4))))
                 else:
                     self.fit = min(1.0, self.fit * (1.5 if slow < 0.3 else 1.2))
         elif self.misses == 0 and now - self.since > (
