--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -225,7 +225,7 @@
                 if slow > 0.6 or short > 0.15:
                     self.fit = max(0.2, self.fit * (max(0.5, 1 - max(short, slow / 4))))
                 else:
-                    self.fit = min(1.0, self.fit * (1.5 if slow < 0.3 else 1.2))
+                    self.fit = min(1.0, self.fit * (1.8 if slow < 0.3 else 1.3))
         elif self.misses == 0 and now - self.since > (
                 self.away_us // 3 if self.mode == "silent" and self.answers > 1 else self.away_us):
             self.away_us *= 2  # one that fails again stays away for longer
@@ -577,7 +577,7 @@
         self.zones, self.retry, self.load_fields = told.zones, told.usual_retry, told.load_fields
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
         self.agreed_us = sum(kind.agreed_us for kind in told.classes) / max(1, len(told.classes))
-        self.echo_us = told.report_every_us + 2 * SECOND
+        self.echo_us = told.report_every_us + SECOND
         self.may_probe = told.may_probe
         self.quiet_us = 2 * told.report_every_us + SECOND
         self.demand_us = 4 * max(told.report_every_us, SECOND)
