--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -66,7 +66,7 @@
     zone: str
     fit: float
     pace: float
-    speed: float | None
+    speed: float
 
 
 class Carries(NamedTuple):
@@ -132,13 +132,11 @@
         super().__init__(mail)
         self.number, self.rules, self.table = number, rules, table
         self.state, self.zone, self.weight, self.born = "gone", "", 1.0, 0
-        self.mode, self.since = "well", mail.now
-        self.tries, self.lost = Fading(2 * SECOND), Fading(2 * SECOND)
-        self.spent = Fading(2 * SECOND)
+        self.mode, self.since, self.away_us = "well", mail.now, 15 * SECOND
+        self.tries, self.lost, self.spent = (Fading(2 * SECOND) for _ in range(3))
         self.fit, self.fit_at = 1.0, 0
-        self.speed: float | None = None
+        self.speed = 0.0
         self.waiting: float | None = None
-        self.away_us = 15 * SECOND
         self.good_at = mail.now
         self.rate, self.slices = 0.0, 0
         self.probe_at, self.misses, self.answers = 0, 0, 0
@@ -174,13 +172,13 @@
                                                      self.pace(), self.speed))
 
     def learn(self, load: dict[str, float | None]) -> None:
-        """How many visits a second its whole work would be, where its load reports tell."""
+        """What waits, and how many visits a second its whole work would be, where reports tell."""
         busy, waiting = load.get("busy"), load.get("waiting")
         if waiting is not None:
             self.waiting = waiting if self.waiting is None else 0.5 * (self.waiting + waiting)
         if busy and busy > 0.1 and self.tries.read(self.mail.now) > 2 and self.warmth() >= 1:
             speed = self.tries.total * 0.347 / busy / self.weight
-            self.speed = speed if self.speed is None else 0.8 * self.speed + 0.2 * speed
+            self.speed = 0.8 * self.speed + 0.2 * speed if self.speed else speed
 
     def pace(self) -> float:
         """Visits completed a second."""
@@ -366,7 +364,8 @@
                     old = slice_.levels.get(place, 1.0)
                     want = 0.0 if slice_.shut and self.rules.write_classes >> place & 1 else share
                     urgent = (want == 0) != (old == 0) or (cold and want < old - 0.1)
-                    if urgent or self.offer.ordinary and want != old and (abs(want - old) > 0.15 * old or want == 1):
+                    far = abs(want - old) > 0.15 * old or want == 1
+                    if urgent or self.offer.ordinary and want != old and far:
                         slice_.levels[place] = want
                         yield face.Admit(slice_.number, 1 << place, self.rules.retry, want)
 
@@ -438,9 +437,9 @@
         """Slices whose owner lets in less than what comes, where another server has room for one."""
         chosen = []
         for number, standing in self.open.items():
-            excess = self.loads[number] * (1 - standing.fit)
-            if standing.speed:  # a server that is nearly all busy is relieved before it queues
-                excess = max(excess, self.loads[number] - 0.9 * self.able[number])
+            full = self.able[number] if standing.speed else NEVER
+            # A server that is nearly all busy is relieved before it queues.
+            excess = max(self.loads[number] * (1 - standing.fit), self.loads[number] - 0.9 * full)
             mine = sorted((s for s in movable if s.owner == number), key=self.rate)
             again_at = self.relieved.get(number, 0) + self.rules.echo_us
             if excess <= 0 or len(mine) < 2 or self.mail.now < again_at:
@@ -448,8 +447,7 @@
             slice_ = next((s for s in mine if self.rate(s) >= 0.7 * excess), mine[-1])
             target = self.choose(slice_)
             if target is not None and target != number and self.open[target].fit >= 1 and (
-                    self.load_with(target, slice_) < min(0.75 * self.loads[number] / self.able[number],
-                                                         0.75 if standing.speed else NEVER)):
+                    self.load_with(target, slice_) < 0.75 * min(self.loads[number], full) / self.able[number]):
                 chosen.append(slice_)
         return chosen
 
