--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -437,6 +437,7 @@
         """Slices whose owner lets in less than what comes, where another server has room for one."""
         chosen = []
         for number, standing in self.open.items():
+            level = self.loads[number] / self.able[number]
             full = self.able[number] if standing.speed else NEVER
             # A server that is nearly all busy is relieved before it queues.
             excess = max(self.loads[number] * (1 - standing.fit), self.loads[number] - 0.9 * full)
@@ -447,7 +448,7 @@
             slice_ = next((s for s in mine if self.rate(s) >= 0.7 * excess), mine[-1])
             target = self.choose(slice_)
             if target is not None and target != number and self.open[target].fit >= 1 and (
-                    self.load_with(target, slice_) < 0.75 * min(self.loads[number], full) / self.able[number]):
+                    self.load_with(target, slice_) < 0.75 * min(level, full / self.able[number])):
                 chosen.append(slice_)
         return chosen
 
