--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -163,7 +163,8 @@
                 if not self.slices:
                     self.good_at = self.mail.now
                 elif slices != self.slices:  # the share follows what is left to let in
-                    self.fit = min(1.0, self.fit * self.rate / max(0.1, rate))
+                    kept = max(self.fit * self.rate, 0.7 * (self.speed or 0.0) * self.weight)
+                    self.fit = min(1.0, kept / max(0.1, rate))
                 self.rate, self.slices = rate, slices
             case Tick():
                 self.judge()
@@ -217,7 +218,7 @@
             elif now - self.fit_at > rules.echo_us and tries > 2:
                 self.fit_at = now
                 # Guards against a queue that makes every visit late: let in what it completes.
-                short, slow = lost / max(2, tries), mean / rules.agreed_us
+                short, slow = lost / max(8, tries), mean / rules.agreed_us
                 if self.waiting is not None:  # the time to work off what waits tells more than the mean
                     slow = 2 * SECOND * self.waiting / max(0.5, self.pace()) / rules.agreed_us
                 if slow > 0.6 or short > 0.15:
