Count a server's silence only while sums about others come

Also guards against a stalled controller or a full intake. Could harm: if only silent servers own slices that are asked for, their silence is not seen until their list entry changes.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -102,7 +102,7 @@
     """The inboxes of all parts, emptied by one loop, and the orders of the turn."""
 
     def __init__(self, seed: int, now: int) -> None:
-        self.now = now
+        self.now = self.heard_at = now
         self.waiting: deque[Part] = deque()
         self.orders: list[face.Order] = []
         self.chance = Chance(seed)
@@ -150,6 +150,7 @@
                 self.state, self.zone, self.weight = state, zone, weight or 1.0
                 self.born = born or self.born
             case face.Met(_, _, lost, tries, took_us, _, load):
+                self.mail.heard_at = self.mail.now
                 self.learn(dict(zip(self.rules.load_fields, load or ())))
                 self.spent.add(self.mail.now, (tries - lost) * took_us)
                 self.tries.add(self.mail.now, tries)
@@ -202,7 +203,8 @@
         now, rules = self.mail.now, self.rules
         if self.state != "ready":
             return
-        quiet = now - self.good_at
+        # Silence counts only while sums about others come: late sums of all are nobody's fault.
+        quiet = self.mail.heard_at - self.good_at
         suspect = self.mode == "well" and self.slices and (
             quiet > rules.quiet_us and quiet * self.rate > 6 * SECOND)
         tries, lost = self.tries.read(now), self.lost.read(now)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -123,6 +123,14 @@
     assert not any("failing" in line for line in fleet.logs)
 
 
+def test_late_sums_of_all_make_nobody_silent() -> None:
+    fleet = Fleet(deployment(), 5, seed=5)
+    fleet.run(4)
+    fleet.mute.update(fleet.list)
+    fleet.run(9)
+    assert not any("silent" in line for line in fleet.logs)
+
+
 def test_an_empty_table_in_the_store_gets_an_owner_after_a_crash() -> None:
     fleet = Fleet(deployment(), 4, seed=6)
     fleet.run(3)
