--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -48,9 +48,6 @@
         self.total = self.read(now) + amount
 
 
-# Notes between the parts
-
-
 class Tick(NamedTuple):
     """Look at the time."""
 
@@ -132,14 +129,14 @@
         super().__init__(mail)
         self.number, self.rules, self.table = number, rules, table
         self.state, self.zone, self.weight, self.born = "gone", "", 1.0, 0
-        self.mode, self.since, self.away_us = "well", mail.now, 15 * SECOND
+        self.mode, self.since, self.away_us = "well", mail.now, 8 * SECOND
         self.tries, self.lost, self.spent = (Fading(2 * SECOND) for _ in range(3))
         self.fit, self.fit_at = 1.0, 0
         self.speed = 0.0
         self.waiting: float | None = None
         self.good_at = mail.now
         self.rate, self.slices = 0.0, 0
-        self.probe_at, self.misses, self.answers = 0, 0, 0
+        self.probe_at, self.misses = 0, 0
 
     def take(self, note: Any) -> None:
         match note:
@@ -159,7 +156,6 @@
                     self.good_at = self.mail.now
             case face.Probed(_, reason, _, _):
                 self.misses = 0 if reason in (0, 2) else self.misses + 1
-                self.answers = self.answers + 1 if reason == 0 else 0
             case Carries(rate, slices):
                 if not self.slices:
                     self.good_at = self.mail.now
@@ -196,7 +192,7 @@
     def turn_to(self, mode: str, why: str) -> None:
         if mode != self.mode:
             self.mail.orders.append(face.Log(f"backend {self.number} {self.mode}->{mode}: {why}"))
-            self.mode, self.since, self.misses, self.answers = mode, self.mail.now, 0, 0
+            self.mode, self.since, self.misses = mode, self.mail.now, 0
             self.good_at = self.mail.now
 
     def judge(self) -> None:
@@ -227,10 +223,9 @@
                     self.fit = max(0.2, self.fit * (max(0.5, 1 - max(short, slow / 4))))
                 else:
                     self.fit = min(1.0, self.fit * (1.8 if slow < 0.3 else 1.3))
-        elif self.misses == 0 and now - self.since > (
-                self.away_us // 3 if self.mode == "silent" and self.answers > 1 else self.away_us):
+        elif self.misses == 0 and now - self.since > self.away_us:
             self.away_us *= 2  # one that fails again stays away for longer
-            self.turn_to("well", f"away for {now - self.since} us, {self.answers} probes answered")
+            self.turn_to("well", f"away for {now - self.since} us")
         if rules.may_probe and (suspect or self.mode == "silent") and now >= self.probe_at:
             self.probe_at = now + (SECOND // 2 if suspect else 2 * SECOND)
             self.mail.orders.append(face.Probe(self.number))
@@ -365,12 +360,13 @@
                 left = max(0.0, left - sums[name])
                 for slice_ in slices:
                     old = slice_.levels.get(place, 1.0)
-                    want = 0.0 if slice_.shut and self.rules.write_classes >> place & 1 else share
+                    want = 0.0 if slice_.shut and self.rules.write_classes >> place & 1 else (
+                        share if self.rules.shares else 1.0)
                     urgent = (want == 0) != (old == 0) or (cold and want < old - 0.1)
                     far = abs(want - old) > 0.15 * old or want == 1
                     if urgent or self.offer.ordinary and want != old and far:
                         slice_.levels[place] = want
-                        yield face.Admit(slice_.number, 1 << place, self.rules.retry, want)
+                        yield face.Admit(slice_.number, 1 << place, self.rules.retry, want * self.rules.all)
 
     def withdrawals(self) -> Iterable[face.Order]:
         """Guards the drain grace where a slice may not be opened yet: its owner is shut out meanwhile.
@@ -391,7 +387,7 @@
         if urgent or not self.offer.ordinary:
             return urgent
         others = self.to_relieve(movable)
-        others = others[:max(1, len(others) // 2)]
+        del others[max(1, len(others) // 2):]
         for slice_ in others:
             self.relieved[slice_.owner] = self.mail.now
         return others
@@ -409,12 +405,11 @@
             now >= (slice_.clean_at or 0) or (former is not None and former.state == "gone"))
         if slice_.step == "emptied":
             settled = slice_.gate_at is not None and now >= slice_.gate_at + self.offer.settle_us
+            long_bare = now > slice_.since + rules.bare_us // 2
             # The exception for rule 1: when half the time a slice may be bare is gone, the new owner
             # is published with writes shut; that needs no gate, for only reads can go there.
-            if now < slice_.kept_until or not (settled or now > slice_.since + rules.bare_us // 2):
-                return []
-            owner = self.choose(slice_)
-            if owner is None:
+            may = settled and clean or rules.shuts and (settled or long_bare)
+            if now < slice_.kept_until or not may or (owner := self.choose(slice_)) is None:
                 return []
             slice_.owner, slice_.step, slice_.mark = owner, "closing", NEVER
             self.loads[owner] += self.rate(slice_)
@@ -484,8 +479,8 @@
             case face.Joined(number, _, _, _):
                 self.proxies[number] = Proxy(True, joined_after=self.mark)
             case face.Left(number):
-                proxy = self.proxies.setdefault(number, Proxy())
-                proxy.joined, proxy.gone_at = False, now
+                before = self.proxies.get(number, Proxy())
+                self.proxies[number] = Proxy(answered=before.answered, gone_at=now)
             case face.Answered(number, mark, took_us):
                 proxy = self.proxies.get(number)
                 if proxy is not None and proxy.joined:
@@ -544,8 +539,7 @@
                 self.joiners.pop(proxy, None)
             case Offer(lines):
                 orders = list(self.changes())[:lines]
-                for order in orders:
-                    self.lines[order.table, order.backend] = order.weight
+                self.lines.update({(order.table, order.backend): order.weight for order in orders})
                 for proxy, zone in self.joiners.items():
                     orders.append(face.Bind(proxy, 0, self.rules.any_zone))
                     if self.rules.own_zone and zone in self.rules.zones:
@@ -578,13 +572,16 @@
         self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
         self.zones, self.retry, self.load_fields = told.zones, told.usual_retry, told.load_fields
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
+        # Levels may be shares, visits a second at each proxy (then only shut or open), or without effect.
+        self.shares, self.shuts = told.admits == "share", told.admits != "none"
+        self.all = 1.0 if self.shares else 1e6
         self.agreed_us = sum(kind.agreed_us for kind in told.classes) / max(1, len(told.classes))
         self.echo_us = told.report_every_us + SECOND
         self.may_probe = told.may_probe
         self.quiet_us = 2 * told.report_every_us + SECOND
         self.demand_us = 4 * max(told.report_every_us, SECOND)
-        self.lines_per_s, self.head_lines = told.lines_per_s, told.head_lines
-        self.queue_lines = told.queue_lines
+        self.lines_per_s, self.queue_lines = told.lines_per_s, told.queue_lines
+        self.head_lines = told.head_lines
         self.messages_over_us = told.messages_over_us or 10 * SECOND
         self.messages_most = told.messages_most or 100
         self.gap_us = self.messages_over_us // self.messages_most // 2
--- a/lapispass/drill/codec.py
+++ b/lapispass/drill/codec.py
@@ -17,6 +17,7 @@
 LIST_KINDS = {"incr": "changes", "total": "whole", "warm_copy": "remembered", "lost": "lost"}
 LOAD_FIELDS = {"busy_reqs": "held", "pending": "waiting", "cpu_share": "busy", "svc_ms": "service_ms",
                "served_ps": "completed_per_s", "failed_ps": "failed_per_s"}
+ADMITS = {"fraction": "share", "per_second": "rate"}
 ALL_TABLES = 65535
 
 
@@ -114,15 +115,12 @@
             messages_most=int(extra.get("pushes-allowed", 0)),
             messages_over_us=int(extra.get("update-window-us", 0)),
             report_every_us=int(extra.get("report-every-us", 0)),
-            late_us=int(extra.get("push-delay-us", 0)),
             usual_retry=int(extra.get("usual-how", 0)),
             asks_for_list=env.get("discovery") == "subscribe",
             may_probe=bool(limits.get("probes", False)),
-            admits_share=extra.get("admit") == "fraction",
-            drain_grace_us=int(rules.get("drain-grace-us", 0)),
+            admits=ADMITS.get(extra.get("admit"), "none"),
             cold_us=int(rules.get("cold-us", 0)),
             cold_share=float(rules.get("start-capacity", 1)),
-            fall_multiple=float(rules.get("fall-multiple", 1)),
             load_fields=tuple(LOAD_FIELDS.get(name, name) for name in env.get("stats", {}).get("fields", ())),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/lapispass/interface.py
+++ b/lapispass/interface.py
@@ -39,15 +39,12 @@
     messages_most: int
     messages_over_us: int
     report_every_us: int
-    late_us: int
     usual_retry: int
     asks_for_list: bool
     may_probe: bool
-    admits_share: bool
-    drain_grace_us: int
+    admits: str  # levels are a 'share', a 'rate' at each proxy, or have no effect: 'none'
     cold_us: int
     cold_share: float
-    fall_multiple: float
     load_fields: tuple[str, ...]
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,6 +13,7 @@
 
 MS = 1000
 SECOND = 1000 * MS
+GRACE_US = 2500 * MS
 
 
 def deployment(**changes) -> face.Deployment:
@@ -22,9 +23,9 @@
                  face.VisitClass("pay", 2 * SECOND, 4 * SECOND, 3.0, True, False)),
         zones=("east", "west"), proxies=4, slices=12, lease_us=1200 * MS, linger_us=3 * SECOND,
         bare_us=14 * SECOND, lines_per_s=9000.0, head_lines=12.0, queue_lines=14000.0, messages_most=24,
-        messages_over_us=10 * SECOND, report_every_us=SECOND, late_us=200 * MS, usual_retry=1,
-        asks_for_list=False, may_probe=True, admits_share=True, drain_grace_us=2500 * MS,
-        cold_us=12 * SECOND, cold_share=0.2, fall_multiple=2.5, load_fields=())
+        messages_over_us=10 * SECOND, report_every_us=SECOND, usual_retry=1,
+        asks_for_list=False, may_probe=True, admits="share",
+        cold_us=12 * SECOND, cold_share=0.2, load_fields=())
     return face.Deployment(**{**told, **changes})
 
 
@@ -210,7 +211,7 @@
                     continue
                 if proxy.joined and table.owner in self.unfit_since:
                     told_for = self.now - self.unfit_since[table.owner]
-                    assert told_for <= self.told.drain_grace_us or self.controller is None, "rule 3: drain"
+                    assert told_for <= GRACE_US or self.controller is None, "rule 3: drain"
                 writing = table.writes and (proxy.joined or self.now < proxy.broken_at + self.told.lease_us)
                 if writing and table.owner in self.up:
                     self.write(number, table)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -146,6 +146,23 @@
     assert None not in owners(fleet)
 
 
+def test_where_levels_have_no_effect_the_new_owner_waits_for_the_last_write() -> None:
+    fleet = Fleet(deployment(admits="none"), 4, seed=10)
+    fleet.run(3)
+    fleet.change(102, "draining")
+    fleet.run(12)  # the model holds the single owner
+    assert None not in owners(fleet) and all(table.writes for table in fleet.store.values())
+
+
+def test_without_slices_proxies_are_bound_and_a_draining_server_leaves_the_table() -> None:
+    controller = Controller(deployment(slices=0), 7, 0)
+    entries = tuple(face.Entry(n, "east", "ready", 1.0, None) for n in (5, 6))
+    orders = controller.turn(SECOND, [face.Listed("remembered", entries), face.Joined(0, True, "east", 1.0)])
+    assert {face.Own(0, 5, 1.0), face.Own(0, 6, 1.0), face.Bind(0, 0, 3)} <= set(orders)
+    orders = controller.turn(3 * SECOND, [face.Listed("changes", (entries[0]._replace(state="draining"),))])
+    assert face.Own(0, 5, 0.0) in orders
+
+
 def test_the_list_is_asked_for_again_after_it_was_lost() -> None:
     controller = Controller(deployment(asks_for_list=True), 7, 0)
     follows = []
