Log when an owner is cut; read rates off the sums; one note fewer

Cause: cuts, the most common change of mode, were not logged, and the conversion from sums to rates stood in four places as a number. The offer names the turn's mark, so the channel need not tell it back.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import log
 from typing import Any, NamedTuple
 
 from lapispass import interface as face
@@ -47,9 +48,12 @@
     def add(self, now: int, amount: float) -> None:
         self.total = self.read(now) + amount
 
+    def per_second(self, now: int) -> float:
+        return self.read(now) * log(2) * SECOND / self.half_us
 
-class Tick(NamedTuple):
-    """Look at the time."""
+
+class Tick:
+    """A note: look at the time."""
 
 
 class Standing(NamedTuple):
@@ -78,6 +82,7 @@
 
     lines: int
     ordinary: bool
+    mark: int  # the turn's own
     cleared: int  # no proxy can write by a table older than this mark
     settle_us: int
     unmarked: bool  # some proxy has joined since the last mark
@@ -89,12 +94,6 @@
     orders: list[face.Order]
 
 
-class Sent(NamedTuple):
-    """The channel has written a turn under this mark."""
-
-    mark: int
-
-
 class Mail:
     """The inboxes of all parts, emptied by one loop, and the orders of the turn."""
 
@@ -131,19 +130,17 @@
         self.state, self.zone, self.weight, self.born = "gone", "", 1.0, 0
         self.mode, self.since, self.away_us = "well", mail.now, 8 * SECOND
         self.tries, self.lost, self.spent = (Fading(2 * SECOND) for _ in range(3))
-        self.fit, self.fit_at = 1.0, 0
-        self.speed = 0.0
+        self.fit, self.fit_at, self.cut = 1.0, 0, False
         self.waiting: float | None = None
-        self.good_at = mail.now
-        self.rate, self.slices = 0.0, 0
-        self.probe_at, self.misses = 0, 0
+        self.speed, self.rate, self.slices = 0.0, 0.0, 0
+        self.good_at, self.probe_at, self.misses = mail.now, 0, 0
 
     def take(self, note: Any) -> None:
         match note:
             case face.Entry(_, zone, state, weight, born):
                 if born and born != self.born and self.born:
                     self.turn_to("well", "started anew")
-                    self.fit = 1.0
+                    self.fit, self.waiting = 1.0, None
                 self.state, self.zone, self.weight = state, zone, weight or 1.0
                 self.born = born or self.born
             case face.Met(_, _, lost, tries, took_us, _, load):
@@ -160,11 +157,14 @@
                 if not self.slices:
                     self.good_at = self.mail.now
                 elif slices != self.slices:  # the share follows what is left to let in
-                    kept = max(self.fit * self.rate, 0.7 * (self.speed or 0.0) * self.weight)
+                    kept = max(self.fit * self.rate, 0.7 * self.speed * self.weight)
                     self.fit = min(1.0, kept / max(0.1, rate))
                 self.rate, self.slices = rate, slices
             case Tick():
                 self.judge()
+                if self.cut != (self.fit < 1):
+                    self.cut = not self.cut
+                    self.log(f"lets in {self.fit:.2f} of {self.rate:.1f}/s, {self.waiting or 0:.0f} waiting")
                 self.mail.post(self.table, Standing(self.number, self.state, self.mode != "well",
                                                      self.warmth(), self.weight, self.zone, self.fit,
                                                      self.pace(), self.speed))
@@ -175,12 +175,12 @@
         if waiting is not None:
             self.waiting = waiting if self.waiting is None else 0.5 * (self.waiting + waiting)
         if busy and busy > 0.1 and self.tries.read(self.mail.now) > 2 and self.warmth() >= 1:
-            speed = self.tries.total * 0.347 / busy / self.weight
+            speed = self.tries.per_second(self.mail.now) / busy / self.weight
             self.speed = 0.8 * self.speed + 0.2 * speed if self.speed else speed
 
     def pace(self) -> float:
         """Visits completed a second."""
-        return max(0.0, self.tries.read(self.mail.now) - self.lost.read(self.mail.now)) * 0.347
+        return max(0.0, self.tries.per_second(self.mail.now) - self.lost.per_second(self.mail.now))
 
     def warmth(self) -> float:
         """The least share of its work a backend can do: it rises no slower than evenly."""
@@ -189,9 +189,12 @@
             return 1.0
         return self.rules.cold_share + (1 - self.rules.cold_share) * max(0, age) / self.rules.cold_us
 
+    def log(self, text: str) -> None:
+        self.mail.orders.append(face.Log(f"backend {self.number} {text}"))
+
     def turn_to(self, mode: str, why: str) -> None:
         if mode != self.mode:
-            self.mail.orders.append(face.Log(f"backend {self.number} {self.mode}->{mode}: {why}"))
+            self.log(f"{self.mode}->{mode}: {why}")
             self.mode, self.since, self.misses = mode, self.mail.now, 0
             self.good_at = self.mail.now
 
@@ -258,7 +261,7 @@
         self.backends: dict[int, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.standings: dict[int, Standing] = {}
-        self.offer = Offer(0, False, -1, SECOND, False)
+        self.offer = Offer(0, False, 0, -1, SECOND, False)
         self.said: dict[int, bool | None] = {}  # whether a server is shut out; None: to be said again
         self.relieved: dict[int | None, int] = {}
         self.channel: Part
@@ -291,15 +294,10 @@
             case Offer():
                 self.offer = note
                 self.compose()
-            case Sent(mark):
-                for slice_ in self.slices.values():
-                    if slice_.step != "steady" and slice_.mark == NEVER:
-                        slice_.mark = mark
 
     def rate(self, slice_: Slice) -> float:
         """Visits a second, from the decaying sums; a little above nothing for the unheard of."""
-        seen = sum(fading.read(self.mail.now) for fading in slice_.demand.values())
-        return 0.2 + seen * SECOND * 0.693 / self.rules.demand_us
+        return 0.2 + sum(fading.per_second(self.mail.now) for fading in slice_.demand.values())
 
     def compose(self) -> None:
         """One turn: steps that are due, slices to open, servers to shut out, shares to let in."""
@@ -319,6 +317,9 @@
         orders += self.withdrawals()
         orders += self.levels()
         if orders or moving and (self.offer.unmarked or any(slice_.mark == NEVER for slice_ in moving)):
+            for slice_ in self.slices.values():
+                if slice_.step != "steady" and slice_.mark == NEVER:
+                    slice_.mark = self.offer.mark
             self.mail.post(self.channel, Write(orders))
 
     def survey(self) -> None:
@@ -347,14 +348,14 @@
         usual = sum(s.pace for s in warm) / max(0.1, sum(s.weight for s in warm))
         for standing in self.standings.values():
             slices = [slice_ for slice_ in self.slices.values() if slice_.owner == standing.backend]
-            sums = {name: sum(s.demand[name].read(self.mail.now) for s in slices if name in s.demand)
+            sums = {name: sum(s.demand[name].per_second(self.mail.now) for s in slices if name in s.demand)
                     for _, _, name in self.rules.classes}
-            coming = sum(sums.values()) * SECOND * 0.693 / self.rules.demand_us
+            coming = sum(sums.values())
             fit, cold = standing.fit, standing.warmth < 1
             if cold:
                 # Guards a cold server: no more than its sure part of what the warm ones complete.
                 fit = min(fit, 0.6 * standing.warmth * standing.weight * usual / max(0.1, coming))
-            left = fit * sum(sums.values())
+            left = fit * coming
             for _, place, name in self.rules.classes:
                 share = 1.0 if fit >= 1 or sums[name] <= left else round(max(0.05, left / sums[name]), 2)
                 left = max(0.0, left - sums[name])
@@ -500,7 +501,7 @@
                 if min(left, lines, self.joined) > 0 and (not self.written or now >= self.written[-1] + gap):
                     proxies = self.proxies.values()
                     self.mail.post(self.table, Offer(
-                        lines, left > rules.messages_most // 3, min(map(self.cleared, proxies)),
+                        lines, left > rules.messages_most // 3, self.mark + 1, min(map(self.cleared, proxies)),
                         min(int(self.slowest.read(now)), rules.lease_us * 9 // 10),
                         any(proxy.joined and proxy.joined_after == self.mark for proxy in proxies)))
             case Write(orders):
@@ -508,7 +509,6 @@
                 self.written.append(now)
                 self.waiting += self.joined * (len(orders) + 1 + rules.head_lines)
                 self.mail.orders += [*orders, face.Mark(self.mark % MARKS, True)]
-                self.mail.post(self.table, Sent(self.mark))
 
     def cleared(self, proxy: Proxy) -> int:
         """The mark up to which this proxy cannot write by an older table."""
@@ -599,14 +599,14 @@
         self.table = Ledger(self.mail, self.rules) if told.slices else Spread(self.mail, self.rules)
         self.table.backends = self.backends
         self.channel = self.table.channel = Channel(self.mail, self.rules, told.proxies, self.table)
-        self.must_ask, self.ask_at, self.woken_at = told.asks_for_list, now, -1
+        self.ask_at, self.woken_at = now if told.asks_for_list else NEVER, -1
 
     def turn(self, now: int, events: Iterable[face.Event]) -> list[face.Order]:
         mail = self.mail
         mail.now, mail.orders = now, []
         for event in events:
             self.route(event)
-        if self.must_ask and now >= self.ask_at:
+        if now >= self.ask_at:
             mail.orders.append(face.Follow())
             self.ask_at = NEVER
         mail.run()
