--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -52,10 +52,6 @@
         return self.read(now) * log(2) * SECOND / self.half_us
 
 
-class Tick:
-    """A note: look at the time."""
-
-
 class Standing(NamedTuple):
     """A backend tells how it stands."""
 
@@ -141,7 +137,10 @@
                 if born and born != self.born and self.born:
                     self.turn_to("well", "started anew")
                     self.fit, self.waiting = 1.0, None
-                self.state, self.zone, self.weight = state, zone, weight or 1.0
+                # Gone proves an end only after a drain: a process that died may be back, with new writes
+                # in hand, before the late list says that it went.
+                retired = state == "gone" and self.state in ("draining", "retired")
+                self.state, self.zone, self.weight = "retired" if retired else state, zone, weight or 1.0
                 self.born = born or self.born
             case face.Met(_, _, lost, tries, took_us, _, load):
                 self.mail.heard_at = self.mail.now
@@ -160,7 +159,7 @@
                     kept = max(self.fit * self.rate, 0.7 * self.speed * self.weight)
                     self.fit = min(1.0, kept / max(0.1, rate))
                 self.rate, self.slices = rate, slices
-            case Tick():
+            case face.Woken():
                 self.judge()
                 if self.cut != (self.fit < 1):
                     self.cut = not self.cut
@@ -403,13 +402,12 @@
                 slice_.clean_at = now + rules.linger_us
         former = self.standings.get(slice_.former) if slice_.former is not None else None
         clean = slice_.gate_at is not None and (
-            now >= (slice_.clean_at or 0) or (former is not None and former.state == "gone"))
+            now >= (slice_.clean_at or 0) or (former is not None and former.state == "retired"))
         if slice_.step == "emptied":
             settled = slice_.gate_at is not None and now >= slice_.gate_at + self.offer.settle_us
-            long_bare = now > slice_.since + rules.bare_us // 2
             # The exception for rule 1: when half the time a slice may be bare is gone, the new owner
             # is published with writes shut; that needs no gate, for only reads can go there.
-            may = settled and clean or rules.shuts and (settled or long_bare)
+            may = settled and clean or rules.shuts and (settled or now > slice_.since + rules.bare_us // 2)
             if now < slice_.kept_until or not may or (owner := self.choose(slice_)) is None:
                 return []
             slice_.owner, slice_.step, slice_.mark = owner, "closing", NEVER
@@ -487,7 +485,7 @@
                 if proxy is not None and proxy.joined:
                     proxy.answered = max(proxy.answered, self.mark - (self.mark - mark) % MARKS)
                     self.slowest.add(now, max(0.0, took_us - self.slowest.read(now)))
-            case Tick():
+            case face.Woken():
                 self.joined = sum(proxy.joined for proxy in self.proxies.values())
                 # The channel may run slower than it should: half its pace is counted on.
                 self.waiting = max(0.0, self.waiting - (now - self.at) * rules.lines_per_s / SECOND / 2)
@@ -501,8 +499,8 @@
                 if min(left, lines, self.joined) > 0 and (not self.written or now >= self.written[-1] + gap):
                     proxies = self.proxies.values()
                     self.mail.post(self.table, Offer(
-                        lines, left > rules.messages_most // 3, self.mark + 1, min(map(self.cleared, proxies)),
-                        min(int(self.slowest.read(now)), rules.lease_us * 9 // 10),
+                        lines, left > rules.messages_most // 3, self.mark + 1,
+                        min(map(self.cleared, proxies)), min(int(self.slowest.read(now)), rules.lease_us * 9 // 10),
                         any(proxy.joined and proxy.joined_after == self.mark for proxy in proxies)))
             case Write(orders):
                 self.mark += 1
@@ -611,7 +609,7 @@
             self.ask_at = NEVER
         mail.run()
         for part in (*self.backends.values(), self.channel):
-            mail.post(part, Tick())
+            mail.post(part, face.Woken(0))
         mail.run()
         if now >= self.woken_at:
             self.woken_at = now + self.BEAT_US
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -181,6 +181,17 @@
     assert fading.read(2 * SECOND) == pytest.approx(2.0)
 
 
+def test_a_server_that_is_back_before_the_list_tells_may_hold_writes() -> None:
+    fleet = Fleet(deployment(), 4, seed=11)
+    fleet.run(4)
+    # The list is late: the process is up again and takes writes.
+    fleet.news.append(face.Listed("changes", (fleet.list[102]._replace(state="gone"),)))
+    fleet.run(3.2)
+    fleet.news.append(face.Listed("changes", (fleet.list[102]._replace(born_us=fleet.now - 5 * SECOND),)))
+    fleet.run(12)  # the model holds the single owner
+    assert all(table.writes for table in fleet.store.values())
+
+
 def test_a_new_owner_that_drains_while_its_writes_are_shut_is_left_in_time() -> None:
     fleet = Fleet(deployment(linger_us=6 * SECOND), 4, seed=8)
     fleet.run(3)
