--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -497,10 +497,10 @@
                 room = rules.queue_lines / 2 - self.waiting
                 lines = int(room / max(1, self.joined) - rules.head_lines - 2)
                 if min(left, lines, self.joined) > 0 and (not self.written or now >= self.written[-1] + gap):
-                    proxies = self.proxies.values()
+                    proxies, slowest = self.proxies.values(), int(self.slowest.read(now))
                     self.mail.post(self.table, Offer(
                         lines, left > rules.messages_most // 3, self.mark + 1,
-                        min(map(self.cleared, proxies)), min(int(self.slowest.read(now)), rules.lease_us * 9 // 10),
+                        min(map(self.cleared, proxies)), min(slowest, rules.lease_us * 9 // 10),
                         any(proxy.joined and proxy.joined_after == self.mark for proxy in proxies)))
             case Write(orders):
                 self.mark += 1
