--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -295,15 +295,15 @@
         self.survey()
         orders = list(self.withdrawals())
         room = self.offer.lines - len(orders)
-        each = 1 + len(self.rules.classes)  # an owner comes with its levels, or writes would open early
         moving = [slice_ for slice_ in self.slices.values() if slice_.step != "steady" or slice_.shut]
         given = [slice_ for slice_ in moving if slice_.step == "emptied" and slice_.mark == NEVER]
         for slice_ in given:
             slice_.mark = self.offer.mark
         for slice_ in moving:
-            if room >= each and (step := self.advance(slice_)):
+            if room > 0:
+                step = self.advance(slice_)
                 orders += step
-                room -= each
+                room -= len(step)
         for slice_ in self.to_open()[:max(0, room)]:
             orders.append(face.Empty(slice_.number))
             room -= 1
@@ -311,7 +311,6 @@
                 slice_.gate_at = None
             slice_.step, slice_.owner, slice_.since = "emptied", None, self.mail.now
             slice_.mark = self.offer.mark
-            slice_.levels.clear()
         orders += self.levels(room)
         if orders or given or self.offer.unmarked and any(s.step != "steady" for s in moving):
             self.mail.post(self.channel, orders)
@@ -326,8 +325,7 @@
         self.targets = proven or list(self.open)
         speeds = [standing.speed for standing in ready if standing.speed]
         usual = sum(speeds) / len(speeds) if speeds else 1.0
-        self.able = {standing.backend: standing.weight * (standing.speed or usual) *
-                     (1.0 if standing.warmth >= 1 else 0.5 * standing.warmth) for standing in ready}
+        self.able = {s.backend: s.weight * s.warmth * (s.speed or usual) for s in ready}
         self.loads = dict.fromkeys(self.standings, 0.0)
         self.owned: dict[int, list[Slice]] = {number: [] for number in self.standings}
         for slice_ in self.slices.values():
@@ -358,7 +356,7 @@
                 left = max(0.0, left - sums[name])
                 for slice_ in slices:
                     old = slice_.levels.get(place, 1.0)
-                    want = 0.0 if slice_.shut and self.rules.write_classes >> place & 1 else share
+                    want = 0.0 if slice_.shut and place in self.rules.writes else share
                     urgent = (want == 0) != (old == 0) or (cold and want < old - 0.1)
                     if urgent or self.offer.ordinary and (
                             want != old and (abs(want - old) > 0.15 * old or want == 1)):
@@ -368,7 +366,7 @@
         fits = max(0, min(room, self.offer.lines // 2))
         orders: list[face.Order] = []
         for gain, slice_, place, want in due:
-            if want == 0 or len(orders) < (room if gain >= NEVER else fits):
+            if len(orders) < (room if gain >= NEVER else fits):
                 slice_.levels[place] = want
                 orders.append(face.Admit(slice_.number, 1 << place, self.rules.retry, want * self.rules.all))
         return orders
@@ -421,10 +419,12 @@
         if now < slice_.kept_until or not may or (owner := self.choose(slice_)) is None:
             return []
         slice_.owner, slice_.step, slice_.mark = owner, "closing", self.offer.mark
-        slice_.shut = not clean and rules.write_classes > 0
         self.loads[owner] += slice_.rate
         self.owned[owner].append(slice_)
-        return [face.Own(slice_.number, owner, 1.0)]
+        slice_.shut = not clean
+        slice_.levels = {} if clean else dict.fromkeys(rules.writes, 0.0)
+        return [face.Own(slice_.number, owner, 1.0), *(
+            face.Admit(slice_.number, 1 << place, rules.retry, 0.0) for place in slice_.levels)]
 
     def choose(self, slice_: Slice) -> int | None:
         """The server with least load per listed weight, a cold one counted by what it surely can do."""
@@ -565,7 +565,7 @@
         places = list(enumerate(told.classes))
         self.lease_us, self.linger_us, self.bare_us = told.lease_us, told.linger_us, told.bare_us
         self.cold_us, self.cold_share = max(1, told.cold_us), told.cold_share
-        self.write_classes = sum(1 << place for place, kind in places if kind.writes)
+        self.writes = [place for place, kind in places if kind.writes]
         self.own_zone = sum(1 << place for place, kind in places if kind.own_zone)
         self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
         self.zone_tables = {zone: 1 + place for place, zone in enumerate(told.zones) if self.own_zone}
