--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -349,7 +349,7 @@
             fit, cold = (standing.fit, standing.warmth < 1) if self.rules.shares else (1.0, False)
             if cold:
                 # Guards a cold server: no more than its sure part of what the warm ones complete.
-                fit = min(fit, 0.6 * standing.warmth * standing.weight * usual / max(0.1, coming))
+                fit = min(fit, standing.warmth * standing.weight * usual / max(0.1, coming))
             left = fit * coming
             for _, place, name in self.rules.classes:
                 share = 1.0 if fit >= 1 or sums[name] <= left else round(max(0.05, left / sums[name]), 2)
