--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -294,24 +294,20 @@
         # turn, and shares, which a large fleet changes all the time, take no more than half of the room.
         self.survey()
         orders = list(self.withdrawals())
-        room = self.offer.lines - len(orders)
         moving = [slice_ for slice_ in self.slices.values() if slice_.step != "steady" or slice_.shut]
         given = [slice_ for slice_ in moving if slice_.step == "emptied" and slice_.mark == NEVER]
         for slice_ in given:
             slice_.mark = self.offer.mark
         for slice_ in moving:
-            if room > 0:
-                step = self.advance(slice_)
-                orders += step
-                room -= len(step)
-        for slice_ in self.to_open()[:max(0, room)]:
+            if len(orders) < self.offer.lines:
+                orders += self.advance(slice_)
+        for slice_ in self.to_open()[:max(0, self.offer.lines - len(orders))]:
             orders.append(face.Empty(slice_.number))
-            room -= 1
             if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
                 slice_.gate_at = None
             slice_.step, slice_.owner, slice_.since = "emptied", None, self.mail.now
             slice_.mark = self.offer.mark
-        orders += self.levels(room)
+        orders += self.levels(self.offer.lines - len(orders))
         if orders or given or self.offer.unmarked and any(s.step != "steady" for s in moving):
             self.mail.post(self.channel, orders)
 
@@ -347,9 +343,9 @@
             sums = {name: sum(s.rates.get(name, 0.0) for s in slices) for _, _, name in self.rules.classes}
             coming = sum(sums.values())
             fit, cold = (standing.fit, standing.warmth < 1) if self.rules.shares else (1.0, False)
-            if cold:
-                # Guards a cold server: no more than its sure part of what the warm ones complete.
-                fit = min(fit, standing.warmth * standing.weight * usual / max(0.1, coming))
+            if cold:  # Guards a cold server: no more than a sure part of what the warm ones complete.
+                sure = self.rules.cold_part * standing.warmth * standing.weight * usual
+                fit = min(fit, sure / max(0.1, coming))
             left = fit * coming
             for _, place, name in self.rules.classes:
                 share = 1.0 if fit >= 1 or sums[name] <= left else round(max(0.05, left / sums[name]), 2)
@@ -565,6 +561,7 @@
         places = list(enumerate(told.classes))
         self.lease_us, self.linger_us, self.bare_us = told.lease_us, told.linger_us, told.bare_us
         self.cold_us, self.cold_share = max(1, told.cold_us), told.cold_share
+        self.cold_part = told.fall_multiple / 4  # its caches are cold too, and estimates are late
         self.writes = [place for place, kind in places if kind.writes]
         self.own_zone = sum(1 << place for place, kind in places if kind.own_zone)
         self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
--- a/lapispass/drill/codec.py
+++ b/lapispass/drill/codec.py
@@ -122,6 +122,7 @@
             admits=ADMITS.get(extra.get("admit"), "none"),
             cold_us=int(rules.get("cold-us", 0)),
             cold_share=float(rules.get("start-capacity", 1)),
+            fall_multiple=float(rules.get("fall-multiple", 2)),
             load_fields=tuple(LOAD_FIELDS.get(name, name) for name in env.get("stats", {}).get("fields", ())),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/lapispass/interface.py
+++ b/lapispass/interface.py
@@ -46,6 +46,7 @@
     admits: str  # levels are a 'share', a 'rate' at each proxy, or have no effect: 'none'
     cold_us: int
     cold_share: float
+    fall_multiple: float  # sent so many times what it can do, a cold server falls over
     load_fields: tuple[str, ...]
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -25,7 +25,7 @@
         bare_us=14 * SECOND, lines_per_s=9000.0, head_lines=12.0, queue_lines=14000.0, messages_most=24,
         messages_over_us=10 * SECOND, report_every_us=SECOND, usual_retry=1,
         asks_for_list=False, may_probe=True, gone_binds=True, admits="share",
-        cold_us=12 * SECOND, cold_share=0.2, load_fields=())
+        cold_us=12 * SECOND, cold_share=0.2, fall_multiple=2.5, load_fields=())
     return face.Deployment(**{**told, **changes})
 
 
