Raise a share slowly beyond what the learned speed can do

Where a speed is learned the fast rise ends at it, then 1.1 a look. It should also guard against bursts after a cut; it could harm where a speed learned on cold caches is too low, for some looks.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -225,7 +225,8 @@
             if slow > 0.6 or short > 0.15 and slow > 0.3:  # losses beside quick answers are no queue
                 fit = max(0.2, self.fit * (max(0.5, 1 - max(short, slow / 4))))
             else:
-                fit = min(1.0, self.fit * (1.8 if slow < 0.3 else 1.3))
+                sure = self.speed * self.weight / max(0.1, self.rate) if self.speed else 1.0
+                fit = min(1.0, max(1.1 * self.fit, min(sure, self.fit * (1.8 if slow < 0.3 else 1.3))))
             if (fit < 1) != (self.fit < 1):
                 self.log(f"lets in {fit:.2f} of {self.rate:.1f}/s, {self.waiting or 0:.0f} waiting")
             self.fit = fit
