--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -173,9 +173,11 @@
         busy, waiting = load.get("busy"), load.get("waiting")
         if waiting is not None:
             self.waiting = waiting if self.waiting is None else 0.5 * (self.waiting + waiting)
+        if busy is None and waiting and waiting > 1:
+            busy = 1.0  # what waits shows that it is all busy
         if busy and busy > 0.1 and self.tries.read(self.mail.now) > 2 and self.warmth() >= 1:
             speed = self.tries.per_second(self.mail.now) / busy / self.weight
-            self.speed = 0.8 * self.speed + 0.2 * speed if self.speed else speed
+            self.speed += (0.5 if speed > self.speed else 0.1) * (speed - self.speed)
 
     def warmth(self) -> float:
         """The least share of its work a backend can do: it rises no slower than evenly."""
