--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -224,10 +224,10 @@
             short, slow = lost / max(8, tries), mean / rules.agreed_us
             if self.waiting is not None:  # the time to work off what waits tells more than the mean
                 slow = 2 * SECOND * self.waiting / max(0.5, self.done.per_second(now)) / rules.agreed_us
+            sure = self.speed * self.weight / max(0.1, self.rate) if self.speed else 1.0
             if slow > 0.6 or short > 0.15 and slow > 0.3:  # losses beside quick answers are no queue
-                fit = max(0.2, self.fit * (max(0.5, 1 - max(short, slow / 4))))
+                fit = max(min(0.2, 0.5 * sure), self.fit * (max(0.5, 1 - max(short, slow / 4))))
             else:
-                sure = self.speed * self.weight / max(0.1, self.rate) if self.speed else 1.0
                 fit = min(1.0, max(1.1 * self.fit, min(sure, self.fit * (1.8 if slow < 0.3 else 1.3))))
             if (fit < 1) != (self.fit < 1):
                 self.log(f"lets in {fit:.2f} of {self.rate:.1f}/s, {self.waiting or 0:.0f} waiting")
