Count what a server does for other controllers as its load

Where the controller has not all slices, the fleet's speed (scaled by its part of the slices) stands for each server and reported 'busy' beyond own visits is added to its load. A test plays it.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -62,11 +62,11 @@
     fit: float
     pace: float
     speed: float
+    busy: float
 
 
 class Carries(NamedTuple):
     visits_per_s: float
-    slices: int
 
 
 class Offer(NamedTuple):
@@ -114,12 +114,12 @@
         super().__init__(mail)
         self.number, self.rules, self.table = number, rules, table
         self.listed, self.zone, self.weight, self.born = "gone", "", 1.0, 0
-        self.alive: bool | None = None if rules.may_probe else True  # as probes have it
+        self.alive = not rules.may_probe  # as probes have it
         self.mode, self.since, self.away_us = "well", mail.now, 8 * SECOND
         self.tries, self.done, self.spent = (Fading(2 * SECOND) for _ in range(3))
         self.fit, self.fit_at = 1.0, 0
         self.waiting: float | None = None
-        self.speed, self.rate, self.slices = 0.0, 0.0, 0
+        self.speed, self.rate, self.busy = 0.0, 0.0, 0.0
         self.good_at, self.probe_at, self.misses = mail.now, 0, 0
 
     def take(self, note: Any) -> None:
@@ -128,14 +128,13 @@
                 if born and born != self.born and self.born:
                     self.turn_to("well", "started anew")
                     self.fit, self.waiting = 1.0, None
-                if state == "ready" and self.listed != "ready" and self.alive is False:
-                    self.alive = None
                 if state != "gone" or self.listed != "draining":  # one that drained stays shut out
                     self.listed = state
                 self.zone, self.weight, self.born = zone, weight or 1.0, born or self.born
             case face.Met(_, _, lost, tries, took_us, _, load):
                 self.mail.heard_at = self.mail.now
-                self.learn(dict(zip(self.rules.load_fields, load or ())))
+                if load:
+                    self.learn(dict(zip(self.rules.load_fields, load)))
                 self.spent.add(self.mail.now, (tries - lost) * took_us)
                 self.tries.add(self.mail.now, tries)
                 self.done.add(self.mail.now, tries - lost)
@@ -147,15 +146,15 @@
                     self.alive = True
                 elif self.listed == "gone" and (reason == 4 or self.misses > 1):
                     self.alive = False
-            case Carries(rate, slices):
-                if not self.slices:
+            case Carries(rate):
+                if not self.rate:
                     self.good_at = self.mail.now
-                self.rate, self.slices = rate, slices
+                self.rate = rate
             case face.Woken():
                 self.judge()
-                self.mail.post(self.table, Standing(self.number, self.state(), self.warmth(), self.weight,
-                                                    self.zone, self.fit,
-                                                    self.done.per_second(self.mail.now), self.speed))
+                self.mail.post(self.table, Standing(
+                    self.number, self.state(), self.warmth(), self.weight, self.zone, self.fit,
+                    self.done.per_second(self.mail.now), self.speed, self.busy))
 
     def state(self) -> str:
         """What the list says, weighed against probes and health."""
@@ -164,9 +163,9 @@
         # keeps what it has and gets nothing. Harm: one back cold before the list tells passes for warm.
         if self.listed == "draining" or self.listed == "gone" and self.rules.gone_binds:
             return "out"
-        if self.listed == "gone" and self.alive is False:
-            return "gone"
-        return "unproven" if not self.alive else "ready" if self.mode == "well" else "ill"
+        if not self.alive:
+            return "gone" if self.listed == "gone" else "unproven"
+        return "ready" if self.mode == "well" else "ill"
 
     def learn(self, load: dict[str, float | None]) -> None:
         """What waits, and how many visits a second its whole work would be, where reports tell."""
@@ -175,6 +174,7 @@
             self.waiting = waiting if self.waiting is None else 0.5 * (self.waiting + waiting)
         if busy is None and waiting and waiting > 1:
             busy = 1.0  # what waits shows that it is all busy
+        self.busy = 0.5 * (self.busy + (busy or 0.0))
         if busy and busy > 0.1 and self.tries.read(self.mail.now) > 2 and self.warmth() >= 1:
             speed = self.tries.per_second(self.mail.now) / busy / self.weight
             self.speed += (0.5 if speed > self.speed else 0.1) * (speed - self.speed)
@@ -216,7 +216,7 @@
         elif suspect and (self.misses >= 2 or quiet > 3 * rules.quiet_us):
             self.turn_to("silent", f"{quiet} us quiet at {self.rate:.1f}/s, {self.misses} probes lost")
         # Guards against quick errors: most tries fail, by more than a handful.
-        elif self.slices and tries > 8 and lost > 0.4 * tries and mean < 0.3 * rules.agreed_us:
+        elif self.rate and tries > 8 and lost > 0.4 * tries and mean < 0.3 * rules.agreed_us:
             self.turn_to("failing", f"{lost:.1f} of {tries:.1f} tries lost, the rest took {mean:.0f} us")
         elif now - self.fit_at > rules.echo_us and tries > 2:
             self.fit_at = now
@@ -257,14 +257,13 @@
 
     def __init__(self, mail: Mail, rules: Rules) -> None:
         super().__init__(mail)
-        self.rules = rules
+        self.rules, self.again_at = rules, 0
         self.backends: dict[int, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.standings: dict[int, Standing] = {}
         self.offer = Offer(0, False, 0, -1, SECOND, False)
         self.out: set[int] = set()  # servers shut out ...
         self.again: set[int] = set()  # ... and those of which joiners may have heard otherwise
-        self.again_at = 0
         self.relieved: dict[int | None, int] = {}
         self.channel: Part
 
@@ -320,11 +319,15 @@
         # Guards against blaming servers for what strikes all of them: the fault is nearer then.
         blame = sum(standing.state == "ill" for standing in ready) * 3 <= len(ready)
         self.open = {s.backend: s for s in ready if s.state != "ill" or not blame}
-        proven = [number for number, standing in self.open.items() if standing.state != "unproven"]
-        self.targets = proven or list(self.open)
-        speeds = [standing.speed for standing in ready if standing.speed]
-        usual = sum(speeds) / len(speeds) if speeds else 1.0
-        self.able = {s.backend: s.weight * s.warmth * (s.speed or usual) for s in ready}
+        self.targets = [n for n, s in self.open.items() if s.state != "unproven"] or list(self.open)
+        # With other controllers a server's speed is known in part only: own visits against all that keep it
+        # busy. Then the fleet's speed counts, and what a server does for others comes on top of its load.
+        part = max(1, len(self.slices)) / self.rules.slices
+        speeds = [standing.speed for standing in ready if standing.speed] or [part]
+        usual = sum(speeds) / len(speeds) / part
+        self.able = {s.backend: s.weight * s.warmth * (part == 1 and s.speed or usual) for s in ready}
+        self.others = {s.backend: (part < 1) * max(0.0, s.busy * self.able[s.backend] - s.pace)
+                       for s in ready}
         self.loads = dict.fromkeys(self.standings, 0.0)
         self.owned: dict[int, list[Slice]] = {number: [] for number in self.standings}
         for slice_ in self.slices.values():
@@ -334,7 +337,7 @@
                 self.loads[slice_.owner] += slice_.rate
                 self.owned[slice_.owner].append(slice_)
         for number, load in self.loads.items():
-            self.mail.post(self.backends[number], Carries(load, len(self.owned[number])))
+            self.mail.post(self.backends[number], Carries(load))
 
     def levels(self, room: int) -> list[face.Order]:
         """Lets in what each owner can complete, the classes of most benefit first; no writes where shut."""
@@ -431,7 +434,7 @@
 
     def load_with(self, number: int, slice_: Slice) -> float:
         """A backend's load per weight with this slice."""
-        return (self.loads[number] + slice_.rate) / self.able[number]
+        return (self.loads[number] + self.others[number] + slice_.rate) / self.able[number]
 
     def to_relieve(self, movable: list[Slice]) -> list[Slice]:
         """Slices whose owner lets in less than what comes, where another server has room for one."""
@@ -439,14 +442,15 @@
         for number, standing in self.open.items():
             full = self.able[number] if standing.speed else NEVER
             # A server that is nearly all busy is relieved before it queues.
-            excess = max(self.loads[number] * (1 - standing.fit), self.loads[number] - 0.9 * full)
+            load = self.loads[number] + self.others[number]
+            excess = max(self.loads[number] * (1 - standing.fit), load - 0.9 * full)
             due = excess > 0 and self.mail.now >= self.relieved.get(number, 0) + self.rules.echo_us
             mine = [s for s in movable if s.owner == number] if due else []
             if len(mine) < 2:
                 continue
             slice_ = next((s for s in mine if s.rate >= 0.7 * excess), mine[-1])
             target = self.choose(slice_)
-            level = min(self.loads[number], full) / self.able[number]
+            level = min(load, full) / self.able[number]
             if target is not None and target != number and (
                     self.open[target].fit >= 1 and self.load_with(target, slice_) < 0.75 * level):
                 chosen.append(slice_)
@@ -488,8 +492,7 @@
             case face.Woken():
                 self.joined = sum(proxy.joined for proxy in self.proxies.values())
                 # The channel may run slower than it should: half its pace is counted on.
-                sent = (now - self.at) * rules.lines_per_s / SECOND / 2
-                self.waiting, self.at = max(0.0, self.waiting - sent), now
+                self.waiting, self.at = max(0.0, self.waiting - (now - self.at) * rules.lines_per_us / 2), now
                 while self.written and self.written[0] <= now - rules.messages_over_us:
                     self.written.popleft()
                 left = rules.messages_most - 1 - len(self.written)
@@ -569,7 +572,7 @@
         self.own_zone = sum(1 << place for place, kind in places if kind.own_zone)
         self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
         self.zone_tables = {zone: 1 + place for place, zone in enumerate(told.zones) if self.own_zone}
-        self.retry, self.load_fields = told.usual_retry, told.load_fields
+        self.slices, self.retry, self.load_fields = max(1, told.slices), told.usual_retry, told.load_fields
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
         # Levels may be shares, visits a second at each proxy (then only shut or open), or without effect.
         self.shares, self.shuts = told.admits == "share", told.admits != "none"
@@ -579,7 +582,7 @@
         self.may_probe, self.gone_binds = told.may_probe, told.gone_binds or not told.may_probe
         self.quiet_us = 2 * told.report_every_us + SECOND
         self.demand_us = 4 * max(told.report_every_us, SECOND)
-        self.lines_per_s, self.queue_lines = told.lines_per_s, told.queue_lines
+        self.lines_per_us, self.queue_lines = told.lines_per_s / SECOND, told.queue_lines
         self.heads_us = int(4 * SECOND * told.head_lines / max(1.0, told.lines_per_s))
         self.messages_over_us = told.messages_over_us or 10 * SECOND
         self.messages_most, self.head_lines = told.messages_most or 100, told.head_lines
@@ -590,8 +593,7 @@
     """One instance: routes events to the parts, empties their inboxes, hands back the orders."""
 
     def __init__(self, told: face.Deployment, seed: int, now: int) -> None:
-        self.mail = Mail(seed, now)
-        self.rules = Rules(told)
+        self.mail, self.rules = Mail(seed, now), Rules(told)
         self.backends: dict[int, Backend] = {}
         self.table = Ledger(self.mail, self.rules) if told.slices else Spread(self.mail, self.rules)
         self.table.backends = self.backends
@@ -630,8 +632,6 @@
                     self.mail.post(self.backends[number], entry)
             case face.Met(backend) | face.Probed(backend) if backend in self.backends:
                 self.mail.post(self.backends[backend], event)
-            case face.Woken() | face.Said():
-                pass
-            case _:
+            case face.Joined() | face.Left() | face.Answered() | face.Given() | face.Held() | face.Came():
                 self.mail.post(self.channel, event)
                 self.mail.post(self.table, event)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -282,3 +282,17 @@
     assert {table.owner: table.share for table in fleet.store.values()}[101] < 0.2
     fleet.run(14)
     assert {table.owner: table.share for table in fleet.store.values()}[101] == 1
+
+
+def test_what_a_server_does_for_other_controllers_counts_as_its_load() -> None:
+    fleet = Fleet(deployment(slices=24, load_fields=("busy",)), 4, seed=17)
+    for number in range(12, 24):  # these are another controller's
+        fleet.news.append(face.Given(number, False))
+        del fleet.store[number]
+    for _ in range(6):
+        for backend in (100, 101, 102, 103):
+            fleet.news.append(face.Met(backend, "east", 0, 6, 200 * MS, SECOND, (0.2 if backend == 103 else 0.8,)))
+        fleet.run(1)
+    fleet.change(102, "draining")
+    fleet.run(9)
+    assert {fleet.store[number].owner for number in (2, 6, 10)} == {103}
