Write a cold owner's shares with its slices; keep a third of the room for slices that open

Told apart: a copy of the wire shows the owner orders and no level for 6 s, with the demand of the slices known. Steps now leave room for their levels, and urgent levels come before slices open. A third of it is kept for what opens.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -243,7 +243,7 @@
     since: int
     owner: int | None = None
     step: str = "emptied"  # emptied, closing, steady
-    mark: int = NEVER  # of the step's message; none yet where a slice is given with an empty table
+    mark: int = NEVER  # of the step's message
     gate_at: int | None = None  # when every proxy had taken the step that ended an earlier owner's writes
     shut: bool = False  # its writes are not let in
     demand: dict[str, Fading] = field(default_factory=dict)
@@ -292,24 +292,24 @@
 
     def compose(self) -> None:
         """One turn: servers to shut out, steps that are due, slices to open, shares to let in."""
-        # Guards the queue: each line waits once for every proxy, so what does not fit is left for a later
-        # turn, and shares, which a large fleet changes all the time, take no more than half of the room.
+        # Guards the queue: each line waits once for every proxy; what does not fit is left for a later turn.
         self.survey()
         orders = list(self.withdrawals())
         moving = [slice_ for slice_ in self.slices.values() if slice_.step != "steady" or slice_.shut]
-        given = [slice_ for slice_ in moving if slice_.step == "emptied" and slice_.mark == NEVER]
-        for slice_ in given:
-            slice_.mark = self.offer.mark
+        given = [slice_ for slice_ in moving if slice_.mark == NEVER]
         for slice_ in moving:
-            if len(orders) < self.offer.lines:
+            slice_.mark = min(slice_.mark, self.offer.mark)  # none yet: given with an empty table
+            if (len(orders) + 1) * (1 + len(self.rules.classes)) <= self.offer.lines:  # room for its levels
                 orders += self.advance(slice_)
-        for slice_ in self.to_open()[:max(0, self.offer.lines - len(orders))]:
+        opening = self.to_open()
+        room = self.offer.lines - len(orders)  # a third is kept for what opens, or a slice may stay bare
+        orders += self.levels(room - min(len(opening), room // 3), room - len(opening))
+        for slice_ in opening[:max(0, self.offer.lines - len(orders))]:
             orders.append(face.Empty(slice_.number))
             if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
                 slice_.gate_at = None
-            slice_.step, slice_.owner, slice_.since = "emptied", None, self.mail.now
-            slice_.mark = self.offer.mark
-        orders += self.levels(self.offer.lines - len(orders))
+            slice_.step, slice_.owner = "emptied", None
+            slice_.since, slice_.mark = self.mail.now, self.offer.mark
         if orders or given or self.offer.unmarked and any(s.step != "steady" for s in moving):
             self.mail.post(self.channel, orders)
 
@@ -339,7 +339,7 @@
         for number, load in self.loads.items():
             self.mail.post(self.backends[number], Carries(load))
 
-    def levels(self, room: int) -> list[face.Order]:
+    def levels(self, room: int, spare: int) -> list[face.Order]:
         """Lets in what each owner can complete, the classes of most benefit first; no writes where shut."""
         warm = [s for s in self.standings.values() if s.state in LISTED and s.warmth >= 1]
         usual = sum(s.pace for s in warm) / max(0.1, sum(s.weight for s in warm))
@@ -349,7 +349,7 @@
             sums = {name: sum(s.rates.get(name, 0.0) for s in slices) for _, _, name in self.rules.classes}
             coming = sum(sums.values())
             fit, cold = (standing.fit, standing.warmth < 1) if self.rules.shares else (1.0, False)
-            if cold:  # Guards a cold server: no more than a sure part of what the warm ones complete.
+            if cold:  # Guards a cold server: a sure part of what warm ones complete, before slices open.
                 sure = self.rules.cold_part * standing.warmth * standing.weight * usual
                 fit = min(fit, sure / max(0.1, coming))
             left = fit * coming
@@ -362,13 +362,13 @@
                     urgent = (want == 0) != (old == 0) or (cold and want < old - 0.1)
                     if urgent or self.offer.ordinary and (
                             want != old and (abs(want - old) > 0.15 * old or want == 1)):
-                        gain = NEVER if urgent else abs(want - old) * slice_.rates.get(name, 0.0)
+                        gain = abs(want - old) * (NEVER if urgent else slice_.rates.get(name, 0.0))
                         due.append((gain, slice_, place, want))
         due.sort(key=lambda item: -item[0])
-        fits = max(0, min(room, self.offer.lines // 2))
+        fits = min(spare, self.offer.lines // 2)
         orders: list[face.Order] = []
         for gain, slice_, place, want in due:
-            if len(orders) < (room if gain >= NEVER else fits):
+            if len(orders) < (room if gain > SECOND else fits):
                 slice_.levels[place] = want
                 orders.append(face.Admit(slice_.number, 1 << place, self.rules.retry, want * self.rules.all))
         return orders
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -159,7 +159,7 @@
                     held.owner = backend
                     message.append((order, held.count))
                 case face.Empty(table):
-                    self.store[table].owner, self.store[table].writes = None, True
+                    self.store[table].owner, self.store[table].writes, self.store[table].share = None, True, 1.0
                     message.append((order, 0))
                 case face.Admit(table, classes, _, share):
                     if classes >> 1 & 1:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -296,3 +296,15 @@
     fleet.change(102, "draining")
     fleet.run(9)
     assert {fleet.store[number].owner for number in (2, 6, 10)} == {103}
+
+
+def test_cold_owners_get_their_shares_with_their_slices_however_many_move() -> None:
+    fleet = Fleet(deployment(proxies=40, slices=90, queue_lines=9000.0, messages_most=1000), 12, seed=18, visits=20)
+    fleet.run(5)
+    for backend in range(200, 206):
+        fleet.change(backend, "ready", fleet.now)
+    for backend in range(100, 109):
+        fleet.change(backend, "draining")
+    for _ in range(90):
+        fleet.run(0.05)
+        assert all(t.share < 1 for t in fleet.store.values() if (t.owner or 0) >= 200)
