--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -36,7 +36,7 @@
     owner: int | None = None
     count: int = 0
     writes: bool = True
-    share: float = 1.0
+    share: float = 1.0  # of the class of least benefit
 
 
 @dataclass
@@ -164,7 +164,8 @@
                 case face.Admit(table, classes, _, share):
                     if classes >> 1 & 1:
                         self.store[table].writes = share > 0
-                    self.store[table].share = share
+                    if classes & 1:
+                        self.store[table].share = share
                     message.append((order, 0))
                 case face.Withdraw() | face.Mark():
                     message.append((order, 0))
