Only cold owners keep room for their levels; joiners are told of servers that hold slices

Each owner kept room for two levels, so 5 owners a message completed while more slices opened (159 bare), and a controller that had just started told joiners of every server, twice, which filled its channel for 4 s. Told apart: the copy of the wire shows 5 owners in each message and 41 lines of letting in before any slice was given.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -205,8 +205,8 @@
             self.mail.orders.append(face.Probe(self.number))
         if state not in LISTED:
             return
-        tries, done = self.tries.read(now), self.done.read(now)
-        lost, mean = tries - done, self.spent.read(now) / max(0.1, done)
+        tries, done, spent = self.tries.read(now), self.done.read(now), self.spent.read(now)
+        lost, mean = tries - done, spent / max(0.1, done)
         if self.mode != "well":
             if self.misses == 0 and now - self.since > self.away_us:
                 self.away_us *= 2  # one that fails again stays away for longer
@@ -294,22 +294,23 @@
         """One turn: servers to shut out, steps that are due, slices to open, shares to let in."""
         # Guards the queue: each line waits once for every proxy; what does not fit is left for a later turn.
         self.survey()
-        orders = list(self.withdrawals())
+        now, orders = self.mail.now, list(self.withdrawals())
         moving = [slice_ for slice_ in self.slices.values() if slice_.step != "steady" or slice_.shut]
         given = [slice_ for slice_ in moving if slice_.mark == NEVER]
+        room = self.offer.lines - len(orders)
         for slice_ in moving:
             slice_.mark = min(slice_.mark, self.offer.mark)  # none yet: given with an empty table
-            if (len(orders) + 1) * (1 + len(self.rules.classes)) <= self.offer.lines:  # room for its levels
-                orders += self.advance(slice_)
+            if room > 0 and (step := self.advance(slice_)):
+                orders += step  # a cold owner's levels go with it, so their room is kept
+                room -= len(step) + (self.open[slice_.owner].warmth < 1) * len(self.rules.classes)
         opening = self.to_open()
-        room = self.offer.lines - len(orders)  # a third is kept for what opens, or a slice may stay bare
-        orders += self.levels(room - min(len(opening), room // 3), room - len(opening))
+        kept = min(len(opening), max(0, room) // 2)  # for what opens, or a slice may stay bare
+        orders += self.levels(self.offer.lines - len(orders) - kept, room - len(opening))
         for slice_ in opening[:max(0, self.offer.lines - len(orders))]:
             orders.append(face.Empty(slice_.number))
             if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
                 slice_.gate_at = None
-            slice_.step, slice_.owner = "emptied", None
-            slice_.since, slice_.mark = self.mail.now, self.offer.mark
+            slice_.step, slice_.owner, slice_.since, slice_.mark = "emptied", None, now, self.offer.mark
         if orders or given or self.offer.unmarked and any(s.step != "steady" for s in moving):
             self.mail.post(self.channel, orders)
 
@@ -374,13 +375,12 @@
         return orders
 
     def withdrawals(self) -> Iterable[face.Order]:
-        """Guards the drain grace where a slice may not be opened yet: its owner is shut out meanwhile.
-        What is shut out is told to joiners; what an earlier stream may have shut out is let in again."""
+        """Guards the drain grace where a slice may not open yet; joiners are told again who is out, who in."""
         held = {slice_.owner for slice_ in self.slices.values()}
         for number, standing in self.standings.items():
             out, again = standing.state == "out", number in self.again
             if out and number in held and (again or number not in self.out) or not out and (
-                    number in self.out or again and self.mail.now >= self.again_at):
+                    number in self.out or again and number in held and self.mail.now >= self.again_at):
                 (self.out.add if out else self.out.discard)(number)
                 self.again.discard(number)
                 yield face.Withdraw(number, out)
