--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -375,7 +375,7 @@
         return orders
 
     def withdrawals(self) -> Iterable[face.Order]:
-        """Guards the drain grace where a slice may not open yet; joiners are told again who is out, who in."""
+        """Guards the drain grace where a slice may not open yet; joiners are told again who is out or in."""
         held = {slice_.owner for slice_ in self.slices.values()}
         for number, standing in self.standings.items():
             out, again = standing.state == "out", number in self.again
