--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -437,11 +437,10 @@
         return (self.loads[number] + self.others[number] + slice_.rate) / self.able[number]
 
     def to_relieve(self, movable: list[Slice]) -> list[Slice]:
-        """Slices whose owner lets in less than what comes, where another server has room for one."""
+        """Slices whose owner lets in less than comes or is nearly all busy, where another has room."""
         chosen = []
         for number, standing in self.open.items():
             full = self.able[number] if standing.speed else NEVER
-            # A server that is nearly all busy is relieved before it queues.
             load = self.loads[number] + self.others[number]
             excess = max(self.loads[number] * (1 - standing.fit), load - 0.9 * full)
             due = excess > 0 and self.mail.now >= self.relieved.get(number, 0) + self.rules.echo_us
@@ -567,15 +566,14 @@
         places = list(enumerate(told.classes))
         self.lease_us, self.linger_us, self.bare_us = told.lease_us, told.linger_us, told.bare_us
         self.cold_us, self.cold_share = max(1, told.cold_us), told.cold_share
-        self.cold_part = told.fall_multiple / 4  # its caches are cold too, and estimates are late
+        self.cold_part = told.fall_multiple / 5  # its caches are cold too, and estimates are late
         self.writes = [place for place, kind in places if kind.writes]
         self.own_zone = sum(1 << place for place, kind in places if kind.own_zone)
         self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
         self.zone_tables = {zone: 1 + place for place, zone in enumerate(told.zones) if self.own_zone}
         self.slices, self.retry, self.load_fields = max(1, told.slices), told.usual_retry, told.load_fields
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
-        # Levels may be shares, visits a second at each proxy (then only shut or open), or without effect.
-        self.shares, self.shuts = told.admits == "share", told.admits != "none"
+        self.shares, self.shuts = told.admits == "share", told.admits != "none"  # a rate is only shut or open
         self.all = 1.0 if self.shares else 1e6
         self.agreed_us = sum(kind.agreed_us for kind in told.classes) / max(1, len(told.classes))
         self.echo_us = told.report_every_us + SECOND
@@ -601,8 +599,7 @@
         self.ask_at, self.woken_at = now if told.asks_for_list else NEVER, -1
 
     def turn(self, now: int, events: Iterable[face.Event]) -> list[face.Order]:
-        mail = self.mail
-        mail.now, mail.orders = now, []
+        mail, self.mail.now, self.mail.orders = self.mail, now, []
         for event in events:
             self.route(event)
         if now >= self.ask_at:
@@ -618,6 +615,9 @@
         return mail.orders
 
     def route(self, event: face.Event) -> None:
+        if isinstance(event, face.Held) and event.backend not in self.backends:  # up until a probe fails
+            self.route(face.Listed("changes", (face.Entry(event.backend, "", "gone", None, None),)))
+            self.mail.post(self.backends[event.backend], face.Probed(event.backend, 0, 0, None))
         match event:
             case face.Listed(kind, entries):
                 if kind == "lost":
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -308,3 +308,17 @@
     for _ in range(90):
         fleet.run(0.05)
         assert all(t.share < 1 for t in fleet.store.values() if (t.owner or 0) >= 200)
+
+
+def test_an_owner_that_a_fresh_controllers_list_leaves_out_keeps_its_slices_while_it_answers() -> None:
+    fleet = Fleet(deployment(gone_binds=False), 4, seed=19)
+    fleet.run(2)
+    true = fleet.list.pop(101)
+    fleet.crash()
+    fleet.run(4)
+    fleet.start()
+    for number in range(4):
+        fleet.join(number)
+    fleet.list[101] = true._replace(state="gone")
+    fleet.run(9)
+    assert sum(table.owner == 101 for table in fleet.store.values()) == 3
