--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -262,7 +262,7 @@
         self.slices: dict[int, Slice] = {}
         self.standings: dict[int, Standing] = {}
         self.offer = Offer(0, False, 0, -1, SECOND, False)
-        self.out: set[int] = set()  # servers shut out ...
+        self.out: dict[int, int] = {}  # servers shut out, since when ...
         self.again: set[int] = set()  # ... and those of which joiners may have heard otherwise
         self.relieved: dict[int | None, int] = {}
         self.channel: Part
@@ -285,7 +285,7 @@
                     demand.setdefault(visit_class, Fading(self.rules.demand_us)).add(now, visits)
             case face.Joined(_, first, _, _):
                 # A joiner may have missed what was said last, and holds what an earlier stream shut out.
-                self.again |= self.out if first else set(self.standings)
+                self.again |= set(self.out if first else self.standings)
             case Offer():
                 self.offer = note
                 self.compose()
@@ -381,7 +381,7 @@
             out, again = standing.state == "out", number in self.again
             if out and number in held and (again or number not in self.out) or not out and (
                     number in self.out or again and number in held and self.mail.now >= self.again_at):
-                (self.out.add if out else self.out.discard)(number)
+                self.out.setdefault(number, self.mail.now) if out else self.out.pop(number, None)
                 self.again.discard(number)
                 yield face.Withdraw(number, out)
         if self.mail.now >= self.again_at:
@@ -391,11 +391,11 @@
         """Which slices leave their owner now: all of those that drain, died or fell ill come first."""
         movable = sorted((s for s in self.slices.values() if s.step == "steady" and
                           self.mail.now >= s.kept_until), key=lambda s: s.rate)
-        urgent = [s for s in reversed(movable) if s.owner not in self.open]
-        if not self.open:
-            return []
-        if urgent or not self.offer.ordinary:
-            return urgent
+        # Guards a small slice of an owner long shut out: larger ones of later owners do not pass it by.
+        urgent = sorted((s for s in movable if s.owner not in self.open),
+                        key=lambda s: (self.out.get(s.owner, self.mail.now), -s.rate))
+        if urgent or not self.open or not self.offer.ordinary:
+            return urgent if self.open else []
         others = self.to_relieve(movable)
         del others[max(1, len(others) // 2):]
         self.relieved.update((slice_.owner, self.mail.now) for slice_ in others)
@@ -581,7 +581,7 @@
         self.quiet_us = 2 * told.report_every_us + SECOND
         self.demand_us = 4 * max(told.report_every_us, SECOND)
         self.lines_per_us, self.queue_lines = told.lines_per_s / SECOND, told.queue_lines
-        self.heads_us = int(4 * SECOND * told.head_lines / max(1.0, told.lines_per_s))
+        self.heads_us = int(6 * SECOND * told.head_lines / max(1.0, told.lines_per_s))
         self.messages_over_us = told.messages_over_us or 10 * SECOND
         self.messages_most, self.head_lines = told.messages_most or 100, told.head_lines
         self.gap_us = self.messages_over_us // self.messages_most // 2
