--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -322,3 +322,16 @@
     fleet.list[101] = true._replace(state="gone")
     fleet.run(9)
     assert sum(table.owner == 101 for table in fleet.store.values()) == 3
+
+
+def test_small_slices_of_the_owner_longest_shut_out_open_before_larger_ones() -> None:
+    fleet = Fleet(deployment(proxies=40, slices=96, queue_lines=2000.0, messages_most=1000), 12, seed=20)
+    for _ in range(4):
+        fleet.news += [face.Came(number, "look", 40, 0, SECOND) for number in fleet.store if number % 12]
+        fleet.run(1)
+    for backend in range(100, 109):  # the slices of 100 are the small ones
+        fleet.change(backend, "draining")
+        fleet.run(0.4 if backend == 104 else 0)
+    while 100 in owners(fleet):
+        fleet.run(0.05)
+    assert 108 in owners(fleet)
