--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -581,7 +581,7 @@
         self.quiet_us = 2 * told.report_every_us + SECOND
         self.demand_us = 4 * max(told.report_every_us, SECOND)
         self.lines_per_us, self.queue_lines = told.lines_per_s / SECOND, told.queue_lines
-        self.heads_us = int(6 * SECOND * told.head_lines / max(1.0, told.lines_per_s))
+        self.heads_us = int(4 * SECOND * told.head_lines / max(1.0, told.lines_per_s))
         self.messages_over_us = told.messages_over_us or 10 * SECOND
         self.messages_most, self.head_lines = told.messages_most or 100, told.head_lines
         self.gap_us = self.messages_over_us // self.messages_most // 2
