--- a/lapispass/interface.py
+++ b/lapispass/interface.py
@@ -1,7 +1,7 @@
 """What the decision module is told and what it orders, in the project's own words.
 
 A front turns its protocol into these events and these orders into its protocol.
-Times are whole microseconds; ids are handed back as they came.
+Times are whole microseconds; ids are handed back as they came: numbers from one front, words from another.
 """
 
 from __future__ import annotations
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+BackendId = int | str
+
 
 @dataclass(frozen=True, slots=True)
 class VisitClass:
@@ -48,12 +50,13 @@
     cold_share: float
     fall_multiple: float  # sent so many times what it can do, a cold server falls over
     load_fields: tuple[str, ...]
+    turn_every_us: int = 5000  # a front hands over news no more often
 
 
 class Entry(NamedTuple):
     """One backend in the list."""
 
-    backend: int
+    backend: BackendId
     zone: str
     state: str
     weight: float | None
@@ -79,7 +82,7 @@
 class Probed(NamedTuple):
     """What a probe found; reason 0 is an answer."""
 
-    backend: int
+    backend: BackendId
     reason: int
     took_us: int
     load: tuple[float | None, ...] | None
@@ -103,7 +106,7 @@
 class Met(NamedTuple):
     """What the proxies of a zone met at a backend."""
 
-    backend: int
+    backend: BackendId
     zone: str
     lost: int
     tries: int
@@ -133,7 +136,7 @@
     """The owner that the store holds for a slice just given."""
 
     slice: int
-    backend: int
+    backend: BackendId
 
 
 class Answered(NamedTuple):
@@ -161,7 +164,7 @@
     """Set a table's line for a backend (an exclusive slice: its owner)."""
 
     table: int
-    backend: int
+    backend: BackendId
     weight: float
 
 
@@ -174,7 +177,7 @@
 class Withdraw(NamedTuple):
     """Shut a backend out of all tables, or let it in again."""
 
-    backend: int
+    backend: BackendId
     out: bool
 
 
@@ -205,7 +208,7 @@
 class Probe(NamedTuple):
     """Examine a backend."""
 
-    backend: int
+    backend: BackendId
 
 
 class Wake(NamedTuple):
--- /dev/null
+++ b/lapispass/net/__init__.py
@@ -0,0 +1,1 @@
+"""The front on sockets: collectors, the relay, the registry and probes round the decisions."""
--- /dev/null
+++ b/lapispass/net/codec.py
@@ -0,0 +1,224 @@
+"""The words on the sockets: lines, forms and lists in, events out; orders in, orders' words out. No decisions.
+
+The names of the wire end here. Whatever cannot be read is a `WireError` and reaches nobody.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, quote_plus
+from xml.etree import ElementTree
+
+from lapispass import interface as face
+
+STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
+LOAD_WORDS = {"inflight": "held", "queue": "waiting", "util": "busy", "latency_ms": "service_ms",
+              "qps": "completed_per_s", "eps": "failed_per_s"}
+FIGURE_MOST = 1e12  # above any count or time in milliseconds that means something
+
+
+class WireError(Exception):
+    """A message that does not follow the wire."""
+
+
+class Listing(NamedTuple):
+    """A message of the registry."""
+
+    version: int
+    whole: bool
+    entries: tuple[face.Entry, ...]
+    addresses: dict[str, str]
+    unreadable: int
+
+
+def figure(value: Any) -> float:
+    """A number from 0 up that means something."""
+    if isinstance(value, bool):
+        raise WireError(f"no figure: {value!r}")
+    number = float(value)
+    if not 0 <= number <= FIGURE_MOST:  # also false for what is not a number
+        raise WireError(f"figure {value!r}")
+    return number
+
+
+def whole(value: Any) -> int:
+    number = figure(value)
+    if number != int(number):
+        raise WireError(f"no whole number: {value!r}")
+    return int(number)
+
+
+def flag(value: str) -> bool:
+    if value not in ("0", "1"):
+        raise WireError(f"neither 0 nor 1: {value!r}")
+    return value == "1"
+
+
+def micros(value: Any) -> int:
+    """Milliseconds on the wire, whole microseconds inside."""
+    return round(figure(value) * 1000)
+
+
+class Codec:
+    """Reads and writes for one deployment."""
+
+    def __init__(self, told: face.Deployment, id_bytes: int) -> None:
+        self.told, self.id_bytes = told, id_bytes
+        self.classes = {kind.name for kind in told.classes}
+
+    def _id(self, value: Any) -> str:
+        if not isinstance(value, str) or not 0 < len(value) <= self.id_bytes or set(value) & set(",;\r\n"):
+            raise WireError(f"no id: {str(value)[:40]!r}")
+        return value
+
+    def _below(self, value: str, most: int) -> int:
+        number = whole(value)
+        if number >= most:
+            raise WireError(f"{number} where {most} is the end")
+        return number
+
+    def load(self, text: str, between: str) -> tuple[float | None, ...] | None:
+        """A load report in the order of the deployment's fields; what is missing or odd is None."""
+        found: dict[str, float] = {}
+        for pair in text.split(","):
+            name, _, value = pair.strip().partition(between)
+            try:
+                found[LOAD_WORDS.get(name, name)] = figure(value)
+            except (ValueError, WireError):
+                continue
+        report = tuple(found.get(name) for name in self.told.load_fields)
+        return report if any(value is not None for value in report) else None
+
+    # collectors
+
+    def report(self, line: memoryview) -> tuple[str, face.Event | None]:
+        """A collector's line: its kind, and the event if it is one."""
+        try:
+            kind, *words = str(line, "utf-8").split()
+            value = dict(word.split("=", 1) for word in words)
+            match kind:
+                case "LOAD":
+                    tries, lost = whole(value["total"]), whole(value["errors"])
+                    if lost > tries:
+                        raise WireError(f"{lost} of {tries} failed")
+                    load = self.load(value["metrics"], ":") if value.get("metrics") else None
+                    return kind, face.Met(self._id(value["endpoint"]), value["locality"], lost, tries,
+                                          micros(value["rtt"]), micros(value["interval"]), load)
+                case "SHARD":
+                    if value["route"] not in self.classes:
+                        raise WireError(f"unknown class {value['route'][:40]!r}")
+                    return kind, face.Came(self._below(value["shard"], self.told.slices), value["route"],
+                                           whole(value["total"]), whole(value["errors"]),
+                                           micros(value["interval"]))
+            return kind, None
+        except (KeyError, ValueError, IndexError) as error:  # a UnicodeError is a ValueError
+            raise WireError(f"{type(error).__name__} {error}") from None
+
+    # the relay's news
+
+    def news(self, kind: str, data: str) -> face.Event | None:
+        """One event of the relay's stream; None for a kind that means nothing here."""
+        try:
+            value = dict(parse_qsl(data, keep_blank_values=True, strict_parsing=True))
+            match kind:
+                case "SUBSCRIBE":
+                    rate = figure(value["w"]) if value.get("w") else None
+                    return face.Joined(self._below(value["node"], self.told.proxies), flag(value["cold"]),
+                                       value["locality"], rate)
+                case "CLOSED":
+                    return face.Left(self._below(value["node"], self.told.proxies))
+                case "ACK":
+                    return face.Answered(self._below(value["node"], self.told.proxies),
+                                         self._below(value["nonce"], 1 << 16), micros(value["latency"]))
+                case "GRANT":
+                    return face.Given(self._below(value["shard"], self.told.slices), flag(value["set"]))
+                case "ROW":
+                    return face.Held(self._below(value["shard"], self.told.slices),
+                                     self._id(value["endpoint"]))
+            return None
+        except (KeyError, ValueError) as error:
+            raise WireError(f"{type(error).__name__} {error}") from None
+
+    # the registry
+
+    def listing(self, text: str | bytes | bytearray | memoryview) -> Listing:
+        """A list or a line of changes. An entry that can't be read is left out and counted."""
+        try:
+            return self.listed(json.loads(text if isinstance(text, str) else str(text, "utf-8")))
+        except (ValueError, RecursionError) as error:
+            raise WireError(f"{type(error).__name__} {error}") from None
+
+    def listed(self, told: Any) -> Listing:
+        try:
+            version, complete, members = whole(told["revision"]), bool(told["complete"]), told["members"]
+            if not isinstance(members, list):
+                raise WireError("members are no list")
+        except (KeyError, TypeError, ValueError) as error:
+            raise WireError(f"{type(error).__name__} {error}") from None
+        entries: list[face.Entry] = []
+        addresses: dict[str, str] = {}
+        for member in members:
+            try:
+                name = self._id(member["id"])
+                born = micros(member.get("up_since_ms") or 0)
+                size = member.get("size")
+                entries.append(face.Entry(name, str(member["locality"]), STATES[member["phase"]],
+                                          None if size is None else figure(size), born or None))
+                if isinstance(address := member.get("host_port"), str):
+                    addresses[name] = address
+            except (WireError, KeyError, TypeError, ValueError, AttributeError):
+                continue
+        return Listing(version, complete, tuple(entries), addresses, len(members) - len(entries))
+
+    # orders
+
+    def written(self, order: face.Order) -> str:
+        """One order as the relay reads it."""
+        match order:
+            case face.Own(table, backend, weight):
+                return f"SET,{table},{backend},{plain(weight)}"
+            case face.Empty(table):
+                return f"DEL,{table}"
+            case face.Withdraw(backend, out):
+                return f"{'OUT' if out else 'IN'},{backend}"
+            case face.Admit(table, classes, retry, share):
+                names = [kind.name for place, kind in enumerate(self.told.classes) if classes >> place & 1]
+                tables = "*" if table is None else table
+                return f"LIMIT,{tables},{'+'.join(names) or '*'},{plain(share)},{retry}"
+            case face.Mark(mark, every_proxy):
+                return f"SYNC,{mark},{int(every_proxy)}"
+        raise TypeError(f"the relay knows no such order: {order!r}")
+
+
+def plain(value: float) -> str:
+    return str(int(value)) if value == int(value) else format(value, ".6g")
+
+
+def call(orders: Iterable[str]) -> bytes:
+    """The form of a relay call."""
+    return f"Action=ApplyOrders&orders={quote_plus(';'.join(orders))}".encode()
+
+
+class Refused(Exception):
+    """The relay turned a call back; none of it was carried out."""
+
+
+def taken(answer: bytes) -> int:
+    """How many orders a call's answer says were taken; `Refused` with the relay's word if it was turned back."""
+    try:
+        root = ElementTree.fromstring(answer)
+    except (ElementTree.ParseError, ValueError, LookupError) as error:
+        raise WireError(f"{type(error).__name__} {error}") from None
+    count = root.find("entries/item/ok_count")
+    if count is not None:
+        try:
+            return whole((count.text or "").strip())
+        except ValueError as error:
+            raise WireError(str(error)) from None
+    text = " ".join(part.strip() for part in root.itertext())
+    for word in ("throttled", "invalid"):
+        if word in text.lower():
+            raise Refused(word)
+    raise WireError(f"neither a count nor a refusal: {text[:80]!r}")
--- /dev/null
+++ b/lapispass/net/http.py
@@ -0,0 +1,94 @@
+"""An HTTP/1.1 client: h11 on asyncio streams. One `Link` is one connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+
+import h11
+
+from lapispass.net.limits import Limits
+
+# What a peer, the network or its silence can do to a connection; TimeoutError is an OSError too.
+BROKEN = (OSError, h11.RemoteProtocolError, asyncio.IncompleteReadError, EOFError)
+
+
+def split(address: str) -> tuple[str, int]:
+    """`host:port`; a ValueError where it is none."""
+    host, _, port = address.rpartition(":")
+    number = int(port)
+    if not host or not 0 <= number < 65536:
+        raise ValueError(f"no address: {address!r}")
+    return host, number
+
+
+class Link:
+    """A connection to one party; calls go one after the other."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, address: str,
+                 limits: Limits) -> None:
+        self.reader, self.writer, self.address, self.limits = reader, writer, address, limits
+        self.state = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.answer_bytes)
+
+    @classmethod
+    async def open(cls, address: str, limits: Limits) -> Link:
+        async with asyncio.timeout(limits.connect_us / 1e6):
+            reader, writer = await asyncio.open_connection(*split(address), limit=limits.read_bytes)
+        return cls(reader, writer, address, limits)
+
+    @property
+    def usable(self) -> bool:
+        """False where the peer has ended it; what came unasked spoils it as well."""
+        return not (self.reader.at_eof() or self.writer.is_closing() or self.reader.exception())
+
+    async def send(self, method: str, target: str, body: bytes = b"",
+                   headers: Iterable[tuple[str, str]] = ()) -> None:
+        head = [("Host", self.address), ("User-Agent", "lapispass"), *headers]
+        if body:
+            head.append(("Content-Length", str(len(body))))
+        out = self.state.send(h11.Request(method=method, target=target, headers=head)) or b""
+        if body:
+            out += self.state.send(h11.Data(data=body)) or b""
+        out += self.state.send(h11.EndOfMessage()) or b""
+        self.writer.write(out)
+        await self.writer.drain()
+
+    async def _next(self) -> h11.Event:
+        while (event := self.state.next_event()) is h11.NEED_DATA:
+            data = await self.reader.read(self.limits.read_bytes)
+            self.state.receive_data(data)  # no bytes mean the end
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise EOFError("the peer ended the connection")
+        return event
+
+    async def answer(self) -> int:
+        """The status of the answer to the call just sent."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                return event.status_code
+
+    async def pieces(self) -> AsyncIterator[bytes | bytearray]:
+        """The body as it comes, in the buffers it was read into."""
+        while isinstance(event := await self._next(), h11.Data):
+            yield event.data
+
+    async def body(self, most: int) -> bytes:
+        """The whole body; one that is longer counts as broken. Leaves the connection ready for a next call."""
+        whole = bytearray()
+        async for piece in self.pieces():
+            whole += piece
+            if len(whole) > most:
+                raise EOFError(f"more than {most} bytes")
+        return bytes(whole)
+
+    def next_call(self) -> bool:
+        """Makes ready for a further call, if both sides keep the connection."""
+        if self.state.our_state is h11.DONE and self.state.their_state is h11.DONE:
+            self.state.start_next_cycle()
+            return True
+        return False
+
+    def close(self) -> None:
+        """At once: nothing that is still unsent matters to anyone."""
+        self.writer.transport.abort()
--- /dev/null
+++ b/lapispass/net/launch.py
@@ -0,0 +1,71 @@
+"""What the platform tells a controller at its start, read from the environment and the file it names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from lapispass import deployment
+from lapispass.interface import Deployment
+from lapispass.net.codec import Codec, Listing, WireError
+from lapispass.net.http import split
+from lapispass.net.limits import Limits
+
+
+class BadStart(Exception):
+    """Something at the start is missing or wrong; the text names it in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Launch:
+    """All that a `Service` needs."""
+
+    name: str
+    listen: str
+    registry: str
+    relay: str
+    seed: int
+    known: Listing
+    told: Deployment
+    limits: Limits
+
+    @classmethod
+    def read(cls, environment: Mapping[str, str]) -> Launch:
+        """From `LB_CONFIG` and the variables beside it."""
+        try:
+            where = environment["LB_CONFIG"]
+            given = json.loads(Path(where).read_text("utf-8"))
+        except KeyError as error:
+            raise BadStart(f"variable {error.args[0]} is not set") from None
+        except (OSError, ValueError, RecursionError) as error:
+            raise BadStart(f"LB_CONFIG {where!r}: {type(error).__name__} {error}") from None
+        if not isinstance(given, dict):
+            raise BadStart(f"LB_CONFIG {where!r}: no object")
+
+        def one(variable: str, key: str) -> str:
+            value = environment.get(variable) or given.get(key)
+            if not isinstance(value, str) or not value:
+                raise BadStart(f"neither variable {variable} nor key {key!r} in LB_CONFIG is set")
+            return value
+
+        try:
+            part = "settings"
+            told = deployment.read(given["settings"])
+            part = "limits"
+            limits = Limits.within(int((given.get("limits") or {}).get("sockets", 1024)))
+            part = "known"
+            known = Codec(told, limits.id_bytes).listed(
+                given.get("known") or {"revision": 0, "complete": False, "members": []})
+            part = "seed"
+            seed = int(str(given["seed"]), 16)
+            part = "store.address"
+            relay = given["store"]["address"]
+            addresses = one("LB_LISTEN", "listen"), one("LB_DISCOVERY", "discovery"), relay
+            for address in addresses:
+                part = f"address {address!r}"
+                split(address)
+        except (KeyError, ValueError, TypeError, AttributeError, WireError) as error:
+            raise BadStart(f"LB_CONFIG {where!r}: {part}: {type(error).__name__} {error}") from None
+        return cls(one("LB_NAME", "name"), *addresses[:2], relay, seed, known, told, limits)
--- /dev/null
+++ b/lapispass/net/limits.py
@@ -0,0 +1,48 @@
+"""All sizes, counts and times of the network code, filled at start and handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what peers may cost, and how long the transport waits for them; times in microseconds."""
+
+    # sizes in bytes
+    read_bytes: int = 64 << 10  # one read
+    message_bytes: int = 1 << 20  # a line of a collector, of the news or of the list
+    answer_bytes: int = 64 << 10  # what a relay call or a probe may answer
+    list_bytes: int = 8 << 20  # the whole list
+    call_bytes: int = 60_000  # orders in one relay call
+    id_bytes: int = 256
+    unsent_bytes: int = 16 << 10  # answers to pings that nobody reads
+
+    # counts
+    connections: int = 256  # at the listening address
+    probes: int = 16  # under way at once
+    events: int = 20_000  # gathered for one turn
+    servers: int = 10_000  # whose addresses are kept
+    unreadable: int = 20  # lines of one connection before it is ended
+
+    # times
+    connect_us: int = 1_000_000
+    answer_us: int = 200_000  # a relay answers within 50 ms or never; the rest is for a late wake-up here
+    list_us: int = 3_000_000  # until the list or the head of a watch's answer comes
+    watch_quiet_us: int = 5_000_000  # a watch gives a sign of life every 2 s
+    news_quiet_us: int = 2_500_000  # the relay gives a sign of life each second
+    picture_us: int = 50_000  # news that pause for so long have told all that stands
+    idle_us: int = 3_000_000  # a call connection unused for so long is not used again
+    probe_us: int = 750_000
+    again_least_us: int = 50_000  # first wait before a party is tried again; doubles ...
+    again_most_us: int = 1_000_000  # ... up to this
+    late_us: int = 100_000  # a turn later than this reads what waits first
+    log_every_us: int = 1_000_000  # for lines that a peer can cause
+    stop_us: int = 300_000  # for connections to close at the end
+
+    @classmethod
+    def within(cls, sockets: int) -> Limits:
+        """Leaves a part of the descriptors to the relay, the registry, probes and the process itself."""
+        if sockets < 64:
+            raise ValueError(f"limits.sockets {sockets}: at least 64 are needed")
+        return cls(connections=min(cls().connections, sockets // 2))
--- /dev/null
+++ b/lapispass/net/log.py
@@ -0,0 +1,91 @@
+"""Log lines: key=value, on standard error, never waiting for whoever reads them."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import re
+import select
+import time
+
+PLAIN = re.compile(r"[\w.:/+@%,;<>()-]+\Z")
+LINE_MOST = 4000  # below what a pipe takes at once
+
+
+def word(value: object) -> str:
+    """A value as it stands, or quoted where it would not read as one word."""
+    text = format(value, ".6g") if isinstance(value, float) else str(value)
+    return text if PLAIN.match(text) else json.dumps(text)
+
+
+class KeyValue(logging.Formatter):
+    """`time= level= part= event=` and the fields of the record."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        fields = {"time": f"{stamp}.{int(record.msecs):03d}Z", "level": record.levelname.lower(),
+                  "part": record.name.rpartition(".")[2], "event": record.getMessage(),
+                  **getattr(record, "fields", {})}
+        if record.exc_info:
+            fields["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={word(value)}" for key, value in fields.items())
+
+
+class Steady(logging.Handler):
+    """Writes a line only if that can be done at once: a stopped log reader must not stop the controller."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor, self.lost = descriptor, 0
+        self.poll = select.poll()
+        self.poll.register(descriptor, select.POLLOUT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        line = self.format(record).encode(errors="replace")[:LINE_MOST] + b"\n"
+        try:
+            if self.poll.poll(0):
+                os.write(self.descriptor, line)
+                return
+        except OSError:
+            pass
+        self.lost += 1
+
+
+def start(descriptor: int = 2, level: int = logging.INFO) -> Steady:
+    """Sends the log of lapispass to a descriptor."""
+    handler = Steady(descriptor)
+    handler.setFormatter(KeyValue())
+    root = logging.getLogger("lapispass")
+    root.handlers[:], root.propagate = [handler], False
+    root.setLevel(level)
+    return handler
+
+
+class Part:
+    """The log of one part; `seldom` bounds the lines that a peer can cause."""
+
+    def __init__(self, name: str, every_us: int = 0) -> None:
+        self.logger = logging.getLogger(f"lapispass.{name}")
+        self.every_ns = every_us * 1000
+        self.last: dict[str, tuple[int, int]] = {}
+
+    def say(self, event: str, level: int = logging.INFO, **fields: object) -> None:
+        self.logger.log(level, event, extra={"fields": fields})
+
+    def warn(self, event: str, **fields: object) -> None:
+        self.say(event, logging.WARNING, **fields)
+
+    def seldom(self, event: str, **fields: object) -> None:
+        """At most one such line in a while; the next one tells how many were left out."""
+        at, left_out = self.last.get(event, (0, 0))
+        now = time.monotonic_ns()
+        if at and now - at < self.every_ns:
+            self.last[event] = (at, left_out + 1)
+            return
+        self.last[event] = (now, 0)
+        self.warn(event, **fields, **({"left_out": left_out} if left_out else {}))
+
+    def failed(self, event: str, **fields: object) -> None:
+        """Inside an except block: the fault with its trace."""
+        self.logger.error(event, exc_info=True, extra={"fields": fields})
--- /dev/null
+++ b/lapispass/net/probes.py
@@ -0,0 +1,62 @@
+"""Probes of servers, as the module asks for them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from lapispass import interface as face
+from lapispass.net.codec import Codec
+from lapispass.net.counters import Counters
+from lapispass.net.http import BROKEN, Link
+from lapispass.net.limits import Limits
+from lapispass.net.log import Part
+
+ANSWERED, ERROR, TURNED_AWAY, LATE, UNREACHABLE, BROKE = range(6)
+
+
+class Probes:
+    """At most one probe of a server at a time, and so many of all."""
+
+    def __init__(self, tell: Callable[[face.Event], None], codec: Codec, limits: Limits,
+                 counters: Counters) -> None:
+        self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
+        self.log = Part("probes", limits.log_every_us)
+        self.under_way: dict[face.BackendId, asyncio.Task[None]] = {}
+
+    def start(self, backend: face.BackendId, address: str | None) -> None:
+        if backend in self.under_way or len(self.under_way) >= self.limits.probes or address is None:
+            self.counters["probes.left_out"] += 1  # the module asks again
+            self.log.seldom("probe left out", server=backend, address=address, under_way=len(self.under_way))
+            return
+        self.counters["probes.sent"] += 1
+        self.under_way[backend] = asyncio.create_task(self.probe(backend, address))
+
+    async def probe(self, backend: face.BackendId, address: str) -> None:
+        """The life of a probe."""
+        began, load, link = time.monotonic_ns(), None, None
+        reason = UNREACHABLE  # until the connection stands
+        try:
+            async with asyncio.timeout(self.limits.probe_us / 1e6):
+                link = await Link.open(address, self.limits)
+                reason = BROKE
+                await link.send("GET", "/stats" if self.codec.told.load_fields else "/health/live")
+                status = await link.answer()
+                body = await link.body(self.limits.answer_bytes)
+            reason = {200: ANSWERED, 503: TURNED_AWAY}.get(status, ERROR)
+            if status == 200 and self.codec.told.load_fields:
+                load = self.codec.load(body.decode(errors="replace"), "=")
+        except TimeoutError:
+            reason = LATE if link else UNREACHABLE
+        except (*BROKEN, ValueError):  # ValueError: the list gave no address
+            pass
+        except Exception:
+            self.log.failed("probe failed", server=backend)
+        finally:
+            if link:
+                link.close()
+            self.under_way.pop(backend, None)
+            self.counters[f"probes.reason_{reason}"] += 1
+        took_us = (time.monotonic_ns() - began) // 1000
+        self.tell(face.Probed(backend, reason, took_us, load))
--- /dev/null
+++ b/lapispass/net/relay.py
@@ -0,0 +1,274 @@
+"""The relay: calls that carry orders, and the stream of news."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from lapispass import interface as face
+from lapispass.net import codec as words
+from lapispass.net.codec import Codec, Refused, WireError
+from lapispass.net.counters import Counters
+from lapispass.net.http import BROKEN, Link
+from lapispass.net.lines import Lines, TooLong
+from lapispass.net.limits import Limits
+from lapispass.net.log import Part
+
+FORM = (("Content-Type", "application/x-www-form-urlencoded"),)
+
+
+class Written(NamedTuple):
+    """An order in the relay's words, with the slice it speaks of."""
+
+    text: str
+    slice: int | None
+    backend: face.BackendId | None  # the owner that the slice has then
+
+
+class Backoff:
+    """Waits before a party is tried again: doubling, with jitter, never in step with others."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits, self.next_us = limits, limits.again_least_us
+
+    async def wait(self) -> None:
+        await asyncio.sleep(self.next_us * random.uniform(0.5, 1.0) / 1e6)
+        self.next_us = min(2 * self.next_us, self.limits.again_most_us)
+
+    def reset(self) -> None:
+        self.next_us = self.limits.again_least_us
+
+
+class Calls:
+    """Carries out orders: one call at a time, each settled before the next is thought of."""
+
+    def __init__(self, address: str, codec: Codec, limits: Limits, counters: Counters) -> None:
+        self.address, self.codec, self.limits, self.counters = address, codec, limits, counters
+        self.log = Part("relay", limits.log_every_us)
+        self.link: Link | None = None
+        self.used_at = 0.0
+        self.rows: dict[int, face.BackendId | None] = {}  # each slice's owner, as last told or ordered
+        self.given: set[int] = set()  # slices given anew while a call is under way
+
+    async def carry_out(self, orders: list[face.Order]) -> None:
+        """A turn's orders, in their order; returns when the relay has taken them all."""
+        self.given.clear()
+        for part in self.parts(orders):
+            await self.settle(part)
+
+    def parts(self, orders: list[face.Order]) -> Iterator[list[Written]]:
+        """One call, or several where it would be too long; a turn's mark comes last, behind all it covers."""
+        part: list[Written] = []
+        size = 0
+        for order in orders:
+            text = self.codec.written(order)
+            match order:
+                case face.Own(table, backend, _):
+                    item = Written(text, table, backend)
+                case face.Empty(table) | face.Admit(table):
+                    item = Written(text, table, None)
+                case _:
+                    item = Written(text, None, None)
+            if part and size + len(text) + 1 > self.limits.call_bytes:
+                yield part
+                part, size = [], 0
+            part.append(item)
+            size += len(text) + 1
+        if part:
+            yield part
+
+    async def settle(self, part: list[Written]) -> None:
+        """Calls until it is known that the orders were carried out, or that the relay will not have them.
+
+        A call of unknown outcome is sent again before any later one: each order says how something shall
+        stand, so a second time changes nothing.
+        """
+        again = Backoff(self.limits)
+        while part := [item for item in part if item.slice not in self.given]:
+            for item in part:
+                if item.slice in self.rows and not item.text.startswith("LIMIT"):
+                    self.rows[item.slice] = item.backend
+            self.counters["relay.calls"] += 1
+            try:
+                count = await self.call(words.call(item.text for item in part))
+            except Refused as error:
+                self.counters[f"relay.{error}"] += 1
+                self.log.seldom("call turned back", why=error, orders=len(part))
+                if str(error) == "invalid":
+                    if len(part) == 1:
+                        self.leave_out(part[0], "invalid")
+                        return
+                    await self.settle(part[:len(part) // 2])  # what can't be read is found by halves
+                    part = part[len(part) // 2:]
+                    continue
+                await again.wait()
+            except (*BROKEN, WireError) as error:
+                self.counters["relay.unknown"] += 1
+                self.log.seldom("call unsettled", why=f"{type(error).__name__} {error}", orders=len(part))
+                await again.wait()
+            else:
+                again.reset()
+                self.counters["relay.orders_taken"] += min(count, len(part))
+                if count >= len(part):
+                    return
+                self.leave_out(part[count], "stopped there")
+                part = part[count + 1:]
+
+    def leave_out(self, item: Written, why: str) -> None:
+        self.counters["relay.orders_left_out"] += 1
+        self.log.warn("order left out", order=item.text, why=why)
+
+    async def call(self, body: bytes) -> int:
+        """The life of a call: a connection, the orders, the answer's count."""
+        loop = asyncio.get_running_loop()
+        link, self.link = self.link, None
+        if link and (not link.usable or loop.time() - self.used_at > self.limits.idle_us / 1e6):
+            link.close()  # guards against a connection that the relay is about to close as idle
+            link = None
+        link = link or await Link.open(self.address, self.limits)
+        try:
+            async with asyncio.timeout(self.limits.answer_us / 1e6):
+                await link.send("POST", "/", body, FORM)
+                await link.answer()
+                answer = await link.body(self.limits.answer_bytes)
+            if link.next_call():
+                self.link, self.used_at = link, loop.time()
+            return words.taken(answer)
+        finally:
+            if self.link is not link:
+                link.close()
+
+    def close(self) -> None:
+        if self.link:
+            self.link.close()
+
+
+class News:
+    """The relay's news. After a gap, what stands is compared with what was known."""
+
+    def __init__(self, address: str, calls: Calls, tell: Callable[[face.Event], None], codec: Codec,
+                 limits: Limits, counters: Counters) -> None:
+        self.address, self.calls, self.tell, self.codec = address, calls, tell, codec
+        self.limits, self.counters = limits, counters
+        self.log = Part("news", limits.log_every_us)
+        self.joined: set[int] = set()
+        self.picture: list[face.Event] | None = None  # what stands, while the relay is still telling it
+
+    async def run(self) -> None:
+        again = Backoff(self.limits)
+        while True:
+            began = asyncio.get_running_loop().time()
+            await self.stream()
+            if asyncio.get_running_loop().time() - began > self.limits.again_most_us / 1e6:
+                again.reset()
+            await again.wait()
+
+    async def stream(self) -> None:
+        """The life of a stream of news, from the call to its end. Nothing is written after the call."""
+        link = None
+        why: object = "ended"
+        try:
+            link = await Link.open(self.address, self.limits)
+            async with asyncio.timeout(self.limits.news_quiet_us / 1e6):
+                await link.send("GET", "/events", headers=(("Accept", "text/event-stream"),))
+                status = await link.answer()
+            if status != 200:
+                raise EOFError(f"status {status}")
+            self.counters["news.opened"] += 1
+            self.log.say("news open", joined=len(self.joined), slices=len(self.calls.rows))
+            self.picture = []
+            lines, pieces, kind = Lines(self.limits.message_bytes), link.pieces(), ""
+            following: asyncio.Future[bytes | bytearray] | None = None
+            try:
+                while True:
+                    following = following or asyncio.ensure_future(anext(pieces))
+                    wait_us = self.limits.picture_us if self.picture else self.limits.news_quiet_us
+                    if not (await asyncio.wait((following,), timeout=wait_us / 1e6))[0]:
+                        if not self.picture:
+                            raise TimeoutError("no sign of life")
+                        self.compare()
+                        continue
+                    piece, following = following.result(), None
+                    for line in lines.cut(piece):
+                        if line[:6] == b"event:":
+                            kind = str(line[6:], "utf-8").strip()
+                        elif line[:5] == b"data:":
+                            self.take(kind, str(line[5:], "utf-8").strip())
+                        elif line[:1] == b":":
+                            self.compare()
+            finally:
+                if following:
+                    following.cancel()
+                    await asyncio.gather(following, return_exceptions=True)
+        except StopAsyncIteration:
+            pass
+        except (*BROKEN, UnicodeError, TooLong) as error:
+            why = f"{type(error).__name__} {error}"
+        except Exception as error:  # a fault of our own costs this stream, not the controller
+            why = type(error).__name__
+            self.log.failed("news failed")
+        finally:
+            if link:
+                link.close()
+            if self.picture is not None:
+                self.picture = None  # told in part only: the next one is compared with what was known
+        self.counters["news.lost"] += 1
+        self.log.seldom("news lost", why=why)
+
+    def take(self, kind: str, data: str) -> None:
+        """One event."""
+        try:
+            event = self.codec.news(kind, data)
+        except WireError as error:
+            self.counters["news.unreadable"] += 1
+            self.log.seldom("event unreadable", kind=kind[:40], why=error)
+            return
+        self.counters[f"news.{kind}" if event else "news.unknown_kind"] += 1
+        if event is None:
+            return
+        if self.picture is not None:
+            if isinstance(event, face.Joined | face.Held) or isinstance(event, face.Given) and event.ours:
+                self.picture.append(event)
+                return
+            self.compare()  # only what happens now can be such news
+        self.pass_on(event)
+
+    def pass_on(self, event: face.Event) -> None:
+        match event:
+            case face.Joined(proxy):
+                self.joined.add(proxy)
+            case face.Left(proxy):
+                self.joined.discard(proxy)
+            case face.Given(number, ours):
+                self.calls.given.add(number)  # orders from before are void
+                self.calls.rows.pop(number, None)
+                if ours:
+                    self.calls.rows[number] = None
+            case face.Held(number, backend):
+                self.calls.rows[number] = backend
+        self.tell(event)
+
+    def compare(self) -> None:
+        """All that stands has been told: turns the differences from what was known into events."""
+        if (picture := self.picture) is None:
+            return
+        self.picture = None
+        held = {event.slice: event.backend for event in picture if isinstance(event, face.Held)}
+        ours = {event.slice for event in picture if isinstance(event, face.Given)}
+        # Guards against a proxy that left and came back in the gap: what it answered before counts no more.
+        for proxy in sorted(self.joined):
+            self.pass_on(face.Left(proxy))
+        for number in sorted(set(self.calls.rows) - ours):
+            self.pass_on(face.Given(number, False))
+        for event in picture:
+            if isinstance(event, face.Joined):
+                self.pass_on(event)
+        for number in sorted(ours):
+            # A slice that still stands as ordered was not given anew; its handover goes on.
+            if number not in self.calls.rows or self.calls.rows[number] != held.get(number):
+                self.pass_on(face.Given(number, True))
+                if number in held:
+                    self.pass_on(face.Held(number, held[number]))
+        self.log.say("picture complete", joined=len(self.joined), slices=len(ours))
--- /dev/null
+++ b/lapispass/net/service.py
@@ -0,0 +1,158 @@
+"""The controller on sockets: gathers events, hands them to the module in turns, carries out its orders."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from lapispass import interface as face
+from lapispass.balance import Controller
+from lapispass.net.codec import Codec
+from lapispass.net.collectors import Collectors
+from lapispass.net.counters import Counters
+from lapispass.net.launch import BadStart, Launch
+from lapispass.net.log import Part
+from lapispass.net.probes import Probes
+from lapispass.net.registry import Registry
+from lapispass.net.relay import Calls, News
+
+
+class Clock:
+    """Unix time in microseconds, taken once; from there on it runs evenly, whatever is done to the system's."""
+
+    def __init__(self) -> None:
+        self.ahead_ns = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (self.ahead_ns + time.monotonic_ns()) // 1000
+
+
+class Service:
+    """One controller. Embed it with `await Service(launch).run()`; `stop()` ends that."""
+
+    def __init__(self, launch: Launch) -> None:
+        self.launch, self.limits, self.clock = launch, launch.limits, Clock()
+        self.log, self.counters = Part("service", self.limits.log_every_us), Counters()
+        self.inbox: list[face.Event] = []
+        self.wakes: dict[int, int] = {}  # token: when
+        self.news_came, self.ended = asyncio.Event(), asyncio.Event()
+        codec = Codec(launch.told, self.limits.id_bytes)
+        common = (codec, self.limits, self.counters)
+        self.calls = Calls(launch.relay, *common)
+        self.news = News(launch.relay, self.calls, self.tell, *common)
+        self.registry = Registry(launch.registry, launch.known, self.tell, *common)
+        self.probes = Probes(self.tell, *common)
+        self.collectors = Collectors(self.tell, *common)
+        self.controller = Controller(launch.told, launch.seed, self.clock.now())
+        self.server: asyncio.Server | None = None
+
+    def tell(self, event: face.Event) -> None:
+        """Takes an event for the next turn. Sums are left out before the inbox grows without bound."""
+        if len(self.inbox) >= self.limits.events and isinstance(event, face.Met | face.Came):
+            self.counters["service.events_left_out"] += 1
+            self.log.seldom("sums left out", waiting=len(self.inbox))
+            return
+        self.inbox.append(event)
+        self.news_came.set()
+
+    def stop(self) -> None:
+        self.ended.set()
+
+    def print_counters(self) -> None:
+        self.log.say("counters", **self.counters.fields())
+
+    async def run(self) -> None:
+        """Serves until `stop()`; a fault in the module is raised."""
+        tasks = [asyncio.create_task(self.news.run()), asyncio.create_task(self.turns()),
+                 asyncio.create_task(self.ended.wait())]
+        try:
+            try:
+                self.server = await self.collectors.listen(self.launch.listen)
+            except (OSError, ValueError) as error:
+                raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
+            self.log.say("listening", name=self.launch.name, address=self.launch.listen)
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()  # raises what ended it
+        finally:
+            if self.server:
+                self.server.close()
+            ending = [*tasks, *self.probes.under_way.values()]
+            ending += [self.registry.watch] if self.registry.watch else []
+            for task in ending:
+                task.cancel()
+            await asyncio.wait(ending, timeout=self.limits.stop_us / 1e6)
+            for writer in list(self.collectors.open):
+                writer.transport.abort()
+            self.calls.close()
+
+    async def turns(self) -> None:
+        """One turn after the other: waits, gathers, asks the module, carries out what it orders."""
+        last = 0
+        while True:
+            await self.due(last + self.launch.told.turn_every_us)
+            last = now = self.clock.now()
+            events, self.inbox = self.inbox, []
+            self.news_came.clear()
+            for token in [token for token, at in self.wakes.items() if at <= now]:
+                del self.wakes[token]
+                events.append(face.Woken(token))
+            orders = self.controller.turn(now, events)
+            self.counters["service.turns"] += 1
+            self.counters["service.events"] += len(events)
+            await self.carry_out(orders)
+
+    async def due(self, earliest: int) -> None:
+        """Until there is news or a wake-up is due, but no sooner than the shortest interval between turns."""
+        wake = min(self.wakes.values(), default=None)
+        if not self.inbox:
+            wait = None if wake is None else max(0, wake - self.clock.now()) / 1e6
+            try:
+                async with asyncio.timeout(wait):
+                    await self.news_came.wait()
+            except TimeoutError:
+                pass
+        expected = max(self.clock.now(), earliest)
+        if wake is not None:
+            expected = max(earliest, min(expected, wake))
+        await asyncio.sleep(max(0, earliest - self.clock.now()) / 1e6)
+        # Guards against acting on old news when the process stood still: what waits is read first.
+        if self.clock.now() - expected > self.limits.late_us:
+            self.counters["service.late_turns"] += 1
+            self.log.seldom("turn late", late_us=self.clock.now() - expected)
+            await asyncio.sleep(self.launch.told.turn_every_us / 1e6)
+
+    async def carry_out(self, orders: list[face.Order]) -> None:
+        """The turn's orders; those for proxies are one relay call, settled before the next turn."""
+        for_proxies: list[face.Order] = []
+        for order in orders:
+            match order:
+                case face.Log(text):
+                    self.log.say("mode", text=text)
+                case face.Wake(token, at_us):
+                    self.wakes[token] = at_us
+                case face.Probe(backend):
+                    self.probes.start(backend, self.registry.addresses.get(backend))
+                case face.Follow():
+                    self.registry.follow()
+                case face.Bind():
+                    self.counters["service.orders_unknown"] += 1
+                    self.log.seldom("order unknown", order=order)
+                case _:
+                    for_proxies.append(order)
+        if for_proxies:
+            await self.calls.carry_out(for_proxies)
+
+
+async def serve(launch: Launch) -> None:
+    """A whole process: signals, the service, the counters at the end."""
+    service, loop = Service(launch), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, service.stop)
+    loop.add_signal_handler(signal.SIGUSR1, service.print_counters)
+    try:
+        await service.run()
+        service.log.say("ended")
+    finally:
+        service.print_counters()
