--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -18,6 +18,7 @@
               "qps": "completed_per_s", "eps": "failed_per_s"}
 FIGURE_MOST = 1e9  # above any count or span in milliseconds that means something
 UNIX_MS_MOST = 1e13  # the same for a moment
+MARKS = 1 << 16
 SIZES = (1e-3, 1e3)  # of servers, one to the other
 
 
@@ -64,10 +65,14 @@
 
 
 class Codec:
-    """Reads and writes for one deployment."""
+    """Reads and writes for one deployment.
 
-    def __init__(self, told: face.Deployment, id_bytes: int) -> None:
-        self.told, self.id_bytes = told, id_bytes
+    Marks begin at another number on the wire in each life of a controller: an answer to a mark of an earlier
+    life, still on its way after a restart, must not pass for one to a mark of this life.
+    """
+
+    def __init__(self, told: face.Deployment, id_bytes: int, first_mark: int = 0) -> None:
+        self.told, self.id_bytes, self.first_mark = told, id_bytes, first_mark
         self.classes = {kind.name for kind in told.classes}
 
     def _id(self, value: Any) -> str:
@@ -132,8 +137,9 @@
                 case "CLOSED":
                     return face.Left(self._below(value["node"], self.told.proxies))
                 case "ACK":
-                    return face.Answered(self._below(value["node"], self.told.proxies),
-                                         self._below(value["nonce"], 1 << 16), micros(value["latency"]))
+                    mark = (self._below(value["nonce"], MARKS) - self.first_mark) % MARKS
+                    return face.Answered(self._below(value["node"], self.told.proxies), mark,
+                                         micros(value["latency"]))
                 case "GRANT":
                     return face.Given(self._below(value["shard"], self.told.slices), flag(value["set"]))
                 case "ROW":
@@ -191,7 +197,7 @@
                 tables = "*" if table is None else table
                 return f"LIMIT,{tables},{'+'.join(names) or '*'},{plain(share)},{retry}"
             case face.Mark(mark, every_proxy):
-                return f"SYNC,{mark},{int(every_proxy)}"
+                return f"SYNC,{(mark + self.first_mark) % MARKS},{int(every_proxy)}"
         raise TypeError(f"the relay knows no such order: {order!r}")
 
 
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -22,14 +22,23 @@
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
         self.log = Part("collectors", limits.log_every_us)
         self.open: dict[asyncio.StreamWriter, bool] = {}  # in the order of last use; has it told anything
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.server: asyncio.Server | None = None
 
-    async def listen(self, address: str) -> asyncio.Server:
+    async def listen(self, address: str) -> None:
         host, port = split(address)
-        return await asyncio.start_server(self.serve, host, port, limit=self.limits.read_bytes)
+        self.server = await asyncio.start_server(self.serve, host, port, limit=self.limits.read_bytes)
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """The life of a connection."""
         peer = writer.get_extra_info("peername")
+        self.tasks.add(task := asyncio.current_task())  # type: ignore[arg-type]
         self.counters["collectors.opened"] += 1
         self.make_room()
         self.open[writer] = False
@@ -58,6 +67,7 @@
             self.log.failed("connection failed", peer=peer)
         finally:
             self.open.pop(writer, None)
+            self.tasks.discard(task)  # type: ignore[arg-type]
             self.counters["collectors.closed"] += 1
             writer.transport.abort()
 
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -52,7 +52,7 @@
     number = int(port)
     if not host or not 0 <= number < 65536:
         raise ValueError(f"no address: {address!r}")
-    return host, number
+    return host.strip("[]"), number
 
 
 class Link:
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -32,11 +32,11 @@
     watch_quiet_us: int = 3_000_000  # a watch gives a sign of life every 2 s
     unasked_us: int = 2_500_000  # a lost watch that nobody asks for again is opened all the same
     news_quiet_us: int = 2_500_000  # the relay gives a sign of life each second
-    picture_us: int = 50_000  # news that pause for so long have told all that stands
+    picture_us: int = 100_000  # news that pause for so long have told all that stands
     idle_us: int = 3_000_000  # a call connection unused for so long is not used again
     probe_us: int = 750_000
     again_least_us: int = 50_000  # first wait before a party is tried again; doubles ...
-    again_most_us: int = 1_000_000  # ... up to this
+    again_most_us: int = 500_000  # ... up to this
     lasted_us: int = 5_000_000  # a stream of news that lasted so long was a good one
     late_us: int = 100_000  # a process later than this stood still, and reads what waits first
     log_every_us: int = 1_000_000  # for lines that a peer can cause
--- a/lapispass/net/log.py
+++ b/lapispass/net/log.py
@@ -61,6 +61,11 @@
     return handler
 
 
+def lost() -> int:
+    """Lines dropped because nobody read them."""
+    return sum(handler.lost for handler in logging.getLogger().handlers if isinstance(handler, Steady))
+
+
 class Part:
     """The log of one part; `seldom` bounds the lines that a peer can cause."""
 
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -8,11 +8,11 @@
 
 from lapispass import interface as face
 from lapispass.balance import Controller
-from lapispass.net.codec import Codec
+from lapispass.net.codec import MARKS, Codec
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
 from lapispass.net.launch import BadStart, Launch
-from lapispass.net.log import Part
+from lapispass.net.log import Part, lost
 from lapispass.net.probes import Probes
 from lapispass.net.registry import Registry
 from lapispass.net.relay import Calls, News
@@ -37,7 +37,7 @@
         self.inbox: list[face.Event] = []
         self.wakes: dict[int, int] = {}  # token: when
         self.news_came, self.ended = asyncio.Event(), asyncio.Event()
-        codec = Codec(launch.told, self.limits.id_bytes)
+        codec = Codec(launch.told, self.limits.id_bytes, launch.seed % MARKS)
         common = (codec, self.limits, self.counters)
         self.calls = Calls(launch.relay, *common)
         self.news = News(launch.relay, self.calls, self.tell, *common)
@@ -45,7 +45,6 @@
         self.probes = Probes(self.tell, *common)
         self.collectors = Collectors(self.tell, *common)
         self.controller = Controller(launch.told, launch.seed, self.clock.now())
-        self.server: asyncio.Server | None = None
 
     def tell(self, event: face.Event) -> None:
         """Takes an event for the next turn. Sums are left out before the inbox grows without bound."""
@@ -60,7 +59,7 @@
         self.ended.set()
 
     def print_counters(self) -> None:
-        self.log.say("counters", **self.counters.fields())
+        self.log.say("counters", **self.counters.fields(), **{"log.lost": lost()})
 
     async def run(self) -> None:
         """Serves until `stop()`; a fault in the module is raised."""
@@ -68,7 +67,7 @@
             self.news.run(), self.registry.run(), self.turns(), self.ended.wait())]
         try:
             try:
-                self.server = await self.collectors.listen(self.launch.listen)
+                await self.collectors.listen(self.launch.listen)
             except (OSError, ValueError) as error:
                 raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
             self.log.say("listening", name=self.launch.name, address=self.launch.listen)
@@ -76,15 +75,12 @@
             for task in done:
                 task.result()  # raises what ended it
         finally:
-            if self.server:
-                self.server.close()
+            self.collectors.close()
+            self.calls.close()
             ending = [*tasks, *self.probes.under_way.values()]
             for task in ending:
                 task.cancel()
-            await asyncio.wait(ending, timeout=self.limits.stop_us / 1e6)
-            for writer in list(self.collectors.open):
-                writer.transport.abort()
-            self.calls.close()
+            await asyncio.wait([*ending, *self.collectors.tasks], timeout=self.limits.stop_us / 1e6)
 
     async def turns(self) -> None:
         """One turn after the other: waits, gathers, asks the module, carries out what it orders."""
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -146,6 +146,17 @@
     assert CODEC.written(order) == text
 
 
+def test_an_answer_to_a_mark_of_an_earlier_life_does_not_pass_for_one_of_this_life() -> None:
+    before, now = Codec(TOLD, 256, 7), Codec(TOLD, 256, 40_000)
+    assert now.written(face.Mark(65535, True)) == "SYNC,39999,1"
+    assert now.news("ACK", "node=1&nonce=39999&latency=1").mark == 65535
+    late = before.written(face.Mark(3, True)).split(",")[1]
+    controller = Controller(deployment(slices=1, proxies=1), 1, 0)
+    controller.turn(0, [face.Joined(0, True, "a", 1.0), face.Given(0, True)])
+    controller.turn(1, [now.news("ACK", f"node=0&nonce={late}&latency=1")])
+    assert controller.channel.proxies[0].answered < 0
+
+
 def test_a_call_is_a_form_and_its_answer_a_count_or_a_refusal() -> None:
     assert call(["SET,4,s-1,1.5", "DEL,4"]) == b"Action=ApplyOrders&orders=SET%2C4%2Cs-1%2C1.5%3BDEL%2C4"
     answer = b'<?xml version="1.0"?>\n<Response><entries><item><ok_count>2</ok_count></item></entries></Response>'
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -468,8 +468,8 @@
 async def listening(limits: Limits = QUICK):
     heard: list[face.Event] = []
     collectors = Collectors(heard.append, CODEC, limits, Counters())
-    server = await collectors.listen("127.0.0.1:0")
-    port = server.sockets[0].getsockname()[1]
+    await collectors.listen("127.0.0.1:0")
+    port = collectors.server.sockets[0].getsockname()[1]
 
     async def connect() -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", port)
@@ -477,10 +477,8 @@
     try:
         yield collectors, heard, connect
     finally:
-        server.close()
-        for writer in list(collectors.open):
-            writer.transport.abort()
-        await until(lambda: not collectors.open)
+        collectors.close()
+        await until(lambda: not collectors.tasks)
 
 
 def test_reports_come_in_pieces_or_many_at_once_and_are_never_answered() -> None:
