--- a/examples/toy.py
+++ b/examples/toy.py
@@ -3,8 +3,9 @@
     python examples/toy.py                                   # in one terminal
     LB_CONFIG=examples/config.json python -m lapispass       # in another
 
-Some seconds after the controller has come, one server drains; watch its slices move. Everything is on loopback, at the
-addresses of `config.json`, and made up: the proxies answer each mark a little later, and the sums are invented.
+Some seconds after the controller has come, one server drains; watch its slices move. Everything is on loopback,
+at the addresses of `config.json`, and made up: the proxies answer each mark a little later, and the sums are
+invented.
 """
 
 from __future__ import annotations
@@ -58,9 +59,14 @@
         for number in range(3):
             server = await asyncio.start_server(self.server, "127.0.0.1", 0)
             port = server.sockets[0].getsockname()[1]
-            self.members[f"s-{number}"] = {"id": f"s-{number}", "host_port": f"127.0.0.1:{port}",
-                                           "locality": ("east", "west")[number % 2], "phase": "Ready", "size": 1.0,
-                                           "up_since_ms": 0}
+            self.members[f"s-{number}"] = {
+                "id": f"s-{number}",
+                "host_port": f"127.0.0.1:{port}",
+                "locality": ("east", "west")[number % 2],
+                "phase": "Ready",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
         self.owners = {number: f"s-{number % 3}" for number in range(SLICES)}
         await asyncio.start_server(self.registry, *host_port(CONFIG["discovery"]))
         await asyncio.start_server(self.relay, *host_port(CONFIG["store"]["address"]))
@@ -98,7 +104,9 @@
                 orders = parse_qs(body.decode())["orders"][0].split(";")
                 for order in orders:
                     self.carry_out(order)
-                answer = f"<Response><entries><item><ok_count>{len(orders)}</ok_count></item></entries></Response>"
+                answer = (
+                    f"<Response><entries><item><ok_count>{len(orders)}</ok_count></item></entries></Response>"
+                )
                 writer.write(whole(answer))
         except (asyncio.IncompleteReadError, OSError):
             return
@@ -127,7 +135,8 @@
                 for node in range(PROXIES):
                     late = random.uniform(0.05, 0.4)
                     asyncio.get_running_loop().call_later(
-                        late, self.say, "ACK", f"node={node}&nonce={mark}&latency={late * 1000:.1f}")
+                        late, self.say, "ACK", f"node={node}&nonce={mark}&latency={late * 1000:.1f}"
+                    )
             case _:
                 print("order", order)
 
@@ -137,7 +146,7 @@
                 writer.write(chunk(f"event: {kind}\ndata: {data}\n\n"))
 
     async def collector(self) -> None:
-        """Each second, sums of what the proxies met: nothing but good answers. Comes back to a new controller."""
+        """Each second, sums of what the proxies met: nothing but good answers. Finds a new controller too."""
         while True:
             try:
                 await self.forward()
@@ -150,9 +159,15 @@
         writer.write(b"SOURCE locality=east\r\n")
         while not writer.is_closing():
             held = {name: sum(owner == name for owner in self.owners.values()) for name in self.members}
-            lines = [f"LOAD locality=east endpoint={name} total={10 * count} errors=0 rtt=120.5 interval=1000\r\n"
-                     for name, count in held.items() if count]
-            lines += [f"SHARD shard={number} route=look total=10 errors=0 interval=1000\r\n" for number in self.owners]
+            lines = [
+                f"LOAD locality=east endpoint={name} total={10 * count} errors=0 rtt=120.5 interval=1000\r\n"
+                for name, count in held.items()
+                if count
+            ]
+            lines += [
+                f"SHARD shard={number} route=look total=10 errors=0 interval=1000\r\n"
+                for number in self.owners
+            ]
             writer.write("".join(lines).encode())
             await asyncio.sleep(1)
 
--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -1,6 +1,6 @@
-"""The words on the sockets: lines, forms and lists in, events out; orders in, orders' words out. No decisions.
+"""The words on the sockets: lines, forms and lists in, events out; orders in, their words out.
 
-The names of the wire end here. Whatever cannot be read is a `WireError` and reaches nobody.
+No decisions. The names of the wire end here. Whatever cannot be read is a `WireError` and reaches nobody.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
     version: int
     whole: bool
     entries: tuple[face.Entry, ...]
-    addresses: dict[str, str]
+    addresses: dict[face.BackendId, str]
     unreadable: int
 
 
@@ -166,7 +166,7 @@
         except (KeyError, TypeError, ValueError) as error:
             raise WireError(f"{type(error).__name__} {error}") from None
         entries: list[face.Entry] = []
-        addresses: dict[str, str] = {}
+        addresses: dict[face.BackendId, str] = {}
         for member in members:
             try:
                 name = self._id(member["id"])
@@ -215,7 +215,7 @@
 
 
 def taken(answer: bytes) -> int:
-    """How many orders a call's answer says were taken; `Refused` with the relay's word if it was turned back."""
+    """How many orders the relay says it took; `Refused` with its word if it turned the call back."""
     try:
         root = ElementTree.fromstring(answer)
     except (ElementTree.ParseError, ValueError, LookupError) as error:
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -9,8 +9,8 @@
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
 from lapispass.net.http import split
-from lapispass.net.lines import Lines, TooLong
 from lapispass.net.limits import Limits
+from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
 
 
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -11,9 +11,8 @@
 from lapispass.net.limits import Limits
 
 
-
 class Overfull(EOFError):
-    """More was told than is taken in: the teller's connection ends, and the next one begins with all that stands."""
+    """More was told than is taken in: the connection ends, and the next begins with all that stands."""
 
 
 # What a peer, the network or its silence can do to a connection; TimeoutError is an OSError too.
@@ -93,12 +92,14 @@
         await self.writer.drain()
 
     async def _next(self) -> h11.Event:
-        while (event := self.state.next_event()) is h11.NEED_DATA:
-            data = await self.reader.read(self.limits.read_bytes)
-            self.state.receive_data(data)  # no bytes mean the end
-        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-            raise EOFError("the peer ended the connection")
-        return event
+        while True:
+            event = self.state.next_event()
+            if event is h11.NEED_DATA:
+                self.state.receive_data(await self.reader.read(self.limits.read_bytes))  # none: the end
+            elif isinstance(event, h11.Event) and not isinstance(event, h11.ConnectionClosed):
+                return event
+            else:
+                raise EOFError("the peer ended the connection")
 
     async def answer(self) -> int:
         """The status of the answer to the call just sent."""
@@ -113,7 +114,7 @@
             yield event.data
 
     async def body(self, most: int) -> bytes:
-        """The whole body; one that is longer counts as broken. Leaves the connection ready for a next call."""
+        """The whole body; one that is longer counts as broken."""
         whole = bytearray()
         async for piece in self.pieces():
             whole += piece
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -10,8 +10,8 @@
 from lapispass.net.codec import Codec, Listing, WireError
 from lapispass.net.counters import Counters
 from lapispass.net.http import BROKEN, Link, Overfull, next_of, within
-from lapispass.net.lines import Lines, TooLong
 from lapispass.net.limits import Limits
+from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
 
 TARGET = "/registry/instances"
@@ -57,8 +57,8 @@
             if self.version is None:  # nothing to go on from
                 await self.fetch()
             link = await Link.open(self.address, self.limits)
-            status = await within(self.limits.list_us, self.call(link, f"{TARGET}?watch=1&from={self.version}"),
-                                  self.limits.late_us)
+            target = f"{TARGET}?watch=1&from={self.version}"
+            status = await within(self.limits.list_us, self.call(link, target), self.limits.late_us)
             if status != 200:
                 raise EOFError(f"status {status}")
             self.counters["registry.watches"] += 1
@@ -108,7 +108,7 @@
             self.counters["registry.too_many"] += unknown
             self.log.seldom("too many servers", left_out=unknown, most=self.limits.servers)
         if self.version is not None and listing.version < self.version and not listing.whole:
-            # What changed since cannot be told from such a message: the next watch begins with the whole list.
+            # What changed since cannot be told from it: the next watch begins with the whole list.
             self.version = None
             raise WireError(f"version went back to {listing.version}")
         # An entry that can't be read must not pass for one left out, which would mean gone.
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -12,8 +12,8 @@
 from lapispass.net.codec import Codec, Refused, WireError
 from lapispass.net.counters import Counters
 from lapispass.net.http import BROKEN, Link, next_of, within
-from lapispass.net.lines import Lines, TooLong
 from lapispass.net.limits import Limits
+from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
 
 FORM = (("Content-Type", "application/x-www-form-urlencoded"),)
@@ -51,15 +51,15 @@
         self.used_at = 0.0
         self.rows: dict[int, face.BackendId | None] = {}  # each slice's owner, as last told or ordered
         self.given: set[int] = set()  # slices given anew while a call is under way
-        # Held while a turn's calls are not settled, or while the relay tells what stands: a picture taken with
-        # a call under way cannot be compared, since the call may be carried out just after it.
+        # Held while a turn's calls are not settled, or while the relay tells what stands: a picture taken
+        # with a call under way cannot be compared, since the call may be carried out just after it.
         self.quiet = asyncio.Lock()
         self.doubt: Callable[[], None] = lambda: None  # the store may differ from what was told and ordered
 
     async def carry_out(self, orders: list[face.Order]) -> None:
         """A turn's orders, in their order; returns when the relay has taken them all."""
+        self.given.clear()  # before the wait: what is given anew from here on was not known to the turn
         async with self.quiet:
-            self.given.clear()
             for part in self.parts(orders):
                 await self.settle(part)
 
@@ -114,6 +114,10 @@
                 self.counters["relay.unknown"] += 1
                 self.log.seldom("call unsettled", why=f"{type(error).__name__} {error}", orders=len(part))
                 await again.wait()
+            except Exception:  # a fault of our own costs this connection, not the controller
+                self.counters["relay.unknown"] += 1
+                self.log.failed("call failed", orders=len(part))
+                await again.wait()
             else:
                 again.reset()
                 if any(item.slice in self.given for item in part):
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -20,7 +20,7 @@
 
 
 class Clock:
-    """Unix time in microseconds, taken once; from there on it runs evenly, whatever is done to the system's."""
+    """Unix time in microseconds, taken once; from there on it runs evenly, whatever the system's does."""
 
     def __init__(self) -> None:
         self.ahead_ns = time.time_ns() - time.monotonic_ns()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -345,6 +345,19 @@
     play(test())
 
 
+def test_orders_that_waited_for_the_picture_are_void_for_slices_that_it_gives_anew() -> None:
+    async def test() -> None:
+        async with Relay() as relay, news_of(relay) as (news, heard):
+            relay.stands[3] = ("ROW", "shard=3&endpoint=s-9&w=1")
+            news.limits = replace(QUICK, told_us=10 * SECOND, picture_us=300 * MS)
+            relay.signs = False
+            relay.reset()
+            await until(lambda: len(relay.streams) == 2 and news.picture)
+            await news.calls.carry_out([*ORDERS, face.Own(3, "s-2", 1.0)])
+            assert face.Held(3, "s-9") in heard and relay.done == TEXTS
+    play(test())
+
+
 @pytest.mark.parametrize("doubt", ["left out", "given anew"])
 def test_where_the_store_may_differ_from_what_was_ordered_what_stands_is_asked_for(doubt: str) -> None:
     async def test() -> None:
