--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -27,7 +27,9 @@
 
     async def listen(self, address: str) -> None:
         host, port = split(address)
-        self.server = await asyncio.start_server(self.serve, host, port, limit=self.limits.read_bytes)
+        # The backlog also bounds how many strangers that come at once hold a descriptor before there is room.
+        self.server = await asyncio.start_server(
+            self.serve, host, port, limit=self.limits.read_bytes, backlog=self.limits.backlog)
 
     def close(self) -> None:
         if self.server:
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -19,7 +19,8 @@
     unsent_bytes: int = 16 << 10  # answers to pings that nobody reads
 
     # counts
-    connections: int = 256  # at the listening address
+    connections: int = 128  # at the listening address
+    backlog: int = 64  # taken at once, beyond those
     probes: int = 64  # under way at once; at a start the whole fleet is probed
     events: int = 20_000  # gathered for one turn, sums among them; twice as many without
     servers: int = 2_000  # in one list; the addresses of twice as many are kept
@@ -46,6 +47,6 @@
     @classmethod
     def within(cls, sockets: int) -> Limits:
         """Leaves a part of the descriptors to the relay, the registry, probes and the process itself."""
-        if sockets < 64:
-            raise ValueError(f"limits.sockets {sockets}: at least 64 are needed")
-        return cls(connections=min(cls().connections, sockets // 2))
+        if sockets < 256:
+            raise ValueError(f"limits.sockets {sockets}: at least 256 are needed")
+        return cls(connections=min(cls().connections, sockets // 4))
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -130,7 +130,7 @@
 
     def leave_out(self, item: Written, why: str) -> None:
         self.counters["relay.orders_left_out"] += 1
-        self.log.warn("order left out", order=item.text, why=why)
+        self.log.seldom("order left out", order=item.text, why=why)
         if item.slice is not None:
             self.doubt()  # the module takes it for done
 
@@ -198,10 +198,10 @@
             lines, pieces = Lines(self.limits.message_bytes), link.pieces()
             kind, data = "", ""
             while True:
+                if self.picture is not None and asyncio.get_running_loop().time() > until:
+                    raise TimeoutError("no end to what stands")
                 following = asyncio.ensure_future(next_of(pieces))
                 if self.picture is not None:  # its end is not told: news that pause have told all that stands
-                    if asyncio.get_running_loop().time() > until:
-                        raise TimeoutError("no end to what stands")
                     wait_us = self.limits.picture_us if self.picture else self.limits.told_us
                     await asyncio.wait((following,), timeout=wait_us / 1e6)
                     if not following.done():
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -71,17 +71,18 @@
 
     async def run(self) -> None:
         """Serves until `stop()`; a fault in the module is raised."""
+        try:
+            await self.collectors.listen(self.launch.listen)
+        except (OSError, ValueError) as error:
+            raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
         tasks = [asyncio.create_task(life) for life in (
             self.news.run(), self.registry.run(), self.turns(), self.ended.wait())]
+        self.log.say("listening", name=self.launch.name, address=self.launch.listen)
         try:
-            try:
-                await self.collectors.listen(self.launch.listen)
-            except (OSError, ValueError) as error:
-                raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
-            self.log.say("listening", name=self.launch.name, address=self.launch.listen)
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 task.result()  # raises what ended it
+            self.log.say("ended")
         finally:
             self.collectors.close()
             self.calls.close()
@@ -89,6 +90,7 @@
             for task in ending:
                 task.cancel()
             await asyncio.wait([*ending, *self.collectors.tasks], timeout=self.limits.stop_us / 1e6)
+            self.print_counters()
 
     async def turns(self) -> None:
         """One turn after the other: waits, gathers, asks the module, carries out what it orders."""
@@ -149,13 +151,9 @@
 
 
 async def serve(launch: Launch) -> None:
-    """A whole process: signals, the service, the counters at the end."""
+    """A whole process: signals and the service."""
     service, loop = Service(launch), asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.stop)
     loop.add_signal_handler(signal.SIGUSR1, service.print_counters)
-    try:
-        await service.run()
-        service.log.say("ended")
-    finally:
-        service.print_counters()
+    await service.run()
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -263,7 +263,7 @@
     assert (launch.listen, launch.registry, launch.relay, launch.seed) == (
         "127.0.0.9:5", "127.0.0.1:1", "127.0.0.1:2", 0x8c1f)
     assert launch.told == settings.read(SETTINGS) and launch.told.turn_every_us == 7000
-    assert launch.known.entries[0].backend == "s-1" and launch.limits.connections == 256
+    assert launch.known.entries[0].backend == "s-1" and launch.limits.connections == 128
 
 
 @pytest.mark.parametrize(("change", "named"), [
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -805,8 +805,11 @@
         process.send_signal(signal.SIGTERM)
         _, said = process.communicate(timeout=5)
         assert process.returncode == 0 and "event=counters" in said.splitlines()[-1]
-    bad = subprocess.run(command, env={**os.environ, "LB_CONFIG": ""}, capture_output=True, text=True, timeout=20)
-    assert bad.returncode == 2 and bad.stderr.count("\n") == 1 and "LB_CONFIG" in bad.stderr
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = "127.0.0.1:%d" % taken.getsockname()[1]
+        for odd, named in (({"LB_CONFIG": ""}, "LB_CONFIG"), ({"LB_LISTEN": address}, address)):
+            bad = subprocess.run(command, env={**environment, **odd}, capture_output=True, text=True, timeout=20)
+            assert bad.returncode == 2 and bad.stderr.count("\n") == 1 and named in bad.stderr
 
 
 # the rules' plain model on sockets
