--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -12,10 +12,12 @@
 from xml.etree import ElementTree
 
 from lapispass import interface as face
+from lapispass.deployment import LOAD_FIELDS
 
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
-LOAD_WORDS = {"inflight": "held", "queue": "waiting", "util": "busy", "latency_ms": "service_ms",
-              "qps": "completed_per_s", "eps": "failed_per_s"}
+# Reports name their figures as the deployment's settings do, or as the protocol's page does.
+LOAD_WORDS = LOAD_FIELDS | {"inflight": "held", "queue": "waiting", "util": "busy", "latency_ms": "service_ms",
+                            "qps": "completed_per_s", "eps": "failed_per_s"}
 FIGURE_MOST = 1e9  # above any count or span in milliseconds that means something
 UNIX_MS_MOST = 1e13  # the same for a moment
 MARKS = 1 << 16
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -53,6 +53,8 @@
     met = report(f"{LOAD} metrics=inflight:7,util:0.61,queue:2,odd:x")[1]
     assert isinstance(met, face.Met) and met.load == (2.0, 0.61)
     assert CODEC.load("inflight=7,util=0.61", "=") == (None, 0.61)
+    # On sockets they come by the names of the settings; only the page's were read, and nothing was known of queues.
+    assert CODEC.load("pending:2.0,svc_ms:125.884,cpu_share:0.5", ":") == (2.0, 0.5)
     assert CODEC.load("inflight=7,util=nan", "=") is None
 
 
