--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections import deque
 from collections.abc import Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -772,7 +773,7 @@
         loop = asyncio.get_running_loop()
         task = asyncio.create_task(within(20 * MS, reader.readexactly(6), 50 * MS))
         await asyncio.sleep(0)
-        loop.call_later(0.001, __import__("time").sleep, 0.1)  # the process stands still
+        loop.call_later(0.001, time.sleep, 0.1)  # the process stands still
         loop.call_later(0.1, reader.feed_data, b"answer")
         assert await task == b"answer"
         with pytest.raises(TimeoutError):
@@ -959,6 +960,8 @@
                                 "reset before", "reset after", "silent after", "unreadable", "close", "throttled")))
                         case 5 if chance.random() < 0.4:
                             (world if chance.random() < 0.7 else roll).reset()
+                        case 5 if chance.random() < 0.2:
+                            time.sleep(chance.uniform(0.05, 0.3))  # all stand still
                         case 6 | 7:
                             name = f"s-{chance.randrange(3)}"
                             up = sum(member["phase"] == "Ready" for member in roll.members.values())
