Call a turn late only where the process stood still; refuse figures of hundreds of digits

A wake-up that fell due during a long relay call was logged as 'turn late'; it counts from when the turn could have begun now (test). A whole number of hundreds of digits in a list ended the watch with a fault of our own instead of costing its entry (test).

--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -42,7 +42,10 @@
     """A number from 0 up that means something."""
     if isinstance(value, bool):
         raise WireError(f"no figure: {value!r}")
-    number = float(value)
+    try:
+        number = float(value)
+    except OverflowError:  # a whole number of hundreds of digits
+        raise WireError("figure beyond all measure") from None
     if not 0 <= number <= most:  # also false for what is not a number
         raise WireError(f"figure {value!r}")
     return number
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -110,7 +110,7 @@
 
     async def due(self, earliest: int) -> None:
         """Until there is news or a wake-up is due, but no sooner than the shortest interval between turns."""
-        wake = min(self.wakes.values(), default=None)
+        entered, wake = self.clock.now(), min(self.wakes.values(), default=None)
         if not self.inbox:
             wait = None if wake is None else max(0, wake - self.clock.now()) / 1e6
             try:
@@ -118,9 +118,8 @@
                     await self.news_came.wait()
             except TimeoutError:
                 pass
-        expected = max(self.clock.now(), earliest)
-        if wake is not None:
-            expected = max(earliest, min(expected, wake))
+        now = self.clock.now()
+        expected = max(entered, earliest, now if wake is None else min(now, wake))
         await asyncio.sleep(max(0, earliest - self.clock.now()) / 1e6)
         # Guards against acting on old news when the process stood still: what waits is read first.
         if self.clock.now() - expected > self.limits.late_us:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -748,6 +748,26 @@
     play(test())
 
 
+def test_a_turn_is_late_when_the_process_stood_still_and_not_when_a_call_took_long() -> None:
+    async def test() -> None:
+        async with Relay() as relay, Book() as book:
+            service = Service(launch(relay.address, book.address))
+            turns: list[int] = []
+
+            async def carry_out(orders: list[face.Order]) -> None:
+                turns.append(service.counters["service.late_turns"])
+                service.wakes[0] = service.clock.now() + 20 * MS
+                if len(turns) == 3:
+                    await asyncio.sleep(0.2)  # a call
+                elif len(turns) == 5:
+                    asyncio.get_running_loop().call_later(0.001, time.sleep, 0.2)
+            service.carry_out = carry_out
+            async with running(service.turns()):
+                await until(lambda: len(turns) > 6)
+            assert turns[:7] == [0, 0, 0, 0, 0, 1, 1]
+    play(test())
+
+
 def test_a_full_inbox_leaves_out_sums_and_nothing_else() -> None:
     async def test() -> None:
         service = Service(launch("127.0.0.1:1", "127.0.0.1:1", limits=replace(QUICK, events=3)))
