--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -15,7 +15,7 @@
 
 
 class Collectors:
-    """Takes connections at one address; each is served by one task from its first byte to its end."""
+    """Takes connections at one address; each is in the hands of one task from its first byte to its end."""
 
     def __init__(self, tell: Callable[[face.Event], None], codec: Codec, limits: Limits,
                  counters: Counters) -> None:
--- a/lapispass/net/counters.py
+++ b/lapispass/net/counters.py
@@ -1,4 +1,4 @@
-"""Counts of what is taken in, sent and answered; printed on request and at the end."""
+"""Counts of what is taken in, sent and answered; printed on a signal and at the end."""
 
 from __future__ import annotations
 
