Read the configuration again on SIGHUP and move relay and registry under load

SIGHUP had no handler. LB_DISCOVERY also went before the file, so a replaced file could not have moved the registry. Now: the file is read whole or not at all; new connections stand before old ones are left; every signal that can be ignored is, from the first line on. Also: a fault that came with the end of a waiting task is no longer logged as never retrieved (http.within). Tests: a move in the middle of a handover, twice, to nobody, and to the same place; signals and bad files on the process.

--- a/lapispass/__main__.py
+++ b/lapispass/__main__.py
@@ -1,26 +1,11 @@
 """The controller on sockets: `python -m lapispass`."""
 
-import asyncio
-import os
 import sys
 
-from lapispass.net import log
-from lapispass.net.launch import BadStart, Launch
-from lapispass.net.service import serve
-
-
-def main() -> int:
-    log.start()
-    try:
-        asyncio.run(serve(Launch.read(os.environ)))
-    except BadStart as error:
-        print(f"lapispass: {error}", file=sys.stderr)
-        return 2
-    except Exception:
-        log.Part("main").failed("ended by a fault")
-        return 1
-    return 0
-
+from lapispass.net import signals
 
 if __name__ == "__main__":
+    signals.ignore()  # before the rest is loaded, which takes most of the start
+    from lapispass.net.service import main
+
     sys.exit(main())
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -42,6 +42,8 @@
         if not task.done():
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+        elif not task.cancelled():
+            task.exception()  # heard, also where whoever waited has been ended
 
 
 async def next_of(pieces: AsyncIterator[T]) -> T:
@@ -133,3 +135,36 @@
     def close(self) -> None:
         """At once: nothing that is still unsent matters to anyone."""
         self.writer.transport.abort()
+
+
+class Place:
+    """Where a party is reached. After a move, the connection to the new place stands before the old one is left."""
+
+    def __init__(self, address: str, limits: Limits) -> None:
+        self.address, self.limits = address, limits
+        self.ready: Link | None = None
+
+    async def link(self) -> Link:
+        """A new connection: the one that a move has opened, if it still stands."""
+        link, self.ready = self.ready, None
+        if link and link.usable:
+            return link
+        if link:
+            link.close()
+        return await Link.open(self.address, self.limits)
+
+    async def move(self, address: str) -> bool:
+        """Whether a connection to the new place stands; where none does, the old one serves for as long as it can."""
+        self.address = address
+        try:
+            opened = await Link.open(address, self.limits)
+        except BROKEN:
+            return False
+        self.close()
+        self.ready = opened
+        return True
+
+    def close(self) -> None:
+        if self.ready:
+            self.ready.close()
+        self.ready = None
--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Launch:
-    """All that a `Service` needs."""
+    """All that a `Service` needs; read at the start, and again when the file has been replaced."""
 
     name: str
     listen: str
@@ -33,10 +33,17 @@
 
     @classmethod
     def read(cls, environment: Mapping[str, str]) -> Launch:
-        """From `LB_CONFIG` and the variables beside it."""
+        """From `LB_CONFIG` and the variables beside it.
+
+        Where the registry is, the file says first: a variable cannot change while the process runs.
+        """
         try:
             where = environment["LB_CONFIG"]
-            given = json.loads(Path(where).read_text("utf-8"))
+            path = Path(where)
+            most = Limits().config_bytes
+            if path.exists() and not path.is_file() or path.stat().st_size > most:
+                raise ValueError(f"no file of {most} bytes at most")  # a pipe would stop us
+            given = json.loads(path.read_text("utf-8"))
         except KeyError as error:
             raise BadStart(f"variable {error.args[0]} is not set") from None
         except (OSError, ValueError, RecursionError) as error:
@@ -62,7 +69,7 @@
             seed = int(str(given["seed"]), 16)
             part = "store.address"
             relay = given["store"]["address"]
-            addresses = one("LB_LISTEN", "listen"), one("LB_DISCOVERY", "discovery"), relay
+            addresses = one("LB_LISTEN", "listen"), given.get("discovery") or one("LB_DISCOVERY", "discovery"), relay
             for address in addresses:
                 part = f"address {address!r}"
                 split(address)
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -14,6 +14,7 @@
     message_bytes: int = 1 << 20  # a line of a collector, of the news or of the list
     answer_bytes: int = 64 << 10  # what a relay call or a probe may answer
     list_bytes: int = 8 << 20  # the whole list
+    config_bytes: int = 4 << 20  # the configuration, its list included
     call_bytes: int = 60_000  # orders in one relay call
     id_bytes: int = 256
     unsent_bytes: int = 16 << 10  # answers to pings that nobody reads
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -9,7 +9,7 @@
 from lapispass import interface as face
 from lapispass.net.codec import Codec, Listing, WireError
 from lapispass.net.counters import Counters
-from lapispass.net.http import BROKEN, Link, Overfull, next_of, within
+from lapispass.net.http import BROKEN, Link, Overfull, Place, next_of, within
 from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
@@ -22,7 +22,8 @@
 
     def __init__(self, address: str, known: Listing, tell: Callable[[face.Event], None], codec: Codec,
                  limits: Limits, counters: Counters) -> None:
-        self.address, self.tell, self.codec = address, tell, codec
+        self.place, self.tell, self.codec = Place(address, limits), tell, codec
+        self.link: Link | None = None
         self.limits, self.counters = limits, counters
         self.log = Part("registry", limits.log_every_us)
         self.version: int | None = known.version if known.entries else None
@@ -40,6 +41,8 @@
         while True:
             self.asked.clear()
             await self.watch()
+            if self.place.ready:
+                continue  # it goes on at the new place from the version known: nothing is missed
             self.counters["registry.lost"] += 1
             self.tell(face.Listed("lost", ()))
             # Guards the list where no turn can ask, as while a relay call is unsettled.
@@ -49,14 +52,18 @@
             except TimeoutError:
                 self.counters["registry.unasked"] += 1
 
+    async def move(self, address: str) -> None:
+        """Follows the registry to another place; the watch goes on there."""
+        if await self.place.move(address) and self.link:
+            self.link.close()
+
     async def watch(self) -> None:
         """The life of a watch, from its call to its end."""
-        link = None
         why = ""
         try:
             if self.version is None:  # nothing to go on from
                 await self.fetch()
-            link = await Link.open(self.address, self.limits)
+            self.link = link = await self.place.link()
             target = f"{TARGET}?watch=1&from={self.version}"
             status = await within(self.limits.list_us, self.call(link, target), self.limits.late_us)
             if status != 200:
@@ -75,8 +82,9 @@
             why = type(error).__name__
             self.log.failed("watch failed")
         finally:
-            if link:
-                link.close()
+            if self.link:
+                self.link.close()
+                self.link = None
         self.log.seldom("watch lost", version=self.version, why=why)
 
     @staticmethod
@@ -86,7 +94,7 @@
 
     async def fetch(self) -> None:
         """The whole list, once."""
-        link = await Link.open(self.address, self.limits)
+        link = await Link.open(self.place.address, self.limits)
         try:
             status = await within(self.limits.list_us, self.call(link, TARGET), self.limits.late_us)
             body = await within(self.limits.list_us, link.body(self.limits.list_bytes), self.limits.late_us)
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -11,7 +11,7 @@
 from lapispass.net import codec as words
 from lapispass.net.codec import Codec, Refused, WireError
 from lapispass.net.counters import Counters
-from lapispass.net.http import BROKEN, Link, next_of, within
+from lapispass.net.http import BROKEN, Link, Place, next_of, within
 from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
@@ -138,8 +138,9 @@
         """The life of a call: a connection, the orders, the answer's count."""
         loop = asyncio.get_running_loop()
         link, self.link = self.link, None
-        if link and (not link.usable or loop.time() - self.used_at > self.limits.idle_us / 1e6):
-            link.close()  # guards against a connection that the relay is about to close as idle
+        idle = loop.time() - self.used_at > self.limits.idle_us / 1e6
+        if link and (not link.usable or idle or link.address != self.address):
+            link.close()  # guards against one that the relay is about to close, as idle or since it has moved
             link = None
         link = link or await Link.open(self.address, self.limits)
         try:
@@ -166,7 +167,7 @@
 
     def __init__(self, address: str, calls: Calls, tell: Callable[[face.Event], None], codec: Codec,
                  limits: Limits, counters: Counters) -> None:
-        self.address, self.calls, self.tell, self.codec = address, calls, tell, codec
+        self.place, self.calls, self.tell, self.codec = Place(address, limits), calls, tell, codec
         self.limits, self.counters = limits, counters
         self.log = Part("news", limits.log_every_us)
         self.link: Link | None = None
@@ -181,13 +182,19 @@
             await self.stream()
             if asyncio.get_running_loop().time() - began > self.limits.lasted_us / 1e6:
                 again.reset()
-            await again.wait()
+            if not self.place.ready:
+                await again.wait()
+
+    async def move(self, address: str) -> None:
+        """Follows the relay to another place; what stands there is compared as after any gap."""
+        if await self.place.move(address):
+            self.look_again()
 
     async def stream(self) -> None:
         """The life of a stream of news, from the call to its end. Nothing is written after the call."""
         why = ""
         try:
-            self.link = link = await Link.open(self.address, self.limits)
+            self.link = link = await self.place.link()
             await self.calls.quiet.acquire()
             self.picture = []
             until = asyncio.get_running_loop().time() + 2 * self.limits.told_us / 1e6
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+import sys
 import time
+from collections.abc import Mapping
+from dataclasses import replace
 
 from lapispass import interface as face
 from lapispass.balance import Controller
+from lapispass.net import log
 from lapispass.net.codec import MARKS, Codec
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
@@ -85,13 +90,32 @@
             self.log.say("ended")
         finally:
             self.collectors.close()
-            self.calls.close()
+            for party in (self.calls, self.news.place, self.registry.place):
+                party.close()
             ending = [*tasks, *self.probes.under_way.values()]
             for task in ending:
                 task.cancel()
             await asyncio.wait([*ending, *self.collectors.tasks], timeout=self.limits.stop_us / 1e6)
             self.print_counters()
 
+    async def follow(self, launch: Launch) -> None:
+        """Goes by a configuration that was replaced: to where relay and registry are now, under load.
+
+        The rest is what all state was made from; it is followed after a restart, and named here.
+        """
+        old, self.launch = self.launch, replace(self.launch, relay=launch.relay, registry=launch.registry)
+        rest = [part for part in ("name", "listen", "told", "limits") if getattr(old, part) != getattr(launch, part)]
+        self.counters["service.reloads"] += 1
+        self.log.say("configuration read again", relay=launch.relay, registry=launch.registry,
+                     **({"after_a_restart": ",".join(rest)} if rest else {}))
+        moves = []
+        if launch.relay != old.relay:
+            self.calls.address = launch.relay
+            moves.append(self.news.move(launch.relay))
+        if launch.registry != old.registry:
+            moves.append(self.registry.move(launch.registry))
+        await asyncio.gather(*moves)
+
     async def turns(self) -> None:
         """One turn after the other: waits, gathers, asks the module, carries out what it orders."""
         last = 0
@@ -149,10 +173,43 @@
             await self.calls.carry_out(for_proxies)
 
 
-async def serve(launch: Launch) -> None:
-    """A whole process: signals and the service."""
-    service, loop = Service(launch), asyncio.get_running_loop()
+async def serve(environment: Mapping[str, str]) -> None:
+    """A whole process: signals, the configuration and the service."""
+    loop, replaced = asyncio.get_running_loop(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, replaced.set)  # first: a file replaced while it is read is read again
+    service = Service(Launch.read(environment))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.stop)
     loop.add_signal_handler(signal.SIGUSR1, service.print_counters)
-    await service.run()
+    reloads = asyncio.create_task(follow(service, environment, replaced))
+    try:
+        await service.run()
+    finally:
+        reloads.cancel()
+
+
+async def follow(service: Service, environment: Mapping[str, str], replaced: asyncio.Event) -> None:
+    """Reads the configuration again when told so, one reading after the other; a bad one changes nothing."""
+    while await replaced.wait():
+        replaced.clear()
+        try:
+            await service.follow(Launch.read(environment))
+        except BadStart as error:
+            service.counters["service.reloads_refused"] += 1
+            service.log.warn("configuration refused", why=error)
+        except Exception:  # a fault of our own costs this reading, not the controller
+            service.log.failed("configuration not followed")
+
+
+def main() -> int:
+    """The process's status."""
+    log.start()
+    try:
+        asyncio.run(serve(os.environ))
+    except BadStart as error:
+        print(f"lapispass: {error}", file=sys.stderr)
+        return 2
+    except Exception:
+        Part("main").failed("ended by a fault")
+        return 1
+    return 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -801,6 +801,32 @@
     play(test())
 
 
+def test_a_replaced_configuration_moves_relay_and_registry_while_a_handover_goes_on() -> None:
+    async def test() -> None:
+        drained = change(2, {**MEMBER, "phase": "Terminating"})
+        async with Relay() as old, Relay() as new, Book([b"\n", 0.1, drained, 3600.0]) as was, Book() as book:
+            old.stands, old.answers = list(STANDS[:4]), False
+            new.stands, new.answers = [*STANDS[:3]], True
+            began = launch(old.address, was.address)
+            service = Service(began)
+            async with running(service.run()):
+                await until(lambda: "DEL,3" in old.done)  # the empty step is under way
+                await service.follow(replace(began, relay=new.address, registry=book.address, told=CODEC.told))
+                await until(lambda: "SET,3,s-2,1" in new.done)
+                steps = [text for text in old.done + new.done if text.startswith(("SET", "DEL"))]
+                assert steps == ["DEL,3", "SET,3,s-2,1"], "nothing is lost or said twice"
+                assert book.targets == ["/registry/instances?watch=1&from=2"] and len(was.targets) == 1
+                assert service.counters["registry.lost"] == 0 and new.written_after == b""
+                connections = len(new.writers), len(book.writers)
+                await service.follow(replace(began, relay=new.address, registry=book.address))  # nothing new
+                await service.follow(replace(began, relay="127.0.0.1:1", registry="127.0.0.1:1"))  # nobody there
+                assert (len(new.writers), len(book.writers)) == connections and not new.streams[0][1].is_closing()
+                await service.follow(replace(began, relay=old.address, registry=was.address))
+                await until(lambda: len(old.streams) == 2 and len(was.targets) == 2)
+            assert not service.news.place.ready and not service.registry.place.ready
+    play(test())
+
+
 def test_an_address_that_cannot_be_bound_is_a_bad_start() -> None:
     async def test() -> None:
         async with Relay() as relay, Book() as book:
@@ -818,11 +844,24 @@
     environment = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json")}
     command = [sys.executable, "-B", "-m", "lapispass"]
     with subprocess.Popen(command, env=environment, stderr=subprocess.PIPE, text=True) as process:
-        while "event=listening" not in process.stderr.readline():
-            pass
+        def says(what: str) -> None:
+            assert any(what in line for line in process.stderr), f"it ended without {what}"
+        says("event=listening")
         process.send_signal(signal.SIGUSR1)
-        while "event=counters" not in process.stderr.readline():
-            pass
+        says("event=counters")
+        for text, said in (("{", "configuration refused"), (json.dumps({**config, "discovery": "127.0.0.1:2"}),
+                           "registry=127.0.0.1:2"), (None, "configuration refused")):
+            (tmp_path / "config.json").unlink()
+            if text is None:
+                os.mkfifo(tmp_path / "config.json")  # what is no file is not waited for
+            else:
+                (tmp_path / "config.json").write_text(text)
+            process.send_signal(signal.SIGHUP)
+            says(said)
+        (tmp_path / "config.json").unlink()
+        (tmp_path / "config.json").write_text(json.dumps(config))
+        for number in (signal.SIGUSR2, signal.SIGALRM, signal.SIGRTMIN, signal.SIGHUP, signal.SIGHUP):
+            process.send_signal(number)  # one just before the end, too
         process.send_signal(signal.SIGTERM)
         _, said = process.communicate(timeout=5)
         assert process.returncode == 0 and "event=counters" in said.splitlines()[-1]
