--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -804,7 +804,8 @@
 def test_a_replaced_configuration_moves_relay_and_registry_while_a_handover_goes_on() -> None:
     async def test() -> None:
         drained = change(2, {**MEMBER, "phase": "Terminating"})
-        async with Relay() as old, Relay() as new, Book([b"\n", 0.1, drained, 3600.0]) as was, Book() as book:
+        async with Relay() as old, Relay() as new, \
+                Book([b"\n", 0.1, drained, *[b"\n", 0.1] * 99]) as was, Book([b"\n", 0.1] * 99) as book:
             old.stands, old.answers = list(STANDS[:4]), False
             new.stands, new.answers = [*STANDS[:3]], True
             began = launch(old.address, was.address)
