Turn strangers away at once and let spoilt reports cost only themselves

Reports with an unknown zone were believed. Now: the first line joins for a zone of the settings or the connection gets NACK and a close, at the latest after 1 s; spoilt reports are left out whole and counted by the run, not by the life; a byte that no message holds ends the stream at once.

--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -92,39 +92,48 @@
         return number
 
     def load(self, text: str, between: str) -> tuple[float | None, ...] | None:
-        """A load report in the order of the deployment's fields; what is missing or odd is None."""
-        found: dict[str, float] = {}
-        for pair in text.split(","):
-            name, _, value = pair.strip().partition(between)
-            try:
-                found[LOAD_WORDS.get(name, name)] = figure(value)
-            except (ValueError, WireError):
-                continue
-        report = tuple(found.get(name) for name in self.told.load_fields)
+        """A load report in the order of the deployment's fields; what is missing is None, one odd figure spoils it."""
+        pairs = (pair.strip().partition(between) for pair in text.split(","))
+        found = {LOAD_WORDS.get(name, name): value for name, _, value in pairs}
+        try:
+            report = tuple(figure(found[name]) if name in found else None for name in self.told.load_fields)
+        except ValueError as error:
+            raise WireError(str(error)) from None
         return report if any(value is not None for value in report) else None
 
     # collectors
 
-    def report(self, line: memoryview) -> tuple[str, face.Event | None]:
-        """A collector's line: its kind, and the event if it is one."""
+    def _zone(self, value: str) -> str:
+        if value not in self.told.zones:
+            raise WireError(f"unknown zone {value[:40]!r}")
+        return value
+
+    def report(self, line: memoryview, joined: bool) -> tuple[str, str | face.Event]:
+        """A collector's line: its kind, and the zone that it joins for, or the event. Joining comes first."""
         try:
             kind, *words = str(line, "utf-8").split()
+            if not joined and kind != "SOURCE":
+                raise WireError(f"{kind[:40]!r} before a joining")
             value = dict(word.split("=", 1) for word in words)
             match kind:
+                case "SOURCE":
+                    return kind, self._zone(value["locality"])
                 case "LOAD":
                     tries, lost = whole(value["total"]), whole(value["errors"])
                     if lost > tries:
                         raise WireError(f"{lost} of {tries} failed")
                     load = self.load(value["metrics"], ":") if value.get("metrics") else None
-                    return kind, face.Met(self._id(value["endpoint"]), value["locality"], lost, tries,
+                    return kind, face.Met(self._id(value["endpoint"]), self._zone(value["locality"]), lost, tries,
                                           micros(value["rtt"]), micros(value["interval"]), load)
                 case "SHARD":
                     if value["route"] not in self.classes:
                         raise WireError(f"unknown class {value['route'][:40]!r}")
+                    visits, lost = whole(value["total"]), whole(value["errors"])
+                    if lost > visits:
+                        raise WireError(f"{lost} of {visits} failed")
                     return kind, face.Came(self._below(value["shard"], self.told.slices), value["route"],
-                                           whole(value["total"]), whole(value["errors"]),
-                                           micros(value["interval"]))
-            return kind, None
+                                           visits, lost, micros(value["interval"]))
+            raise WireError(f"unknown kind {kind[:40]!r}")
         except (KeyError, ValueError, IndexError) as error:  # a UnicodeError is a ValueError
             raise WireError(f"{type(error).__name__} {error}") from None
 
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -1,8 +1,10 @@
-"""The listening side: collectors forward reports, anyone may ask PING."""
+"""The listening side: collectors join and forward reports, anyone may ask PING, strangers are turned away."""
 
 from __future__ import annotations
 
 import asyncio
+import re
+import socket
 from collections.abc import Callable
 
 from lapispass import interface as face
@@ -13,6 +15,22 @@
 from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
 
+# What no line of this wire holds. A spoilt report is still text; behind such bytes no message begins anywhere.
+ODD = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+
+
+class TurnedAway(Exception):
+    """The connection is of no use; the text says why."""
+
+
+class Guest:
+    """A connection as it stands."""
+
+    def __init__(self, writer: asyncio.StreamWriter, until: float) -> None:
+        self.writer, self.until = writer, until
+        self.zone: str | None = None  # once it has joined
+        self.unreadable = 0  # lines since the last sound one
+
 
 class Collectors:
     """Takes connections at one address; each is in the hands of one task from its first byte to its end."""
@@ -21,80 +39,105 @@
                  counters: Counters) -> None:
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
         self.log = Part("collectors", limits.log_every_us)
-        self.open: dict[asyncio.StreamWriter, bool] = {}  # in the order of last use; has it told anything
+        self.open: dict[Guest, None] = {}  # in the order of last use
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
         host, port = split(address)
-        # The backlog also bounds how many strangers that come at once hold a descriptor before there is room.
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family)
+        # Taken at once are few, since each holds a descriptor before there is room for it; many more may wait
+        # in the system's queue, where hundreds of strangers would otherwise keep a collector out for seconds.
         self.server = await asyncio.start_server(
-            self.serve, host, port, limit=self.limits.read_bytes, backlog=self.limits.backlog)
+            self.serve, sock=listener, limit=self.limits.read_bytes, backlog=self.limits.at_once)
+        listener.listen(self.limits.backlog)
 
     def close(self) -> None:
         if self.server:
             self.server.close()
-        for writer in self.open:
-            writer.transport.abort()
+        for guest in self.open:
+            guest.writer.transport.abort()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """The life of a connection."""
-        peer = writer.get_extra_info("peername")
+        peer, loop = writer.get_extra_info("peername"), asyncio.get_running_loop()
         self.tasks.add(task := asyncio.current_task())  # type: ignore[arg-type]
         self.counters["collectors.opened"] += 1
         self.make_room()
-        self.open[writer] = False
-        lines, unreadable = Lines(self.limits.message_bytes), 0
+        self.open[guest := Guest(writer, loop.time() + self.limits.join_us / 1e6)] = None
+        lines = Lines(self.limits.message_bytes)
+        why = ""
         try:
-            while piece := await reader.read(self.limits.read_bytes):
-                for line in lines.cut(piece):
-                    try:
-                        self.take(line, writer)
-                    except WireError as error:
-                        unreadable += 1
-                        self.counters["collectors.unreadable"] += 1
-                        self.log.seldom("line unreadable", peer=peer, why=error)
-                if unreadable > self.limits.unreadable:
-                    self.log.seldom("connection ended", peer=peer, why="too many lines unreadable")
-                    break
+            while piece := await self.read(reader, guest):
+                odd = ODD.search(piece)
+                for line in lines.cut(memoryview(piece)[:odd.start()] if odd else piece):
+                    self.take(line, guest)
+                if odd:
+                    raise TurnedAway(f"byte {odd[0][0]}, which no message holds")
                 if writer.transport.get_write_buffer_size() > self.limits.unsent_bytes:
-                    self.log.seldom("connection ended", peer=peer, why="answers left unread")
-                    break
+                    raise TurnedAway("answers left unread")
+        except TurnedAway as error:
+            why = str(error)
         except TooLong:
-            self.log.seldom("connection ended", peer=peer, why="line without an end")
+            why = "line without an end"
         except OSError:
             self.counters["collectors.broken"] += 1
         except Exception:  # a fault of our own costs this connection, not the controller
             self.counters["collectors.faults"] += 1
             self.log.failed("connection failed", peer=peer)
         finally:
-            self.open.pop(writer, None)
+            if why:
+                self.counters["collectors.turned_away"] += 1
+                self.log.seldom("connection ended", peer=peer, why=why, zone=guest.zone)
+                if guest.zone is None:  # a collector is never written to
+                    writer.write(b"NACK why=unreadable\r\n")
+            self.open.pop(guest, None)
             self.tasks.discard(task)  # type: ignore[arg-type]
             self.counters["collectors.closed"] += 1
             writer.transport.abort()
 
-    def take(self, line: memoryview, writer: asyncio.StreamWriter) -> None:
+    async def read(self, reader: asyncio.StreamReader, guest: Guest) -> bytes:
+        """The next piece; whoever has not joined must do so in time, or at least ask PING now and then."""
+        if guest.zone is not None:
+            return await reader.read(self.limits.read_bytes)
+        try:
+            async with asyncio.timeout_at(guest.until):
+                return await reader.read(self.limits.read_bytes)
+        except TimeoutError:
+            raise TurnedAway("neither joined nor asked in time") from None
+
+    def take(self, line: memoryview, guest: Guest) -> None:
+        """One line. Spoilt reports cost themselves alone; a stream of which nothing is sound any more is ended."""
         if line == b"PING":
             self.counters["collectors.pings"] += 1
-            writer.write(b"PONG\r\n")
+            guest.until = asyncio.get_running_loop().time() + self.limits.join_us / 1e6
+            guest.writer.write(b"PONG\r\n")
             return
         if not line:
             return
-        kind, event = self.codec.report(line)
-        if event is not None:
-            self.counters[f"collectors.{kind}"] += 1
-            self.open.pop(writer, None)
-            self.open[writer] = True
-            self.tell(event)
-        elif kind != "SOURCE":
-            self.counters["collectors.unknown_kind"] += 1
-            self.log.seldom("kind unknown", kind=kind[:40])
+        try:
+            kind, told = self.codec.report(line, guest.zone is not None)
+        except WireError as error:
+            self.counters["collectors.unreadable"] += 1
+            self.log.seldom("line unreadable", peer=guest.writer.get_extra_info("peername"), why=error)
+            guest.unreadable += 1
+            if guest.zone is None or guest.unreadable > self.limits.unreadable:
+                raise TurnedAway(str(error)) from None
+            return
+        guest.unreadable = 0
+        self.counters[f"collectors.{kind}"] += 1
+        self.open[guest] = self.open.pop(guest, None)  # last in the order of use
+        if isinstance(told, str):
+            guest.zone = told
+        else:
+            self.tell(told)
 
     def make_room(self) -> None:
-        """Guards against strangers that connect and stay: the one longest without a report goes first."""
+        """Guards against strangers that connect and stay: the one longest unheard of that has not joined goes."""
         if len(self.open) >= self.limits.connections:
-            quiet = next((writer for writer, told in self.open.items() if not told), next(iter(self.open)))
+            quiet = next((guest for guest in self.open if guest.zone is None), next(iter(self.open)))
             self.counters["collectors.crowded_out"] += 1
             self.log.seldom("connection crowded out", most=self.limits.connections)
             del self.open[quiet]
-            quiet.transport.abort()
+            quiet.writer.transport.abort()
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -21,13 +21,15 @@
 
     # counts
     connections: int = 128  # at the listening address
-    backlog: int = 64  # taken at once, beyond those
+    at_once: int = 32  # taken at once, beyond those
+    backlog: int = 1024  # wait to be taken, in the system's hands
     probes: int = 64  # under way at once; at a start the whole fleet is probed
     events: int = 20_000  # gathered for one turn, sums among them; twice as many without
     servers: int = 2_000  # in one list; the addresses of twice as many are kept
-    unreadable: int = 20  # lines of one connection before it is ended
+    unreadable: int = 20  # lines in a row, of a collector that has joined, before its stream counts as spoilt for good
 
     # times
+    join_us: int = 1_000_000  # from connecting, or from the last PING, until a collector joins
     connect_us: int = 1_000_000
     answer_us: int = 200_000  # a relay answers within 50 ms or never; the rest is for a late wake-up here
     list_us: int = 2_000_000  # until the list or the head of a watch's answer comes
@@ -50,4 +52,4 @@
         """Leaves a part of the descriptors to the relay, the registry, probes and the process itself."""
         if sockets < 256:
             raise ValueError(f"limits.sockets {sockets}: at least 256 are needed")
-        return cls(connections=min(cls().connections, sockets // 4))
+        return cls(connections=min(cls().connections, sockets // 2))
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from lapispass import interface as face
-from lapispass.net.codec import Codec
+from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
 from lapispass.net.http import BROKEN, Link, within
 from lapispass.net.limits import Limits
@@ -44,6 +44,8 @@
             reason = {200: ANSWERED, 503: TURNED_AWAY}.get(status, ERROR)
             if status == 200 and self.codec.told.load_fields:
                 load = self.codec.load(body.decode(errors="replace"), "=")
+        except WireError:  # a report that is spoilt: the probe was answered all the same
+            self.counters["probes.unreadable"] += 1
         except TimeoutError:
             reason = LATE if link else UNREACHABLE
         except (*BROKEN, ValueError):  # ValueError: the list gave no address
