Probe ill servers until they answer; a failing one is well as soon as its visits are

Three servers stayed 'failing' for good: a probe lost just as they turned so was their last (only silent ones were probed on), and a lost probe keeps one out. When the first six came back after 8 s, the rest were fewer than half of the zone, were blamed, and lost their slices though their visits had done well for seconds. At fault: the condition of the probe and of the return in Backend.judge. Servers that are gone are no longer probed as silent ones either.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -142,14 +142,10 @@
                     self.good_at = self.mail.now
             case face.Probed(_, reason, _, _):
                 self.misses = 0 if reason in (0, 2) else self.misses + 1
-                if not self.misses:
-                    self.alive = True
-                elif self.listed == "gone" and (reason == 4 or self.misses > 1):
-                    self.alive = False
+                dead = self.listed == "gone" and (reason == 4 or self.misses > 1)
+                self.alive = not self.misses or self.alive and not dead
             case Carries(rate):
-                if not self.rate:
-                    self.good_at = self.mail.now
-                self.rate = rate
+                self.good_at, self.rate = self.good_at if self.rate else self.mail.now, rate
             case face.Woken():
                 self.judge()
                 self.mail.post(self.table, Standing(
@@ -199,7 +195,8 @@
         # Silence counts only while sums about others come: late sums of all are nobody's fault.
         quiet = self.mail.heard_at - self.good_at
         suspect = self.mode == "well" and quiet > rules.quiet_us and quiet * self.rate > 6 * SECOND
-        if rules.may_probe and (doubt or suspect or self.mode == "silent") and now >= self.probe_at:
+        # Guards against one left out for ever, too: while it is ill, a lost probe is not its last.
+        if rules.may_probe and (doubt or suspect or state == "ill") and now >= self.probe_at:
             self.probe_at = now + SECOND
             self.mail.orders.append(face.Probe(self.number))
         if state not in LISTED:
@@ -207,7 +204,9 @@
         tries, done, spent = self.tries.read(now), self.done.read(now), self.spent.read(now)
         lost, mean = tries - done, spent / max(0.1, done)
         if self.mode != "well":
-            if self.misses == 0 and now - self.since > self.away_us:
+            # Guards slices that it has kept: where visits that still go there do well, it is well.
+            heals = self.mode == "failing" and tries > 4 and lost < 0.5 * rules.failing * tries
+            if self.misses == 0 and (heals or now - self.since > self.away_us):
                 self.away_us *= 2  # one that fails again stays away for longer
                 self.turn_to("well", f"away for {now - self.since} us")
         # Guards against a server that takes visits and answers none, or has gone silent: nothing good
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -158,6 +158,20 @@
     assert all(fleet.store[s].owner not in failing for s in (0, 12))
 
 
+def test_a_failing_server_is_probed_until_it_answers_and_well_as_soon_as_its_visits_are() -> None:
+    # A probe lost just as it turned failing was its last: three servers of a zone stayed left out for good.
+    fleet = Fleet(deployment(slices=24), backends=12, seed=1)
+    fleet.run(4)
+    fleet.losing.update({n: 9 for n in (101, 103, 105, 107)})
+    fleet.run(3)
+    fleet.news += [face.Probed(n, 3, 1000, None) for n in (101, 103)]
+    fleet.losing.clear()
+    fleet.run(5)
+    assert sum("failing->well" in line for line in fleet.logs) == 4
+    fleet.run(12)
+    assert all(table.owner == 100 + s % 12 for s, table in fleet.store.items()), "nothing was moved"
+
+
 def test_late_sums_of_all_make_nobody_silent() -> None:
     fleet = Fleet(deployment(), 5, seed=5)
     fleet.run(4)
