Forget servers that are gone for good; believe a short count of the relay when it comes twice

A server is forgotten once it has been gone, without a slice, for a lease, the longest write and rule 1's time together; where proxies shut it out they let it in first, behind all that named it on their streams. A spoilt answer of the relay can be read: a count too high passed for all taken, one too low dropped an order that was good. Now more than were sent is an unknown outcome, and fewer is believed when the same count comes twice.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -65,10 +65,6 @@
     busy: float
 
 
-class Carries(NamedTuple):
-    visits_per_s: float
-
-
 class Offer(NamedTuple):
     """The channel offers a turn: so many lines, and how far the proxies' answers have come."""
 
@@ -113,14 +109,13 @@
     def __init__(self, mail: Mail, number: int, rules: Rules, table: Part) -> None:
         super().__init__(mail)
         self.number, self.rules, self.table = number, rules, table
-        self.listed, self.zone, self.weight, self.born = "gone", "", 1.0, 0
+        self.listed, self.zone, self.weight, self.born, self.gone_at = "gone", "", 1.0, 0, NEVER
         self.alive = not rules.may_probe  # as probes have it
         self.mode, self.since, self.away_us = "well", mail.now, 8 * SECOND
         self.tries, self.done, self.spent = (Fading(2 * SECOND) for _ in range(3))
-        self.fit, self.fit_at = 1.0, 0
+        self.fit, self.fit_at, self.probe_at, self.misses = 1.0, 0, 0, 0
         self.waiting: float | None = None
-        self.speed, self.rate, self.busy = 0.0, 0.0, 0.0
-        self.good_at, self.probe_at, self.misses = mail.now, 0, 0
+        self.speed, self.rate, self.busy, self.good_at = 0.0, 0.0, 0.0, mail.now
 
     def take(self, note: Any) -> None:
         match note:
@@ -130,6 +125,7 @@
                     self.fit, self.waiting = 1.0, None
                 if state != "gone" or self.listed != "draining":  # one that drained stays shut out
                     self.listed = state
+                self.gone_at = min(self.gone_at, self.mail.now) if state == "gone" else NEVER
                 self.zone, self.weight, self.born = zone, weight or 1.0, born or self.born
             case face.Met(_, _, lost, tries, took_us, _, load):
                 self.mail.heard_at = self.mail.now
@@ -144,7 +140,8 @@
                 self.misses = 0 if reason in (0, 2) else self.misses + 1
                 dead = self.listed == "gone" and (reason == 4 or self.misses > 1)
                 self.alive = not self.misses or self.alive and not dead
-            case Carries(rate):
+            case float() as rate:  # of the visits that its slices bring
+                self.gone_at = max(self.gone_at, self.mail.now) if rate else self.gone_at
                 self.good_at, self.rate = self.good_at if self.rate else self.mail.now, rate
             case face.Woken():
                 self.judge()
@@ -154,9 +151,10 @@
 
     def state(self) -> str:
         """What the list says, weighed against probes and health."""
-        # Guards against a list that is wrong: a server that never drained and still answers probes is not
-        # gone where the deployment lets it stay, and one that has answered nothing yet is 'unproven': it
-        # keeps what it has and gets nothing. Harm: one back cold before the list tells passes for warm.
+        if not self.rate and self.mail.now > self.gone_at + self.rules.keep_us:
+            return "past"  # Guards memory: gone, and without a slice, for longer than any rule looks back.
+        # Guards against a wrong list: one that never drained and answers probes stays where that is allowed,
+        # one that has answered none is 'unproven'. Harm: one back cold before the list tells passes for warm.
         if self.listed == "draining" or self.listed == "gone" and self.rules.gone_binds:
             return "out"
         if not self.alive:
@@ -191,7 +189,7 @@
     def judge(self) -> None:
         """Probes where there is doubt; tells silence, quick errors and a queue apart."""
         now, rules, state = self.mail.now, self.rules, self.state()
-        doubt = state == "unproven" or self.listed == "gone" and state not in ("out", "gone")
+        doubt = state == "unproven" or self.listed == "gone" and state not in ("out", "gone", "past")
         # Silence counts only while sums about others come: late sums of all are nobody's fault.
         quiet = self.mail.heard_at - self.good_at
         suspect = self.mode == "well" and quiet > rules.quiet_us and quiet * self.rate > 6 * SECOND
@@ -268,6 +266,10 @@
     def take(self, note: Any) -> None:
         now = self.mail.now
         match note:
+            case Standing(backend, "past") if backend not in self.out:  # proxies let it in again first
+                for known in (self.backends, self.standings, self.relieved):
+                    known.pop(backend, None)
+                self.again.discard(backend)
             case Standing(backend):
                 self.standings[backend] = note
             case face.Given(number, ours):
@@ -337,7 +339,7 @@
                 self.loads[slice_.owner] += slice_.rate
                 self.owned[slice_.owner].append(slice_)
         for number, load in self.loads.items():
-            self.mail.post(self.backends[number], Carries(load))
+            self.mail.post(self.backends[number], load)
 
     def levels(self, room: int, spare: int) -> list[face.Order]:
         """Lets in what each owner can complete, the classes of most benefit first; no writes where shut."""
@@ -480,11 +482,9 @@
             case face.Joined(number, _, _, _):
                 self.proxies[number], self.unmarked = Proxy(True), True
             case face.Left(number):
-                before = self.proxies.get(number, Proxy())
-                self.proxies[number] = Proxy(answered=before.answered, gone_at=now)
+                self.proxies[number] = Proxy(False, self.proxies.get(number, Proxy()).answered, now)
             case face.Answered(number, mark, took_us):
-                proxy = self.proxies.get(number)
-                if proxy is not None and proxy.joined:
+                if (proxy := self.proxies.get(number)) and proxy.joined:
                     proxy.answered = max(proxy.answered, self.mark - (self.mark - mark) % (1 << 16))
                     self.slowest.add(now, max(0.0, took_us - self.slowest.read(now)))
             case face.Woken():
@@ -500,15 +500,13 @@
                 lines = int(room / max(1, self.joined) - rules.head_lines - 2)
                 if min(left, lines, self.joined) > 0 and (not self.written or now >= self.written[-1] + gap):
                     # No proxy can write by what is older than its last answer, nor a lease after its stream.
-                    ended = now - rules.lease_us
-                    cleared = min(proxy.answered if proxy.joined or proxy.gone_at > ended else NEVER
-                                  for proxy in self.proxies.values())
+                    cleared = min(proxy.answered if proxy.joined or proxy.gone_at > now - rules.lease_us
+                                  else NEVER for proxy in self.proxies.values())
                     settle_us = min(int(self.slowest.read(now)), rules.lease_us * 9 // 10)
                     self.mail.post(self.table, Offer(lines, left > rules.messages_most // 3, self.mark + 1,
                                                      cleared, settle_us, self.unmarked))
             case list() as orders:  # the table's for this turn
-                self.mark += 1
-                self.unmarked = False
+                self.mark, self.unmarked = self.mark + 1, False
                 self.written.append(now)
                 self.waiting += self.joined * (len(orders) + 1 + rules.head_lines)
                 self.mail.orders += [*orders, face.Mark(self.mark % (1 << 16), True)]
@@ -563,6 +561,7 @@
     def __init__(self, told: face.Deployment) -> None:
         places = list(enumerate(told.classes))
         self.lease_us, self.linger_us, self.bare_us = told.lease_us, told.linger_us, told.bare_us
+        self.keep_us = told.lease_us + told.linger_us + told.bare_us
         self.cold_us, self.cold_share = max(1, told.cold_us), told.cold_share
         self.cold_part = told.fall_multiple / 5  # its caches are cold too, and estimates are late
         self.writes = [place for place, kind in places if kind.writes]
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -91,7 +91,7 @@
         A call of unknown outcome is sent again before any later one: each order says how something shall
         stand, so a second time changes nothing.
         """
-        again = Backoff(self.limits)
+        again, short = Backoff(self.limits), -1
         while part := [item for item in part if item.slice not in self.given]:
             for item in part:
                 if item.slice in self.rows and not item.text.startswith("LIMIT"):
@@ -99,6 +99,8 @@
             self.counters["relay.calls"] += 1
             try:
                 count = await self.call(words.call(item.text for item in part))
+                if count > len(part):
+                    raise WireError(f"{count} of {len(part)} orders taken")
             except Refused as error:
                 self.counters[f"relay.{error}"] += 1
                 self.log.seldom("call turned back", why=error, orders=len(part))
@@ -122,11 +124,16 @@
                 again.reset()
                 if any(item.slice in self.given for item in part):
                     self.doubt()  # was that before or after the slice was given anew?
-                self.counters["relay.orders_taken"] += min(count, len(part))
-                if count >= len(part):
+                if count == len(part):
+                    self.counters["relay.orders_taken"] += count
                     return
+                # Guards against a spoilt answer that can be read: a short count is believed when it comes again.
+                if count != short:
+                    short = count
+                    continue
+                self.counters["relay.orders_taken"] += count
                 self.leave_out(part[count], "stopped there")
-                part = part[count + 1:]
+                part, short = part[count + 1:], -1
 
     def leave_out(self, item: Written, why: str) -> None:
         self.counters["relay.orders_left_out"] += 1
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -172,6 +172,33 @@
     assert all(table.owner == 100 + s % 12 for s, table in fleet.store.items()), "nothing was moved"
 
 
+def test_servers_that_are_gone_for_good_are_forgotten() -> None:
+    fleet = Fleet(deployment(bare_us=4 * SECOND, gone_binds=True), backends=4, seed=1)
+    fleet.run(3)
+    for round_ in range(60):  # each drains and goes, another one comes; some proxies come back meanwhile
+        first = max(fleet.list) + 1
+        for number in [n for n, e in fleet.list.items() if e.state == "ready"][:2]:
+            fleet.change(number, "draining")
+        fleet.tell([face.Entry(n, "east", "ready", 1.0, None) for n in range(first, first + 2)])
+        fleet.up |= {first, first + 1}
+        fleet.run(9)
+        for number in [n for n, e in fleet.list.items() if e.state == "draining"]:
+            fleet.change(number, "gone")
+        fleet.leave(round_ % 4)
+        fleet.join(round_ % 4)
+    fleet.run(9)
+    kept = fleet.controller
+    table = kept.table
+    assert len(fleet.list) == 124 and owners(fleet) <= set(kept.backends)
+    for held in (kept.backends, table.standings, table.out, table.again, table.relieved, table.loads):
+        assert len(held) <= 8
+    fleet.change(100, "ready")  # one that was forgotten comes back
+    for number in [n for n, e in fleet.list.items() if e.state == "ready" and n != 100]:
+        fleet.change(number, "draining")
+    fleet.run(9)
+    assert owners(fleet) == {100} and not any(100 in proxy.out for proxy in fleet.proxies)
+
+
 def test_late_sums_of_all_make_nobody_silent() -> None:
     fleet = Fleet(deployment(), 5, seed=5)
     fleet.run(4)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -157,6 +157,7 @@
                 self.carry_out(orders[:count])
                 if fault in ("reset after", "silent after"):
                     return await self.end(fault)
+                count = fault[11:] if fault.startswith("miscounted") else count
                 answer = f"<Response><entries><item><ok_count>{count}</ok_count></item></entries></Response>"
                 writer.write(answered(state, 200, b"<odd" if fault == "unreadable" else answer.encode()))
             if fault == "close":
@@ -205,7 +206,8 @@
 
 @pytest.mark.parametrize(("fault", "times"), [
     ("", 1), ("close", 1), ("throttled", 1), ("reset before", 1), ("silent before", 1), ("reset after", 2),
-    ("silent after", 2), ("unreadable", 2)])
+    ("silent after", 2), ("unreadable", 2), ("miscounted -3", 2), ("miscounted 1", 2), ("miscounted 9", 2),
+    ("miscounted 1e30", 2)])
 def test_a_turn_is_settled_before_the_next_whatever_happens_to_its_call(fault: str, times: int) -> None:
     async def test() -> None:
         async with Relay() as relay:
@@ -224,9 +226,9 @@
         async with Relay() as relay:
             counters = Counters()
             calls = Calls(relay.address, CODEC, QUICK, counters)
-            relay.faults += ["short 1", "short 0"]
+            relay.faults += ["short 1", "short 1", "short 0", "short 0"]  # told twice, and so believed
             await calls.carry_out(ORDERS)
-            assert relay.done == ["DEL,1", "SYNC,7,1"] and counters["relay.orders_left_out"] == 2
+            assert relay.done == ["DEL,1", "DEL,1", "SYNC,7,1"] and counters["relay.orders_left_out"] == 2
             calls.close()
     play(test())
 
@@ -364,7 +366,7 @@
     async def test() -> None:
         async with Relay() as relay, news_of(relay) as (news, heard):
             news.calls.limits = replace(QUICK, answer_us=10 * SECOND)
-            relay.faults.append("held" if doubt == "given anew" else "short 0")
+            relay.faults += ["held"] if doubt == "given anew" else ["short 0"] * 2
             call_ = asyncio.create_task(news.calls.carry_out([face.Own(4, "s-2", 1.0), face.Mark(1, True)]))
             await until(lambda: relay.calls)
             if doubt == "given anew":
