--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -319,7 +319,7 @@
         ready = [standing for standing in self.standings.values() if standing.state in LISTED]
         # Guards against blaming servers for what strikes all, or most of a zone; the rest could not carry it.
         ill, zones = [s.zone for s in ready if s.state == "ill"], [s.zone for s in ready]
-        near = {z for z in ill if 3 * len(ill) > len(ready) or 2 * ill.count(z) > zones.count(z)}
+        near = {z for z in ill if 3 * len(ill) > len(ready) or ill.count(z) > max(1, zones.count(z) // 2)}
         self.open = {s.backend: s for s in ready if s.state != "ill" or s.zone in near}
         self.targets = [n for n, s in self.open.items() if s.state == "ready"] or list(self.open)
         # With other controllers a server's speed is known in part only: own visits against all that keep it
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -147,7 +147,7 @@
     async def link(self) -> Link:
         """A new connection: the one that a move has opened, if it still stands."""
         link, self.ready = self.ready, None
-        if link and link.usable:
+        if link and link.usable and link.address == self.address:
             return link
         if link:
             link.close()
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -94,7 +94,7 @@
 
     async def fetch(self) -> None:
         """The whole list, once."""
-        link = await Link.open(self.place.address, self.limits)
+        link = await self.place.link()
         try:
             status = await within(self.limits.list_us, self.call(link, TARGET), self.limits.late_us)
             body = await within(self.limits.list_us, link.body(self.limits.list_bytes), self.limits.late_us)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -144,10 +144,11 @@
     assert bool(sum(isinstance(t.owner, int) and t.owner != 100 + s % 4 for s, t in fleet.store.items())) == moves
 
 
-@pytest.mark.parametrize(("failing", "moves"), [((101, 103), True), ((101, 103, 105, 107), False)])
-def test_slices_stay_where_most_servers_of_a_zone_fail_at_once(failing, moves) -> None:
+@pytest.mark.parametrize(("backends", "failing", "moves"), [
+    (12, (101, 103), True), (12, (101, 103, 105, 107), False), (3, (101,), True)])  # 101 is alone in its zone there
+def test_slices_stay_where_most_servers_of_a_zone_fail_at_once(backends, failing, moves) -> None:
     # A zone was cut off for some seconds: its slices all went to the others, which could not carry them.
-    fleet = Fleet(deployment(slices=24), backends=12, seed=1)
+    fleet = Fleet(deployment(slices=24), backends=backends, seed=1)
     fleet.run(4)
     fleet.losing.update(dict.fromkeys(failing, 9))
     fleet.run(4)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -477,6 +477,18 @@
     play(test())
 
 
+def test_a_move_while_there_is_no_version_to_go_on_from_does_not_go_round_without_end() -> None:
+    async def test() -> None:
+        async with Book([503]) as book, following(book) as (registry, heard):
+            await until(lambda: LOST in heard)
+            registry.version, registry.limits = None, replace(QUICK, list_bytes=10)  # no list is to be had
+            await registry.move(book.address)
+            registry.follow()
+            await until(lambda: heard.count(LOST) == 2)
+            assert not registry.place.ready
+    play(test())
+
+
 @pytest.mark.parametrize("steps", [[503], ["reset"], [b"\n", 0.01], [b"{odd}\n"], [b"\n", 3600.0],
                                    [change(6)[:30], 0.05]])
 def test_a_watch_that_fails_is_told_as_lost_and_asked_for_again_by_the_module(steps: list) -> None:
