Say again who is in only to whom it may matter, behind no withdrawal

Whenever proxies rejoined, all servers with slices were let in again at once for all proxies, every 2 s. Lines at fault: Ledger.take, 'self.again |= set(self.out if first else self.standings)', and Ledger.withdrawals, unbounded. Change: a proxy that this life of the controller has met is told again only who is out and who has been let in since; one not met yet may hold what an earlier life shut out, so all are said again for it, in small parts (half of the ordinary room, a pass each eighth of rule 1's time).

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -72,7 +72,7 @@
     """The channel offers a turn: so many lines, and how far the proxies' answers have come."""
 
     lines: int
-    ordinary: bool
+    ordinary: int  # of these, for what may wait: it must not fill the way of the next withdrawal
     mark: int  # the turn's own
     cleared: int  # no proxy can write by a table older than this mark
     settle_us: int
@@ -259,13 +259,16 @@
 
     def __init__(self, mail: Mail, rules: Rules) -> None:
         super().__init__(mail)
-        self.rules, self.again_at = rules, 0
+        self.rules, self.repeat_at = rules, 0
         self.backends: dict[int, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.standings: dict[int, Standing] = {}
         self.offer = Offer(0, False, 0, -1, SECOND, False)
         self.out: dict[int, int] = {}  # servers shut out, since when ...
         self.again: set[int] = set()  # ... and those of which joiners may have heard otherwise
+        self.repeats: set[int] = set()  # of these, those that are about to be let in again
+        self.lifted: set[int] = set()  # let in again in this life
+        self.met: set[int] = set()  # proxies that have joined in this life
         self.relieved: dict[int | None, int] = {}
         self.channel: Part
 
@@ -275,7 +278,8 @@
             case Standing(backend, "past") if backend not in self.out:  # proxies let it in again first
                 for known in (self.backends, self.standings, self.relieved):
                     known.pop(backend, None)
-                self.again.discard(backend)
+                for noted in (self.again, self.repeats, self.lifted):
+                    noted.discard(backend)
             case Standing(backend):
                 self.standings[backend] = note
             case face.Given(number, ours):
@@ -289,9 +293,12 @@
                 if number in self.slices and over_us:
                     demand = self.slices[number].demand
                     demand.setdefault(visit_class, Fading(self.rules.demand_us)).add(now, visits)
-            case face.Joined(_, first, _, _):
-                # A joiner may have missed what was said last, and holds what an earlier stream shut out.
-                self.again |= set(self.out if first else self.standings)
+            case face.Joined(proxy, first, _, _):
+                # A joiner may have missed what was said last, and holds what an earlier stream shut out: one not
+                # met yet may hold what an earlier life of this controller shut out.
+                self.again |= self.out.keys() if first else self.out.keys() | self.lifted if (
+                    proxy in self.met) else self.backends.keys()
+                self.met.add(proxy)
             case Offer():
                 self.offer = note
                 self.compose()
@@ -304,6 +311,7 @@
         moving = [slice_ for slice_ in self.slices.values() if slice_.step != "steady" or slice_.shut]
         given = [slice_ for slice_ in moving if slice_.mark == NEVER]
         room = self.offer.lines - len(orders)
+        spare = self.offer.ordinary - len(orders)
         for slice_ in moving:
             slice_.mark = min(slice_.mark, self.offer.mark)  # none yet: given with an empty table
             if room > 0 and (step := self.advance(slice_)):
@@ -311,7 +319,7 @@
                 room -= len(step) + (self.open[slice_.owner].warmth < 1) * len(self.rules.classes)
         opening = self.to_open()
         kept = min(len(opening), max(0, room) // 2)  # for what opens, or a slice may stay bare
-        orders += self.levels(self.offer.lines - len(orders) - kept, room - len(opening))
+        orders += self.levels(self.offer.lines - len(orders) - kept, min(spare, room - len(opening)))
         for slice_ in opening[:max(0, self.offer.lines - len(orders))]:
             orders.append(face.Empty(slice_.number))
             if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
@@ -374,26 +382,37 @@
                         gain = abs(want - old) * (NEVER if urgent else slice_.rates.get(name, 0.0))
                         due.append((gain, slice_, place, want))
         due.sort(key=lambda item: -item[0])
-        fits = min(spare, self.offer.lines // 2)
         orders: list[face.Order] = []
         for gain, slice_, place, want in due:
-            if len(orders) < (room if gain > SECOND else fits):
+            if len(orders) < (room if gain > SECOND else spare):
                 slice_.levels[place] = want
                 orders.append(face.Admit(slice_.number, 1 << place, self.rules.retry, want * self.rules.all))
         return orders
 
     def withdrawals(self) -> Iterable[face.Order]:
         """Guards the drain grace where a slice may not open yet; joiners are told again who is out or in."""
-        held = {slice_.owner for slice_ in self.slices.values()}
+        held, now = {slice_.owner for slice_ in self.slices.values()}, self.mail.now
+        # Guards the channel: who is in was said again of all servers at once, every 2 s while proxies joined, and
+        # the next withdrawals waited behind that. It takes its time now, a part of what rule 1 allows.
+        if now >= self.repeat_at and not self.repeats and (again := self.again & held - self.out.keys()):
+            self.repeats, self.repeat_at = again, now + self.rules.bare_us // 8
+            self.again -= again
+        room = self.offer.ordinary // 2
         for number, standing in self.standings.items():
-            out, again = standing.state == "out", number in self.again
-            if out and number in held and (again or number not in self.out) or not out and (
-                    number in self.out or again and number in held and self.mail.now >= self.again_at):
-                self.out.setdefault(number, self.mail.now) if out else self.out.pop(number, None)
-                self.again.discard(number)
-                yield face.Withdraw(number, out)
-        if self.mail.now >= self.again_at:
-            self.again_at = self.mail.now + 2 * SECOND
+            out = standing.state == "out"
+            if out and number in held and (number in self.again or number not in self.out):
+                self.out.setdefault(number, now)
+            elif not out and number in self.out:
+                self.lifted.add(number)
+                del self.out[number]
+            elif not out and number in self.repeats and room > 0:
+                room -= 1
+            else:
+                continue
+            self.again.discard(number)
+            self.repeats.discard(number)
+            yield face.Withdraw(number, out)
+        self.repeats -= self.out.keys()
 
     def to_open(self) -> list[Slice]:
         """Which slices leave their owner now: all of those that drain, died or fell ill come first."""
@@ -510,8 +529,9 @@
                     cleared = min(proxy.answered if proxy.joined or proxy.gone_at > now - rules.lease_us
                                   else NEVER for proxy in self.proxies.values())
                     settle_us = min(int(self.slowest.read(now)), rules.lease_us * 9 // 10)
-                    self.mail.post(self.table, Offer(lines, left > rules.messages_most // 3, self.mark + 1,
-                                                     cleared, settle_us, self.unmarked))
+                    ordinary = lines - int(rules.queue_lines / 4 / self.joined)
+                    self.mail.post(self.table, Offer(lines, (left > rules.messages_most // 3) * max(0, ordinary),
+                                                     self.mark + 1, cleared, settle_us, self.unmarked))
             case list() as orders:  # the table's for this turn
                 self.mark, self.unmarked = self.mark + 1, False
                 self.written.append(now)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -419,3 +419,44 @@
     looks.clear()
     orders = turn(now + 41 * MS, [face.Listed("changes", (face.Entry(107, "west", "draining", 1.0, None),))])
     assert face.Withdraw(107, True) in orders
+
+
+@pytest.mark.parametrize("met", [False, True])
+def test_who_is_in_is_said_again_behind_no_withdrawal_and_only_to_whom_it_may_matter(met: bool) -> None:
+    """137 servers were let in again in one message to 1,584 proxies that rejoined; withdrawals waited behind it."""
+    told = deployment(proxies=400, slices=300, lines_per_s=20_000.0, queue_lines=40_000.0, messages_most=0)
+    now, controller = 100 * SECOND, Controller(told, 1, 100 * SECOND)
+    servers = [face.Entry(100 + n, "east", "ready", 1.0, None) for n in range(100)]
+    held = [event for n in range(300) for event in (face.Given(n, True), face.Held(n, 100 + n % 100))]
+    joined = [face.Joined(proxy, False, "east", 1.0) for proxy in range(400)]
+    controller.turn(now, [face.Listed("whole", tuple(servers)), *held, *(
+        face.Joined(proxy, True, "east", 1.0) for proxy in range(400 if met else 0))])
+    lifted: list[int] = []
+    controller.turn(now, [face.Left(proxy) for proxy in range(400 if met else 0)] + joined)
+    for _ in range(400):
+        now += 50 * MS
+        orders = controller.turn(now, [])
+        lifted += [order.backend for order in orders if isinstance(order, face.Withdraw)]
+        assert controller.channel.waiting <= told.queue_lines / 4 + 400 * 2
+    assert sorted(lifted) == ([] if met else [server.backend for server in servers])
+    controller.turn(now, joined[:1] if met else [face.Joined(7, False, "east", 1.0)])
+    orders = controller.turn(now + SECOND, [face.Listed("changes", (servers[4]._replace(state="draining"),))])
+    assert face.Withdraw(104, True) in orders
+
+
+def test_a_proxy_that_an_earlier_life_kept_from_a_server_is_let_in_again_in_time() -> None:
+    fleet = Fleet(deployment(), 6, seed=21)
+    fleet.run(3)
+    fleet.change(103, "gone")
+    fleet.run(9)
+    assert any(103 in proxy.out for proxy in fleet.proxies)
+    fleet.crash()
+    fleet.change(103, "ready", born=fleet.now)
+    fleet.start()
+    for number in range(4):
+        fleet.join(number)
+    fleet.run(2)
+    for backend in (100, 101, 102, 104):
+        fleet.change(backend, "draining")
+    fleet.run(30)  # the model holds rule 1
+    assert 103 in owners(fleet) and not any(103 in proxy.out for proxy in fleet.proxies)
