Let probes wait in line, waits for the registry grow, and limits follow the fleet's size

Need: what is harmless in one controller and harmful in 230. All controllers of a restart probed every server in the same 50 ms, and asked a failing registry each second for ever. Change: probes beyond 64 at once wait in line, first come first served. A start spreads its probes over one lease, in which nothing moves. Waits for the registry grow from 1 s to 3 s in the mean, each by the controller's own chance; the longest (4.5 s) and a call stay under the 6 s after which what it has to tell counts as told. An idle guard for lost watches waits longer than that. Events of one turn are bounded by what a relay may tell at once (all proxies and slices), where that is more than 20,000. A list may hold 4,096 servers. A start with 96 to 255 descriptors is no longer refused: fewer places are given out. Where the settings name no zone, messages need not either.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -116,7 +116,7 @@
         self.alive = not rules.may_probe  # as probes have it
         self.mode, self.since, self.away_us = "well", mail.now, 8 * SECOND
         self.tries, self.done, self.spent = (Fading(2 * SECOND) for _ in range(3))
-        self.fit, self.fit_at, self.probe_at, self.misses = 1.0, 0, 0, 0
+        self.fit, self.fit_at, self.probe_at, self.misses = 1.0, 0, mail.now, 0
         self.waiting: float | None = None
         self.speed, self.rate, self.busy, self.good_at = 0.0, 0.0, 0.0, mail.now
         self.held = 0.0  # what held connections cost it, in visits a second
@@ -621,7 +621,7 @@
         self.table = Ledger(self.mail, self.rules) if told.slices else Spread(self.mail, self.rules)
         self.table.backends = self.backends
         self.channel = self.table.channel = Channel(self.mail, self.rules, told.proxies, self.table)
-        self.ask_at, self.woken_at = now if told.asks_for_list else NEVER, -1
+        self.ask_at, self.woken_at, self.patience_us = now if told.asks_for_list else NEVER, -1, SECOND
 
     def turn(self, now: int, events: Sequence[face.Event]) -> list[face.Order]:
         mail, self.mail.now, self.mail.orders = self.mail, now, []
@@ -657,8 +657,14 @@
             self.mail.post(self.backends[event.backend], face.Probed(event.backend, 0, 0, None))
         match event:
             case face.Listed(kind, entries):
+                # Guards the registry, which serves all controllers in turn: after a cut or a release all ask at once,
+                # so waits grow while calls fail, each by its own chance. What it has to tell counts as told after
+                # 6 s in any case: the longest wait, 4.5 s, and a call's second stay under that.
                 if kind == "lost":
-                    self.ask_at = self.mail.now + int(SECOND * (0.5 + self.mail.chance.draw()))
+                    self.ask_at = self.mail.now + int(self.patience_us * (0.5 + self.mail.chance.draw()))
+                    self.patience_us = min(self.patience_us * 3 // 2, 3 * SECOND)
+                elif kind != "remembered":
+                    self.patience_us = SECOND
                 if kind in ("whole", "remembered"):  # what is left out is gone
                     named = {entry.backend for entry in entries}
                     entries += tuple(face.Entry(number, backend.zone, "gone", backend.weight, None)
@@ -666,6 +672,8 @@
                 for entry in entries:
                     if (number := entry.backend) not in self.backends:
                         self.backends[number] = Backend(self.mail, number, self.rules, self.table)
+                        if kind == "remembered":  # Guards servers: all controllers that start at once probe them all
+                            self.backends[number].probe_at += int(self.mail.chance.draw() * self.rules.lease_us)
                     self.mail.post(self.backends[number], entry)
             case face.Met(backend) | face.Probed(backend) | face.Holding(backend) if backend in self.backends:
                 self.mail.post(self.backends[backend], event)
--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -91,6 +91,10 @@
             raise WireError(f"{number} where {most} is the end")
         return number
 
+    def _where(self, value: dict[str, Any]) -> Any:
+        """The zone that a message names; where the settings name none, it may be left out."""
+        return value["locality"] if self.told.zones else value.get("locality") or ""
+
     def load(self, text: str, between: str) -> tuple[float | None, ...] | None:
         """A load report in the order of the deployment's fields; what is missing is None, one odd figure spoils it."""
         pairs = (pair.strip().partition(between) for pair in text.split(","))
@@ -104,7 +108,7 @@
     # collectors
 
     def _zone(self, value: str) -> str:
-        if value not in self.told.zones:
+        if value not in (self.told.zones or ("",)):
             raise WireError(f"unknown zone {value[:40]!r}")
         return value
 
@@ -117,13 +121,13 @@
             value = dict(word.split("=", 1) for word in words)
             match kind:
                 case "SOURCE":
-                    return kind, self._zone(value["locality"])
+                    return kind, self._zone(self._where(value))
                 case "LOAD":
                     tries, lost = whole(value["total"]), whole(value["errors"])
                     if lost > tries:
                         raise WireError(f"{lost} of {tries} failed")
                     load = self.load(value["metrics"], ":") if value.get("metrics") else None
-                    return kind, face.Met(self._id(value["endpoint"]), self._zone(value["locality"]), lost, tries,
+                    return kind, face.Met(self._id(value["endpoint"]), self._zone(self._where(value)), lost, tries,
                                           micros(value["rtt"]), micros(value["interval"]), load)
                 case "SHARD":
                     if value["route"] not in self.classes:
@@ -146,7 +150,7 @@
                 case "SUBSCRIBE":
                     rate = figure(value["w"]) if value.get("w") else None
                     return face.Joined(self._below(value["node"], self.told.proxies), flag(value["cold"]),
-                                       value["locality"], rate)
+                                       self._where(value), rate)
                 case "CLOSED":
                     return face.Left(self._below(value["node"], self.told.proxies))
                 case "ACK":
@@ -186,7 +190,7 @@
                 # A start is a moment: it exceeds every span, and was once refused as too large a figure.
                 born = round(figure(member.get("up_since_ms") or 0, UNIX_MS_MOST) * 1000)
                 size = figure(member.get("size") or 0)
-                entries.append(face.Entry(name, str(member["locality"]), STATES[member["phase"]],
+                entries.append(face.Entry(name, str(self._where(member)), STATES[member["phase"]],
                                           size if SIZES[0] <= size <= SIZES[1] else None, born or None))
                 if isinstance(address := member.get("host_port"), str):
                     addresses[name] = address
--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -61,7 +61,7 @@
             part = "settings"
             told = deployment.read(given["settings"])
             part = "limits"
-            limits = Limits.within(int((given.get("limits") or {}).get("sockets", 1024)))
+            limits = Limits.within(int((given.get("limits") or {}).get("sockets", 1024)), told.proxies, told.slices)
             part = "known"
             known = Codec(told, limits.id_bytes).listed(
                 given.get("known") or {"revision": 0, "complete": False, "members": []})
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+LEAST_SOCKETS = 96  # the process, relay and registry need some twenty of them
+
 
 @dataclass(frozen=True, slots=True)
 class Limits:
@@ -20,12 +22,12 @@
     unsent_bytes: int = 16 << 10  # answers to pings that nobody reads
 
     # counts
-    connections: int = 128  # at the listening address
+    connections: int = 128  # at the listening address, of the 256 descriptors that a start is sure of
     at_once: int = 32  # taken at once, beyond those
     backlog: int = 1024  # wait to be taken, in the system's hands
-    probes: int = 64  # under way at once; at a start the whole fleet is probed
-    events: int = 20_000  # gathered for one turn, sums among them; twice as many without
-    servers: int = 2_000  # in one list; the addresses of twice as many are kept
+    probes: int = 64  # under way at once; the others wait in line, at most as many as there are servers
+    events: int = 20_000  # gathered for one turn, sums among them; twice as many without. More where all that stands is more
+    servers: int = 4_096  # in one list; the addresses of twice as many are kept
     unreadable: int = 20  # lines in a row, of a collector that has joined, before its stream counts as spoilt for good
 
     # times
@@ -34,7 +36,7 @@
     answer_us: int = 200_000  # a relay answers within 50 ms or never; the rest is for a late wake-up here
     list_us: int = 2_000_000  # until the list or the head of a watch's answer comes
     watch_quiet_us: int = 3_000_000  # a watch gives a sign of life every 2 s
-    unasked_us: int = 2_500_000  # a lost watch that nobody asks for again is opened all the same
+    unasked_us: int = 5_500_000  # a lost watch that nobody asks for again is opened all the same
     news_quiet_us: int = 2_500_000  # the relay gives a sign of life each second
     told_us: int = 500_000  # until the relay begins to tell what stands, and again until it is done
     picture_us: int = 100_000  # news that pause for so long have told all that stands
@@ -48,8 +50,12 @@
     stop_us: int = 300_000  # for connections to close at the end
 
     @classmethod
-    def within(cls, sockets: int) -> Limits:
-        """Leaves a part of the descriptors to the relay, the registry, probes and the process itself."""
-        if sockets < 256:
-            raise ValueError(f"limits.sockets {sockets}: at least 256 are needed")
-        return cls(connections=min(cls().connections, sockets // 2))
+    def within(cls, sockets: int, proxies: int = 0, slices: int = 0) -> Limits:
+        """Shares out the descriptors: half to the listening address, a quarter to probes, the rest to relay, registry
+        and the process itself. What a relay may tell at once, all proxies and slices, goes into one turn.
+        """
+        usual = cls()
+        if sockets < LEAST_SOCKETS:
+            raise ValueError(f"limits.sockets {sockets}: at least {LEAST_SOCKETS} are needed")
+        return cls(connections=min(usual.connections, sockets // 2), probes=min(usual.probes, sockets // 4),
+                   at_once=min(usual.at_once, sockets // 16), events=max(usual.events, 2 * proxies + 3 * slices))
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -17,21 +17,40 @@
 
 
 class Probes:
-    """At most one probe of a server at a time, and so many of all."""
+    """At most one probe of a server at a time, and so many of all; the others wait in line, first come first served.
+
+    Guards against a zone that fell silent: its servers' probes took all places each second, always the same ones
+    first, and others were never probed.
+    """
 
     def __init__(self, tell: Callable[[face.Event], None], codec: Codec, limits: Limits,
                  counters: Counters) -> None:
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
         self.log = Part("probes", limits.log_every_us)
         self.under_way: dict[face.BackendId, asyncio.Task[None]] = {}
+        self.line: dict[face.BackendId, str] = {}  # those that wait, with their addresses
 
     def start(self, backend: face.BackendId, address: str | None) -> None:
-        if backend in self.under_way or len(self.under_way) >= self.limits.probes or address is None:
+        if backend in self.under_way or backend in self.line or address is None or (
+                len(self.line) >= self.limits.servers):
             self.counters["probes.left_out"] += 1  # the module asks again
             self.log.seldom("probe left out", server=backend, address=address, under_way=len(self.under_way))
             return
-        self.counters["probes.sent"] += 1
-        self.under_way[backend] = asyncio.create_task(self.probe(backend, address))
+        self.line[backend] = address
+        self.go_on()
+
+    def go_on(self) -> None:
+        """Begins the next in line where there is room."""
+        while self.line and len(self.under_way) < self.limits.probes:
+            backend, address = next(iter(self.line.items()))
+            del self.line[backend]
+            self.counters["probes.sent"] += 1
+            self.under_way[backend] = asyncio.create_task(self.probe(backend, address))
+
+    def close(self) -> list[asyncio.Task[None]]:
+        """Begins no further one; those under way are the caller's to end."""
+        self.line.clear()
+        return [*self.under_way.values()]
 
     async def probe(self, backend: face.BackendId, address: str) -> None:
         """The life of a probe."""
@@ -56,6 +75,7 @@
             if link:
                 link.close()
             self.under_way.pop(backend, None)
+            self.go_on()
             self.counters[f"probes.reason_{reason}"] += 1
         took_us = (time.monotonic_ns() - began) // 1000
         self.tell(face.Probed(backend, reason, took_us, load))
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -95,7 +95,7 @@
             self.collectors.close()
             for party in (self.calls, self.news.place, self.registry.place):
                 party.close()
-            ending = [*tasks, *self.probes.under_way.values()]
+            ending = [*tasks, *self.probes.close()]
             for task in ending:
                 task.cancel()
             await asyncio.wait([*ending, *self.collectors.tasks], timeout=self.limits.stop_us / 1e6)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -421,6 +421,42 @@
     assert face.Withdraw(107, True) in orders
 
 
+def test_waits_for_a_registry_that_fails_grow_differ_and_end_with_its_answer() -> None:
+    """All controllers ask it at once after a cut; what it has to tell counts as told after 6 s all the same."""
+    def waits(seed: int) -> list[int]:
+        now, found = 100 * SECOND, []
+        controller = Controller(deployment(asks_for_list=True), seed, now)
+        assert face.Follow() in controller.turn(now, [])
+        for _ in range(12):
+            orders, lost = controller.turn(now, [face.Listed("lost", ())]), now
+            while face.Follow() not in orders:
+                orders = controller.turn(now := now + 50 * MS, [])
+            found.append(now - lost)
+        controller.turn(now, [face.Listed("changes", ())])
+        controller.turn(now, [face.Listed("lost", ())])
+        assert face.Follow() in controller.turn(now + 1550 * MS, [])
+        return found
+    several = [waits(seed) for seed in range(20)]
+    assert max(max(found) for found in several) <= 4.6 * SECOND
+    firsts, lasts = [found[0] for found in several], [sum(found[-4:]) / 4 for found in several]
+    assert max(firsts) <= 1.6 * SECOND and max(firsts) - min(firsts) > 0.5 * SECOND
+    assert sum(lasts) / 20 > 2.5 * SECOND
+
+
+def test_controllers_that_start_at_once_probe_no_server_all_at_once() -> None:
+    servers = tuple(face.Entry(n, "east", "ready", 1.0, None) for n in range(100))
+    at: list[int] = []
+    for seed in range(30):
+        now = 100 * SECOND
+        controller = Controller(deployment(), seed, now)
+        orders = controller.turn(now, [face.Listed("remembered", servers)])
+        while face.Probe(0) not in orders:
+            orders = controller.turn(now := now + 50 * MS, [])
+        at.append(now - 100 * SECOND)
+    assert max(at) <= 1.3 * SECOND  # a lease, in which nothing moves yet
+    assert max(at.count(moment) for moment in at) < 6
+
+
 @pytest.mark.parametrize("met", [False, True])
 def test_who_is_in_is_said_again_behind_no_withdrawal_and_only_to_whom_it_may_matter(met: bool) -> None:
     """137 servers were let in again in one message to 1,584 proxies that rejoined; withdrawals waited behind it."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -730,6 +730,32 @@
     play(test())
 
 
+def test_servers_that_answer_nothing_keep_no_other_from_its_probe() -> None:
+    """A zone of 97 servers fell silent: its probes took all 64 places every second, always the same ones first."""
+    async def test() -> None:
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+
+        async def well(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            state = h11.Connection(h11.SERVER)
+            await asked(reader, state)
+            writer.write(answered(state, 200, b""))
+        heard: list[face.Probed] = []
+        async with Party(silent) as mute, Party(well) as good:
+            counters = Counters()
+            probes = Probes(heard.append, CODEC, replace(QUICK, probes=3, probe_us=40 * MS), counters)
+            for number in range(12):
+                probes.start(f"s-{number}", mute.address)
+            for number in range(12, 20):
+                probes.start(f"s-{number}", good.address)
+            probes.start("s-5", mute.address)  # waits already
+            assert len(probes.under_way) == 3
+            await until(lambda: len(heard) == 20)
+            assert [told.backend for told in heard if told.reason == 0] == [f"s-{n}" for n in range(12, 20)]
+            assert counters["probes.left_out"] == 1 and not probes.line and not probes.under_way
+    play(test())
+
+
 # the whole
 
 
