--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -398,9 +398,11 @@
         if now >= self.repeat_at and not self.repeats and (again := self.again & held - self.out.keys()):
             self.repeats, self.repeat_at = again, now + self.rules.bare_us // 8
             self.again -= again
-        room = self.offer.ordinary // 2
+        room, left = self.offer.ordinary // 2, self.offer.lines
         for number, standing in self.standings.items():
             out = standing.state == "out"
+            if left <= 0:  # Guards the queue where most of a fleet drains at once; the rest comes first next time.
+                break
             if out and number in held and (number in self.again or number not in self.out):
                 self.out.setdefault(number, now)
             elif not out and number in self.out:
@@ -410,6 +412,7 @@
                 room -= 1
             else:
                 continue
+            left -= 1
             self.again.discard(number)
             self.repeats.discard(number)
             yield face.Withdraw(number, out)
