Tell who rejoins what was said since its last answer; ask the registry sooner

Proxy 3 was away from 118.25 to 120.1 s; at 119.8 s its controller let s19 in again, which an earlier life had shut out and which came back under its own id. Proxy 3 counted as met, so it was never told. Cause: Ledger.take, 'proxy in self.met': whoever has joined before has not taken all since. Change: the channel knows the last mark that a proxy answered in this life; the ledger notes under which mark each server was last said to be out or in. A joiner is told what was said later; one that never answered, of all. Waits for the registry grow to 1.5 s in the mean only, so that several calls fit into the 6 s, and a loss told twice puts nothing off.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -79,6 +79,13 @@
     unmarked: bool  # some proxy has joined since the last mark
 
 
+class Missed(NamedTuple):
+    """A proxy that has joined may not have taken what was said after this mark (-1: any of this life)."""
+
+    first: bool  # it has no earlier stream, and holds nothing
+    mark: int
+
+
 class Mail:
     """The inboxes of all parts, emptied by one loop, and the orders of the turn."""
 
@@ -267,8 +274,7 @@
         self.out: dict[int, int] = {}  # servers shut out, since when ...
         self.again: set[int] = set()  # ... and those of which joiners may have heard otherwise
         self.repeats: set[int] = set()  # of these, those that are about to be let in again
-        self.lifted: set[int] = set()  # let in again in this life
-        self.met: set[int] = set()  # proxies that have joined in this life
+        self.said: dict[int, int] = {}  # whether it is out was last said under this mark
         self.relieved: dict[int | None, int] = {}
         self.channel: Part
 
@@ -278,7 +284,8 @@
             case Standing(backend, "past") if backend not in self.out:  # proxies let it in again first
                 for known in (self.backends, self.standings, self.relieved):
                     known.pop(backend, None)
-                for noted in (self.again, self.repeats, self.lifted):
+                self.said.pop(backend, None)
+                for noted in (self.again, self.repeats):
                     noted.discard(backend)
             case Standing(backend):
                 self.standings[backend] = note
@@ -293,12 +300,11 @@
                 if number in self.slices and over_us:
                     demand = self.slices[number].demand
                     demand.setdefault(visit_class, Fading(self.rules.demand_us)).add(now, visits)
-            case face.Joined(proxy, first, _, _):
-                # A joiner may have missed what was said last, and holds what an earlier stream shut out: one not
-                # met yet may hold what an earlier life of this controller shut out.
-                self.again |= self.out.keys() if first else self.out.keys() | self.lifted if (
-                    proxy in self.met) else self.backends.keys()
-                self.met.add(proxy)
+            case Missed(first, mark):
+                # A joiner may have missed what was said last, and holds what an earlier stream shut out: one that
+                # has answered nothing yet may hold what an earlier life of this controller shut out.
+                later = {number for number, said in self.said.items() if said > mark}
+                self.again |= self.out.keys() if first else later if mark >= 0 else self.backends.keys()
             case Offer():
                 self.offer = note
                 self.compose()
@@ -406,7 +412,6 @@
             if out and number in held and (number in self.again or number not in self.out):
                 self.out.setdefault(number, now)
             elif not out and number in self.out:
-                self.lifted.add(number)
                 del self.out[number]
             elif not out and number in self.repeats and room > 0:
                 room -= 1
@@ -415,6 +420,7 @@
             left -= 1
             self.again.discard(number)
             self.repeats.discard(number)
+            self.said[number] = self.offer.mark
             yield face.Withdraw(number, out)
         self.repeats -= self.out.keys()
 
@@ -493,6 +499,7 @@
     answered: int = -1
     gone_at: int = 0
     since: float = 0.0  # lines written to each proxy until it joined
+    took: int = -1  # the last mark answered on earlier streams of this life
 
 
 class Channel(Part):
@@ -512,10 +519,14 @@
     def take(self, note: Any) -> None:
         now, rules = self.mail.now, self.rules
         match note:
-            case face.Joined(number, _, _, _):
-                self.proxies[number], self.unmarked = Proxy(True, since=self.lines), True
+            case face.Joined(number, first, _, _):
+                old = self.proxies.get(number, Proxy())
+                took = -1 if first else max(old.answered, old.took)
+                self.proxies[number], self.unmarked = Proxy(True, since=self.lines, took=took), True
+                self.mail.post(self.table, Missed(first, took))
             case face.Left(number):
-                self.proxies[number] = Proxy(False, self.proxies.get(number, Proxy()).answered, now)
+                old = self.proxies.get(number, Proxy())
+                self.proxies[number] = Proxy(False, old.answered, now, took=max(old.answered, old.took))
             case face.Answered(number, mark, took_us):
                 if (proxy := self.proxies.get(number)) and proxy.joined:
                     proxy.answered = max(proxy.answered, self.mark - (self.mark - mark) % (1 << 16))
@@ -678,11 +689,11 @@
             case face.Listed(kind, entries):
                 # Guards the registry, which serves all controllers in turn: after a cut or a release all ask at once,
                 # so waits grow while calls fail, each by its own chance. What it has to tell counts as told after
-                # 6 s in any case: the longest wait, 4.5 s, and a call's second stay under that.
-                if kind == "lost":
+                # 6 s in any case, so several calls must fit into that.
+                if kind == "lost" and self.ask_at == NEVER:
                     self.ask_at = self.mail.now + int(self.patience_us * (0.5 + self.mail.chance.draw()))
-                    self.patience_us = min(self.patience_us * 3 // 2, 3 * SECOND)
-                elif kind != "remembered":
+                    self.patience_us = min(self.patience_us * 5 // 4, 3 * SECOND // 2)
+                elif kind not in ("lost", "remembered"):
                     self.patience_us = SECOND
                 if kind in ("whole", "remembered"):  # what is left out is gone
                     named = {entry.backend for entry in entries}
