--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -1,7 +1,8 @@
-"""How many calls a registry gets, and when the last controller knows the list, after all watches ended at once.
+"""How many calls a registry gets, and when the last controller knows the list, after all watches ended.
 
-Simulated time, the real decision module. The stand-in serves callers in turn, so many calls a second that one of each controller
-takes `--all-s` seconds; a caller that would wait over a second is turned away, which costs it a part of a call too.
+Simulated time, the real decision module. The stand-in serves callers in turn, so many calls a second that
+one of each controller takes `--all-s` seconds; a caller that would wait over a second is turned away, which
+costs a part of a call too.
 
     python benchmarks/registry_herd.py --down 5
 """
@@ -19,13 +20,16 @@
 
 def told() -> face.Deployment:
     return face.Deployment(
-        classes=(face.VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),), zones=(), proxies=1, slices=1, lease_us=SECOND,
-        linger_us=SECOND, bare_us=10 * SECOND, lines_per_s=1e4, head_lines=12, queue_lines=2e4, messages_most=0, messages_over_us=0,
-        report_every_us=SECOND, usual_retry=1, asks_for_list=True, may_probe=False, gone_binds=True, admits="share", cold_us=SECOND,
-        cold_share=0.2, fall_multiple=2.5, load_fields=())
+        classes=(face.VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),),
+        zones=(), proxies=1, slices=1, lease_us=SECOND, linger_us=SECOND, bare_us=10 * SECOND,
+        lines_per_s=1e4, head_lines=12, queue_lines=2e4, messages_most=0, messages_over_us=0,
+        report_every_us=SECOND, usual_retry=1, asks_for_list=True, may_probe=False, gone_binds=True,
+        admits="share", cold_us=SECOND, cold_share=0.2, fall_multiple=2.5, load_fields=())
 
 
-def play(count: int, down_s: float, all_s: float, turned_away: float, grows: bool, seed: int) -> tuple[list[int], float]:
+def play(
+    count: int, down_s: float, all_s: float, turned_away: float, grows: bool, seed: int
+) -> tuple[list[int], float]:
     """Calls in each second from the moment that all watches end, and when the last one was served."""
     now = 100 * SECOND
     begin, up_at = now, now + int(down_s * SECOND)
@@ -44,7 +48,7 @@
                 served[who] = now
         later = [one for one in later if one[0] > now]
         for who, controller in enumerate(controllers):
-            if served[who] or not news[who] and now < controller.woken_at:
+            if served[who] or (not news[who] and now < controller.woken_at):
                 continue
             if not grows:
                 controller.patience_us = SECOND
@@ -68,7 +72,7 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0], prog=Path(__file__).name)
     parser.add_argument("--down", type=float, default=5.0, help="seconds that the registry is down")
     parser.add_argument("--all-s", type=float, default=5.0, help="seconds for one call of each controller")
-    parser.add_argument("--turned-away", type=float, default=0.3, help="what turning one away costs, of a call")
+    parser.add_argument("--turned-away", type=float, default=0.3, help="cost of turning one away, of a call")
     parser.add_argument("--seed", type=int, default=1)
     given = parser.parse_args()
     for count in (1, 5, 50, 230):
@@ -76,7 +80,8 @@
             calls, last = play(count, given.down, given.all_s, given.turned_away, grows, given.seed)
             while calls and not calls[-1]:
                 calls.pop()
-            print(f"{count:4d} controllers, waits {'grow ' if grows else 'fixed'}: {sum(calls):5d} calls, the last one served after "
+            waits = "grow " if grows else "fixed"
+            print(f"{count:4d} controllers, waits {waits}: {sum(calls):5d} calls, the last one served after "
                   f"{last:.1f} s; a second: {' '.join(map(str, calls[:24]))}")
 
 
