--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import time
+from io import StringIO
+from pathlib import Path
 
 import pytest
 
@@ -13,12 +15,14 @@
 from lapispass.balance import Controller
 from lapispass.core import ownership
 from lapispass.core.membership import Members
+from lapispass.drill.codec import read_batches
 from lapispass.net.codec import Codec, Listing
 from lapispass.net.counters import Counters
 from lapispass.net.launch import Launch
 from lapispass.net.limits import Limits
 from lapispass.net.probes import Probes
 from lapispass.net.registry import Registry
+from lapispass.operator import read as operator
 
 MANY = 1024
 
@@ -110,6 +114,26 @@
     assert ownership.shares(200, dict(reversed(weights.items()))) == shares
 
 
+def test_an_operator_file_of_1024_nodes_is_taken_and_its_findings_named(tmp_path) -> None:
+    text = Path("deploy/xds.textproto").read_text("utf-8").split("node {")[0]
+    text = text.replace("slices: 12", f"slices: {5 * MANY}") + "\n".join(
+        f'node {{ id: "n{n}" address: "127.0.0.1:{20000 + n}" zone: "east" }}' for n in range(MANY))
+    file = tmp_path / "many.textproto"
+    file.write_text(text)
+    source = operator.read(file)
+    assert len(source.told.node) == MANY and not list(operator.check(source))
+    file.write_text(text.replace('id: "n1023"', 'id: "n1"'))
+    with pytest.raises(operator.BadFile, match=r":1038: node\[1023\].id: 'n1' stands twice"):
+        operator.read(file)
+
+
+def test_the_drill_takes_a_list_of_1024() -> None:
+    entries = "\n".join(f"ENTRY\t{n}\teast\tm2\t0\tlive\t1\t-" for n in range(MANY))
+    batches = read_batches(StringIO(f"SYNC\t5000\t1\nTOPOLOGY\t3\ttotal\t41\t{MANY}\n{entries}\nEOF_BATCH\n"))
+    events = [event for batch in batches for _, event in batch.news]
+    assert len(events) == 1 and len(events[0].entries) == MANY
+
+
 def cost(servers: int, proxies: int, mine: int, looks: int) -> float:
     """Processor time of a look at all, the least of several rounds."""
     controller, now = world(servers, proxies, 5 * servers, mine)
