Let ordinary turns follow each other again; put a test's seeds back where they belong

Line at fault: Channel.take, 'now >= last + 4 * rules.gap_us': with 30 messages in 10 s it held back levels and relief.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -556,7 +556,7 @@
                     cleared = min(proxy.answered if proxy.joined or proxy.gone_at > now - rules.lease_us
                                   else NEVER for proxy in self.proxies.values())
                     settle_us = min(int(self.slowest.read(now)), rules.lease_us * 9 // 10)
-                    may = left > rules.messages_most // 3 and now >= last + 4 * rules.gap_us
+                    may = left > rules.messages_most // 3
                     idle = (lines + 1) // 2 if self.waiting < rules.queue_lines / 8 else 0  # where the queue is tight
                     ordinary = may * max(idle, lines - int(rules.queue_lines / 4 / self.joined))
                     self.mail.post(self.table, Offer(lines, ordinary, self.mark + 1, cleared, settle_us, self.unmarked))
--- a/tests/test_roll.py
+++ b/tests/test_roll.py
@@ -33,13 +33,13 @@
     return world
 
 
-@pytest.mark.parametrize("seed", range(4))
 def test_who_rejoins_is_told_what_was_said_while_it_was_away() -> None:
     """Found by seed 10: let in again while a proxy was away, a server under its old id was shut out there for good."""
     world = roll(10, seconds=35)
     assert not world.breaches, world.breaches[0]
 
 
+@pytest.mark.parametrize("seed", range(4))
 def test_a_roll_of_servers_and_controllers_breaks_no_rule(seed: int) -> None:
     world = roll(seed)
     assert not world.breaches, "\n".join(world.breaches[:5])
