--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -270,7 +270,7 @@
         self.backends: dict[int, Backend] = {}
         self.slices: dict[int, Slice] = {}
         self.standings: dict[int, Standing] = {}
-        self.offer = Offer(0, False, 0, -1, SECOND, False)
+        self.offer = Offer(0, 0, 0, -1, SECOND, False)
         self.out: dict[int, int] = {}  # servers shut out, since when ...
         self.again: set[int] = set()  # ... and those of which joiners may have heard otherwise
         self.repeats: set[int] = set()  # of these, those that are about to be let in again
@@ -303,8 +303,12 @@
             case Missed(first, mark):
                 # A joiner may have missed what was said last, and holds what an earlier stream shut out: one that
                 # has answered nothing yet may hold what an earlier life of this controller shut out.
-                later = {number for number, said in self.said.items() if said > mark}
-                self.again |= self.out.keys() if first else later if mark >= 0 else self.backends.keys()
+                if first:
+                    self.again |= self.out.keys()
+                elif mark < 0:
+                    self.again |= self.backends.keys()
+                else:
+                    self.again |= {number for number, said in self.said.items() if said > mark}
             case Offer():
                 self.offer = note
                 self.compose()
@@ -525,8 +529,8 @@
                 self.proxies[number], self.unmarked = Proxy(True, since=self.lines, took=took), True
                 self.mail.post(self.table, Missed(first, took))
             case face.Left(number):
-                old = self.proxies.get(number, Proxy())
-                self.proxies[number] = Proxy(False, old.answered, now, took=max(old.answered, old.took))
+                proxy = self.proxies.setdefault(number, Proxy())
+                proxy.joined, proxy.gone_at = False, now
             case face.Answered(number, mark, took_us):
                 if (proxy := self.proxies.get(number)) and proxy.joined:
                     proxy.answered = max(proxy.answered, self.mark - (self.mark - mark) % (1 << 16))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from lapispass import interface as face
@@ -29,6 +30,21 @@
     return face.Deployment(**{**told, **changes})
 
 
+def standing(entries: Sequence[face.Entry], proxies: int, slices: int, first: bool = True) -> list[face.Event]:
+    """The news that put a controller in the middle of its work: all servers probed, all proxies joined, slices dealt."""
+    owners = [entry.backend for entry in entries]
+    return [face.Listed("whole", tuple(entries)), *(face.Probed(owner, 0, MS, None) for owner in owners),
+            *(face.Joined(number, first, "east", 1.0) for number in range(proxies)),
+            *(event for number in range(slices) for event in (
+                face.Given(number, True), face.Held(number, owners[number % len(owners)])))]
+
+
+def answers(orders: Sequence[face.Order], proxies: int, took_us: int) -> list[face.Event]:
+    """What all proxies answer to the marks among a turn's orders."""
+    return [face.Answered(number, order.number, took_us) for order in orders if isinstance(order, face.Mark)
+            for number in range(proxies)]
+
+
 @dataclass
 class Table:
     """A slice's table: its owner, the count of owners so far, and what is let in."""
@@ -106,6 +122,12 @@
             proxy.joined, proxy.broken_at, proxy.coming = False, self.now, []
             self.news.append(face.Left(number))
 
+    def rejoin_one_by_one(self, numbers: Iterable[int], away_s: float) -> None:
+        for number in numbers:
+            self.leave(number)
+            self.run(away_s)
+            self.join(number)
+
     def change(self, backend: int, state: str, born: int | None = None) -> None:
         old = self.list.get(backend, face.Entry(backend, "east", state, 1.0, None))
         self.list[backend] = old._replace(state=state, born_us=born or old.born_us)
--- a/tests/roll_world.py
+++ b/tests/roll_world.py
@@ -22,7 +22,6 @@
     """A proxy's stream to one controller, and what came over it."""
 
     joined_at: int = -1  # -1: broken
-    broken_at: int = 0
     reads_at: int = 0
     out: set[str] = field(default_factory=set)
     coming: list[tuple[int, int, list[face.Order]]] = field(default_factory=list)  # arrives, issued, orders
@@ -130,7 +129,7 @@
     def leave(self, number: int, one: Instance) -> None:
         stream = self.streams[number][one.number]
         if stream.joined_at >= 0:
-            stream.joined_at, stream.broken_at, stream.coming = -1, self.now, []
+            stream.joined_at, stream.coming = -1, []
             if one.process:
                 self.at(self.some(0, 1), lambda: one.process and stream.joined_at < 0 and one.news.append(face.Left(number)))
                 self.at(self.some(1.1, 3), lambda: self.join(number, one))
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fleet import MS, SECOND, Fleet, deployment
+from fleet import MS, SECOND, Fleet, answers, deployment, standing
 from lapispass import interface as face
 from lapispass.balance import Backend, Chance, Controller, Fading
 
@@ -333,10 +333,7 @@
         fleet.change(backend, "gone")
     fleet.run(0.5)
     fleet.change(110, "draining")
-    for number in range(0, 60, 3):
-        fleet.leave(number)
-        fleet.run(0.1)
-        fleet.join(number)
+    fleet.rejoin_one_by_one(range(0, 60, 3), 0.1)
     fleet.run(30)  # the model counts the lines that wait
     assert None not in owners(fleet) and not owners(fleet) & set(range(100, 111))
 
@@ -462,10 +459,8 @@
     """On ebene 19 messages went out in 5.5 s, who is in a few at a time; for 4.5 s nothing could be withdrawn."""
     told = deployment(proxies=160, slices=260, lines_per_s=60_000.0, queue_lines=120_000.0, messages_most=20)
     now, controller, chance = 100 * SECOND, Controller(told, 1, 100 * SECOND), random.Random(5)
-    controller.turn(now, [
-        face.Listed("whole", tuple(face.Entry(n, "east", "ready", 1.0, None) for n in range(130))),
-        *(face.Probed(n, 0, MS, None) for n in range(130)), *(face.Joined(n, False, "east", 1.0) for n in range(160)),
-        *(event for n in range(260) for event in (face.Given(n, True), face.Held(n, n % 130)))])
+    entries = [face.Entry(n, "east", "ready", 1.0, None) for n in range(130)]
+    controller.turn(now, standing(entries, 160, 260, first=False))
     draining, told_at, slowest, sent = iter(range(120)), {}, 0, []
     for step in range(1200):
         now += 50 * MS
@@ -480,9 +475,8 @@
         for order in orders:
             if isinstance(order, face.Withdraw) and order.out and order.backend in told_at:
                 slowest = max(slowest, now - told_at.pop(order.backend))
-            news = [face.Answered(n, order.number, 90 * MS) for n in range(160)] if isinstance(order, face.Mark) else []
-            if news:
-                controller.turn(now, news)
+        if news := answers(orders, 160, 90 * MS):
+            controller.turn(now, news)
     assert slowest <= 1200 * MS and all(now - since <= 1200 * MS for since in told_at.values())
     assert max(sum(at < one <= at + 10 * SECOND for one in sent) for at in sent) <= 20
 
@@ -492,10 +486,7 @@
                              bare_us=30 * SECOND), 6, seed=22)
     fleet.run(2)
     fleet.change(101, "draining")
-    for number in range(0, 60, 5):
-        fleet.leave(number)
-        fleet.run(0.4)
-        fleet.join(number)
+    fleet.rejoin_one_by_one(range(0, 60, 5), 0.4)
     fleet.run(20)
     assert 101 not in owners(fleet) and None not in owners(fleet)
 
@@ -506,9 +497,7 @@
     told = deployment(proxies=400, slices=300, lines_per_s=20_000.0, queue_lines=40_000.0, messages_most=0)
     now, controller = 100 * SECOND, Controller(told, 1, 100 * SECOND)
     entries = [face.Entry(n, "east", "ready", 1.0, None) for n in range(100)]
-    controller.turn(now, [face.Listed("whole", tuple(entries)), *(face.Probed(n, 0, MS, None) for n in range(100)),
-                          *(face.Joined(n, True, "east", 1.0) for n in range(400)), *(event for n in range(300) for event in (
-                              face.Given(n, True), face.Held(n, n % 100)))])
+    controller.turn(now, standing(entries, 400, 300))
     waiting: list[list[float]] = []  # of each message that has not left whole: its mark, its lines
     most = 0.0
     for step in range(600):
@@ -551,8 +540,7 @@
         now += 50 * MS
         orders = controller.turn(now, [])
         lifted += [order.backend for order in orders if isinstance(order, face.Withdraw)]
-        marks = [order.number for order in orders if isinstance(order, face.Mark)]
-        controller.turn(now, [face.Answered(n, mark, 90 * MS) for mark in marks for n in range(400)])
+        controller.turn(now, answers(orders, 400, 90 * MS))
         assert controller.channel.waiting <= told.queue_lines / 4 + 400 * 2
     assert sorted(lifted) == ([] if met else [server.backend for server in servers])
     controller.turn(now, joined[:1] if met else [face.Joined(7, False, "east", 1.0)])
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from fleet import MS, SECOND, deployment
+from fleet import MS, SECOND, answers, deployment, standing
 from lapispass import interface as face
 from lapispass.balance import Controller
 from lapispass.core import ownership
@@ -38,11 +38,8 @@
     told = deployment(proxies=proxies, slices=slices, lines_per_s=slices * proxies / 6, queue_lines=slices * proxies / 3,
                       messages_most=0, asks_for_list=True)
     controller = Controller(told, 1, now)
-    entries = tuple(face.Entry(f"s-{n}", "east", "ready", 1.0, None) for n in range(servers))
-    controller.turn(now, [
-        face.Listed("whole", entries), *(face.Probed(f"s-{n}", 0, MS, None) for n in range(servers)),
-        *(face.Joined(n, True, "east", 1.0) for n in range(proxies)),
-        *(event for n in range(mine) for event in (face.Given(n, True), face.Held(n, f"s-{n % servers}")))])
+    entries = [face.Entry(f"s-{n}", "east", "ready", 1.0, None) for n in range(servers)]
+    controller.turn(now, standing(entries, proxies, mine))
     return controller, now
 
 
@@ -97,8 +94,7 @@
         orders, news = controller.turn(now, news), []
         told += orders
         assert controller.channel.waiting <= 0.8 * 3 * MANY * 40 / 3
-        marks = [order.number for order in orders if isinstance(order, face.Mark)]
-        controller.turn(now, [face.Answered(n, mark, 50 * MS) for mark in marks for n in range(40)])
+        controller.turn(now, answers(orders, 40, 50 * MS))
     assert {order.backend for order in told if isinstance(order, face.Withdraw)} == {f"s-{n}" for n in range(0, MANY, 2)}
     owners = [slice_.owner for slice_ in controller.table.slices.values()]
     assert len(owners) == 2 * MANY and all(owner and int(owner[2:]) % 2 for owner in owners)
@@ -179,8 +175,7 @@
         for step in range(40):
             now += 100 * MS
             orders = controller.turn(now, [])
-            marks = [order.number for order in orders if isinstance(order, face.Mark)]
-            controller.turn(now, [face.Answered(n, mark, 50 * MS) for mark in marks for n in range(20)])
+            controller.turn(now, answers(orders, 20, 50 * MS))
             if step == 30:
                 controller.turn(now, [face.Listed("changes", (face.Entry(names[1], "east", "gone", 1.0, None),))])
         table, channel = controller.table, controller.channel
