Judge whether a zone is struck by the servers a controller hears of

The guard for a struck zone did not act: it counts ill servers against all listed ones (120; 61 in the zone), and with five controllers each hears enough of half of them at most. Ruled out: probes lost (all were answered), the list (it told nothing before 16.6 s), relay calls (none unsettled). At fault: Ledger.survey, 'near'. Change: ill ones are counted against those of which enough is heard to say that they do well (over two visits done of late, more than half of the tries).

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -66,6 +66,7 @@
     busy: float
     born: int
     held: float
+    fine: bool  # enough visits did well there of late to tell that it is not failing
 
 
 class Offer(NamedTuple):
@@ -158,9 +159,11 @@
                 self.good_at, self.rate = self.good_at if self.rate else self.mail.now, rate
             case face.Woken():
                 self.judge()
+                done, tries = self.done.read(self.mail.now), self.tries.read(self.mail.now)
                 self.mail.post(self.table, Standing(
                     self.number, self.state(), self.warmth(), self.weight, self.zone, self.fit,
-                    self.done.per_second(self.mail.now), self.speed, self.busy, self.born, self.held))
+                    self.done.per_second(self.mail.now), self.speed, self.busy, self.born, self.held,
+                    done > max(2, 0.5 * tries)))
 
     def state(self) -> str:
         """What the list says, weighed against probes and health."""
@@ -342,9 +345,11 @@
     def survey(self) -> None:
         """Which servers are open to slices, what they carry and what they are able to."""
         ready = [standing for standing in self.standings.values() if standing.state in LISTED]
-        # Guards against blaming servers for what strikes all, or most of a zone; the rest could not carry it.
-        ill, zones = [s.zone for s in ready if s.state == "ill"], [s.zone for s in ready]
-        near = {z for z in ill if 3 * len(ill) > len(ready) or ill.count(z) > max(1, zones.count(z) // 2)}
+        # Guards against blaming servers for what strikes all, or most of a zone; the rest could not carry it. Only
+        # those count of which enough is heard: each controller hears of few visits at most servers of a large fleet.
+        ill = [s.zone for s in ready if s.state == "ill"]
+        zones = ill + [s.zone for s in ready if s.state == "ready" and s.fine]
+        near = {z for z in ill if 3 * len(ill) > len(zones) or ill.count(z) > max(1, zones.count(z) // 2)}
         self.open = {s.backend: s for s in ready if s.state != "ill" or s.zone in near}
         self.targets = [n for n, s in self.open.items() if s.state == "ready"] or list(self.open)
         # With other controllers a server's speed is known in part only: own visits against all that keep it
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -159,6 +159,19 @@
     assert all(fleet.store[s].owner not in failing for s in (0, 12))
 
 
+@pytest.mark.parametrize(("failing", "moves"), [((101,), True), ((101, 103, 105, 107), False)])
+def test_a_zone_is_judged_by_the_servers_that_a_controller_hears_of(failing, moves) -> None:
+    # Each of five controllers heard of a part of 120 servers: 24 of a zone of 61 failed at once, all that were heard
+    # of, which passed for a minority. A quarter of the fleet's slices left servers that were back, and lay bare for 6.5 s.
+    fleet = Fleet(deployment(slices=12), backends=40, seed=1)  # 28 of the servers have no slice here
+    fleet.run(4)
+    fleet.losing.update(dict.fromkeys(failing, 9))
+    fleet.run(8)
+    assert sum("failing" in line for line in fleet.logs) >= len(failing)
+    moved = {s for s, table in fleet.store.items() if table.owner != 100 + s}
+    assert moved == ({number - 100 for number in failing} if moves else set())
+
+
 def test_a_failing_server_is_probed_until_it_answers_and_well_as_soon_as_its_visits_are() -> None:
     # A probe lost just as it turned failing was its last: three servers of a zone stayed left out for good.
     fleet = Fleet(deployment(slices=24), backends=12, seed=1)
