--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -96,6 +96,20 @@
     raise typer.Exit(main(seed, seconds, controllers))
 
 
+@lab.command("fleet")
+def lab_fleet(
+    seeds: Annotated[int, typer.Option(min=1, max=100_000, help="How many, from --seed on.")] = 10,
+    seed: Annotated[int, typer.Option(min=0, help="The first.")] = 0,
+    controllers: Annotated[int, typer.Option(min=1, max=1024)] = 3,
+    servers: Annotated[int, typer.Option(min=4, max=4096)] = 30,
+    proxies: Annotated[int, typer.Option(min=2, max=10_000)] = 12,
+) -> None:
+    """Play drawn days of a fleet in simulated time and check every rule; 1 where one is broken."""
+    from lapispass.lab.fleet import Size, main
+
+    raise typer.Exit(main(seed, seeds, Size(controllers, proxies, servers)))
+
+
 def drawn() -> int:
     """A seed for whoever gives none."""
     import secrets
--- a/lapispass/rules/five.py
+++ b/lapispass/rules/five.py
@@ -41,6 +41,8 @@
     worst_bare_us: int = 0
     worst_drain_us: int = 0
     peaks: dict[str, float] = field(default_factory=dict)
+    hands: dict[int, dict[str, int]] = field(default_factory=dict)  # slice: nodes with a write in hand, until
+    newest: dict[int, tuple[int, str]] = field(default_factory=dict)  # the latest step that has taken a write
     events: deque[str] = field(default_factory=lambda: deque(maxlen=80))
 
     def note(self, at_us: int, text: str) -> None:
@@ -88,6 +90,20 @@
     def carry(self, at_us: int, node: str, key: str, number: str) -> None:
         self.carried.append(Carried(at_us, node, key, number))
 
+    def write(self, at_us: int, party: str, number: int, node: str, step: int, until_us: int) -> None:
+        """A write is sent to a node by a table of that step (steps only rise); it is in hand until then."""
+        hands = self.hands.setdefault(number, {})
+        for other in [other for other, until in hands.items() if until < at_us]:
+            del hands[other]
+        if others := sorted(other for other in hands if other != node):
+            self.breach("2", party, at_us, f"slice {number} is written at {node} and at {', '.join(others)}")
+        last, owner = self.newest.get(number, (-1, node))
+        if step < last and node != owner:
+            self.breach("2", party, at_us, f"slice {number} is written at {node}, an owner before {owner}")
+        elif step >= last:
+            self.newest[number] = (step, node)
+        hands[node] = max(hands.get(node, 0), until_us)
+
     # rules 3, 4, 5
 
     def drains(self, at_us: int, node: str, does: bool) -> None:
