Count cold servers by the part that they let in when owners are chosen

At fault: Ledger.survey weighed a cold server by the least share it can do, Ledger.levels lets in a fifth of the falling multiple of that: half of it on hq.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -362,7 +362,8 @@
         part = max(1, len(self.slices)) / self.rules.slices
         speeds = [standing.speed for standing in ready if standing.speed] or [part]
         usual = sum(speeds) / len(speeds) / part
-        self.able = {s.backend: s.weight * s.warmth * (part == 1 and s.speed or usual) for s in ready}
+        sure = {s.backend: s.warmth * (self.rules.cold_part if s.warmth < 1 else 1) for s in ready}
+        self.able = {s.backend: s.weight * sure[s.backend] * (part == 1 and s.speed or usual) for s in ready}
         # Held connections are such work too; where busy shares tell of all that is not ours, they are part of it.
         self.others = {s.backend: max(s.held, (part < 1) * (s.busy * self.able[s.backend] - s.pace))
                        for s in ready}
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -416,6 +416,21 @@
     assert {fleet.store[number].owner for number in (2, 6, 10)} == {103}
 
 
+def test_cold_servers_get_slices_by_the_part_that_they_let_in() -> None:
+    # They were chosen by twice of what they let in: most of a fleet was replaced, and cold owners turned away half of
+    # what came while warm ones had room; a slice that came into demand pushed one over (he52968).
+    fleet = Fleet(deployment(slices=36, bare_us=30 * SECOND), 12, seed=5, visits=3)
+    fleet.run(6)
+    for backend in range(200, 206):
+        fleet.change(backend, "ready", fleet.now)
+    fleet.run(0.5)
+    for backend in range(100, 106):
+        fleet.change(backend, "draining")
+    fleet.run(8)
+    held = [table.owner for table in fleet.store.values()]
+    assert None not in held and sum(owner >= 200 for owner in held) == 6 and held.count(106) == 5  # 12 and 4 before
+
+
 def test_cold_owners_get_their_shares_with_their_slices_however_many_move() -> None:
     fleet = Fleet(deployment(proxies=40, slices=90, queue_lines=9000.0, messages_most=1000), 12, seed=18, visits=20)
     fleet.run(5)
