Count cold servers by what they let in only for slices that lost their owner

Where a fleet grows, relief is what fills the newcomers, and jams wait for it. Change: the part counts for slices that lost their owner or came without one; relief weighs cold servers as before.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -256,6 +256,7 @@
     since: int
     owner: int | None = None
     step: str = "emptied"  # emptied, closing, steady
+    forced: bool = True  # it lost its owner, or came without one: it was not moved for relief
     mark: int = NEVER  # of the step's message
     gate_at: int | None = None  # when every proxy had taken the step that ended an earlier owner's writes
     shut: bool = False  # its writes are not let in
@@ -299,7 +300,8 @@
                     # The store's table is kept, and nothing starts here for one lease.
                     self.slices[number] = Slice(number, now + self.rules.lease_us, now)
             case face.Held(number, backend) if number in self.slices:
-                self.slices[number].owner, self.slices[number].step = backend, "steady"
+                slice_ = self.slices[number]
+                slice_.owner, slice_.step, slice_.forced = backend, "steady", False
             case face.Came(number, visit_class, visits, _, over_us):
                 if number in self.slices and over_us:
                     demand = self.slices[number].demand
@@ -342,6 +344,7 @@
             orders.append(face.Empty(slice_.number))
             if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
                 slice_.gate_at = None
+            slice_.forced = slice_.owner not in self.open
             slice_.step, slice_.owner, slice_.since, slice_.mark = "emptied", None, now, self.offer.mark
         joiners = self.offer.unmarked and self.offer.ordinary and any(s.step != "steady" for s in moving)
         if orders or given or joiners:
@@ -362,8 +365,7 @@
         part = max(1, len(self.slices)) / self.rules.slices
         speeds = [standing.speed for standing in ready if standing.speed] or [part]
         usual = sum(speeds) / len(speeds) / part
-        sure = {s.backend: s.warmth * (self.rules.cold_part if s.warmth < 1 else 1) for s in ready}
-        self.able = {s.backend: s.weight * sure[s.backend] * (part == 1 and s.speed or usual) for s in ready}
+        self.able = {s.backend: s.weight * s.warmth * (part == 1 and s.speed or usual) for s in ready}
         # Held connections are such work too; where busy shares tell of all that is not ours, they are part of it.
         self.others = {s.backend: max(s.held, (part < 1) * (s.busy * self.able[s.backend] - s.pace))
                        for s in ready}
@@ -478,6 +480,7 @@
         slice_.owner, slice_.step, slice_.mark = owner, "closing", self.offer.mark
         self.loads[owner] += slice_.rate
         self.owned[owner].append(slice_)
+        slice_.forced = False
         slice_.shut = not clean
         slice_.levels = {} if clean else dict.fromkeys(rules.writes, 0.0)
         return [face.Own(slice_.number, owner, 1.0), *(
@@ -488,8 +491,9 @@
         return min(self.targets, key=lambda number: self.load_with(number, slice_), default=None)
 
     def load_with(self, number: int, slice_: Slice) -> float:
-        """A backend's load per weight with this slice."""
-        return (self.loads[number] + self.others[number] + slice_.rate) / self.able[number]
+        """A backend's load per weight with this slice; a cold one is let in a part only, and jams need relief."""
+        part = self.rules.cold_part if slice_.forced and self.open[number].warmth < 1 else 1.0
+        return (self.loads[number] + self.others[number] + slice_.rate) / (part * self.able[number])
 
     def to_relieve(self, movable: list[Slice]) -> list[Slice]:
         """Slices whose owner lets in less than comes or is nearly all busy, where another has room."""
