Count a server just started by its part for relief, too, until sums can tell of it

Change: Ledger.load_with counts by the part until a report's time after the start, whatever the slice moves for.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -491,8 +491,10 @@
         return min(self.targets, key=lambda number: self.load_with(number, slice_), default=None)
 
     def load_with(self, number: int, slice_: Slice) -> float:
-        """A backend's load per weight with this slice; a cold one is let in a part only, and jams need relief."""
-        part = self.rules.cold_part if slice_.forced and self.open[number].warmth < 1 else 1.0
+        """A backend's load per weight with this slice, a cold one by the part that it is let in."""
+        # Relief goes by what one can do, or newcomers would stay idle beside jams, but not before any sum tells of it.
+        cold, fresh = self.open[number].warmth < 1, self.mail.now < self.open[number].born + self.rules.echo_us
+        part = self.rules.cold_part if cold and (slice_.forced or fresh) else 1.0
         return (self.loads[number] + self.others[number] + slice_.rate) / (part * self.able[number])
 
     def to_relieve(self, movable: list[Slice]) -> list[Slice]:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -431,6 +431,21 @@
     assert None not in held and sum(owner >= 200 for owner in held) == 6 and held.count(106) == 5  # 12 and 4 before
 
 
+def test_relief_goes_by_what_a_cold_server_can_do_but_not_before_sums_tell_of_it() -> None:
+    # he52968: a server 1.7 s old was given a slice for relief, whose visits had trebled since the last sum.
+    now = 100 * SECOND
+    controller = Controller(deployment(), 1, now)
+    controller.turn(now, standing([face.Entry(n, "east", "ready", 1.0, None) for n in range(3)], 4, 6))
+    controller.turn(now, [face.Listed("changes", (face.Entry(9, "east", "ready", 1.0, now),)), face.Probed(9, 0, MS, None)])
+    slice_, loads = controller.table.slices[0], []
+    for age in (1, 4):
+        controller.turn(now + age * SECOND, [])
+        loads.append(controller.table.load_with(9, slice_) * controller.table.able[9] / slice_.rate)
+    slice_.forced = True
+    assert loads == [pytest.approx(2), pytest.approx(1)]
+    assert controller.table.load_with(9, slice_) * controller.table.able[9] / slice_.rate == pytest.approx(2)
+
+
 def test_cold_owners_get_their_shares_with_their_slices_however_many_move() -> None:
     fleet = Fleet(deployment(proxies=40, slices=90, queue_lines=9000.0, messages_most=1000), 12, seed=18, visits=20)
     fleet.run(5)
