Refuse a list whose 'complete' is no yes or no; property test of what a list may hold

Need: a list with "complete": "false" or -1 passed for the whole, and what it left out for gone: a shut-out of running servers by one odd field. Found by drawn lists (hypothesis, derandomized): 'Falsifying example: complete=-1'. At fault: Codec.listed took bool() of the field. Such a list is refused now, named, and the last one stays in force; the test checks that each list is refused whole or read entry by entry, counted, and can be decided on.

--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -177,9 +177,11 @@
 
     def listed(self, told: Any) -> Listing:
         try:
-            version, complete, members = whole(told["revision"]), bool(told["complete"]), told["members"]
+            version, complete, members = whole(told["revision"]), told["complete"], told["members"]
             if not isinstance(members, list):
                 raise WireError("members are no list")
+            if not isinstance(complete, bool):  # "false" would pass for the whole, and what it leaves out for gone
+                raise WireError(f"complete {str(complete)[:40]!r}")
         except (KeyError, TypeError, ValueError) as error:
             raise WireError(f"{type(error).__name__} {error}") from None
         entries: list[face.Entry] = []
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import io
 import json
 import logging
@@ -10,6 +11,9 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as drawing
+from hypothesis import strategies as some
 
 from fleet import MS, SECOND, deployment
 from lapispass import deployment as settings
@@ -17,9 +21,12 @@
 from lapispass.balance import Controller
 from lapispass.drill.codec import read_batches
 from lapispass.net import log
-from lapispass.net.codec import Codec, Refused, WireError, call, taken
+from lapispass.net.codec import Codec, Listing, Refused, WireError, call, taken
+from lapispass.net.counters import Counters
 from lapispass.net.launch import BadStart, Launch
+from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines, TooLong
+from lapispass.net.registry import Registry
 
 TOLD = deployment(slices=200, proxies=60, zones=("a", "b"), load_fields=("waiting", "busy"))
 CODEC = Codec(TOLD, 256)
@@ -324,3 +331,35 @@
         part.seldom("odd", why=1)
     part.seldom("other")
     assert [record.getMessage() for record in caplog.records] == ["odd", "other"] and part.last["odd"][1] == 49
+
+
+odd = some.one_of(some.none(), some.booleans(), some.integers(-5, 1 << 70), some.floats(), some.text(max_size=5),
+                  some.lists(some.integers(), max_size=2), some.dictionaries(some.text(max_size=2), some.none(), max_size=1))
+members = some.lists(some.one_of(odd, some.fixed_dictionaries({}, optional={
+    "id": some.one_of(some.sampled_from(["s-1", "s-2", "s-2"]), odd), "phase": some.one_of(
+        some.sampled_from(["Ready", "Terminating", "Gone", "Lost"]), odd),
+    "locality": some.one_of(some.just("east"), odd), "size": some.one_of(some.just(1.0), odd),
+    "up_since_ms": some.one_of(some.just(0), odd), "host_port": some.one_of(some.just("127.0.0.1:9"), odd)})), max_size=6)
+
+
+@drawing(derandomize=True, max_examples=400, deadline=None)
+@given(some.one_of(some.integers(0, 9), odd), some.one_of(some.booleans(), odd), some.one_of(members, odd))
+def test_whatever_a_list_holds_is_read_or_left_out_and_counted(revision, complete, told) -> None:
+    """A list is refused as a whole or read entry by entry; what can't be read passes neither for gone nor for the whole."""
+    async def read() -> None:
+        heard: list[face.Event] = []
+        known = Listing(5, True, (face.Entry("s-0", "east", "ready", 1.0, None),), {}, 0)
+        registry = Registry("127.0.0.1:1", known, heard.append, Codec(deployment(), 256), Limits(), Counters())
+        try:
+            listing = registry.codec.listing(json.dumps({"revision": revision, "complete": complete, "members": told}))
+            registry.take(listing)
+        except WireError as error:
+            assert str(error) and len(heard) == 1, "nothing was half applied"
+            return
+        assert complete in (True, False) and len(listing.entries) + listing.unreadable == len(told)
+        assert {entry.state for entry in listing.entries} <= {"ready", "draining", "gone"}
+        assert all(isinstance(entry.backend, str) and 0 < len(entry.backend) <= 256 for entry in listing.entries)
+        assert (heard[-1].kind == "whole") == (complete is True and not listing.unreadable)
+        assert registry.counters["registry.unreadable"] == listing.unreadable
+        Controller(deployment(), 1, 100 * SECOND).turn(100 * SECOND, heard)  # and can be decided on
+    asyncio.run(read())
