Count only servers just started by the part that they let in

At fault: Ledger.load_with, since half of the least part is what holds at first, not for the 15 s of a warm-up. Change: it holds until a report's time after the start, whatever the slice moves for; Slice.forced goes.

--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -256,7 +256,6 @@
     since: int
     owner: int | None = None
     step: str = "emptied"  # emptied, closing, steady
-    forced: bool = True  # it lost its owner, or came without one: it was not moved for relief
     mark: int = NEVER  # of the step's message
     gate_at: int | None = None  # when every proxy had taken the step that ended an earlier owner's writes
     shut: bool = False  # its writes are not let in
@@ -300,8 +299,7 @@
                     # The store's table is kept, and nothing starts here for one lease.
                     self.slices[number] = Slice(number, now + self.rules.lease_us, now)
             case face.Held(number, backend) if number in self.slices:
-                slice_ = self.slices[number]
-                slice_.owner, slice_.step, slice_.forced = backend, "steady", False
+                self.slices[number].owner, self.slices[number].step = backend, "steady"
             case face.Came(number, visit_class, visits, _, over_us):
                 if number in self.slices and over_us:
                     demand = self.slices[number].demand
@@ -344,7 +342,6 @@
             orders.append(face.Empty(slice_.number))
             if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
                 slice_.gate_at = None
-            slice_.forced = slice_.owner not in self.open
             slice_.step, slice_.owner, slice_.since, slice_.mark = "emptied", None, now, self.offer.mark
         joiners = self.offer.unmarked and self.offer.ordinary and any(s.step != "steady" for s in moving)
         if orders or given or joiners:
@@ -480,7 +477,6 @@
         slice_.owner, slice_.step, slice_.mark = owner, "closing", self.offer.mark
         self.loads[owner] += slice_.rate
         self.owned[owner].append(slice_)
-        slice_.forced = False
         slice_.shut = not clean
         slice_.levels = {} if clean else dict.fromkeys(rules.writes, 0.0)
         return [face.Own(slice_.number, owner, 1.0), *(
@@ -491,10 +487,10 @@
         return min(self.targets, key=lambda number: self.load_with(number, slice_), default=None)
 
     def load_with(self, number: int, slice_: Slice) -> float:
-        """A backend's load per weight with this slice, a cold one by the part that it is let in."""
-        # Relief goes by what one can do, or newcomers would stay idle beside jams, but not before any sum tells of it.
-        cold, fresh = self.open[number].warmth < 1, self.mail.now < self.open[number].born + self.rules.echo_us
-        part = self.rules.cold_part if cold and (slice_.forced or fresh) else 1.0
+        """A backend's load per weight with this slice."""
+        # Guards a server just started: until sums can tell what comes there, it counts by the part that it is let in.
+        fresh = self.mail.now < self.open[number].born + self.rules.echo_us
+        part = self.rules.cold_part if fresh and self.open[number].warmth < 1 else 1.0
         return (self.loads[number] + self.others[number] + slice_.rate) / (part * self.able[number])
 
     def to_relieve(self, movable: list[Slice]) -> list[Slice]:
