--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -105,7 +105,8 @@
     proxies: Annotated[int, typer.Option(min=2, max=10_000)] = 12,
 ) -> None:
     """Play drawn days of a fleet in simulated time and check every rule; 1 where one is broken."""
-    from lapispass.lab.fleet import Size, main
+    from lapispass.lab.fleet import main
+    from lapispass.standins.fleet import Size
 
     raise typer.Exit(main(seed, seeds, Size(controllers, proxies, servers)))
 
--- a/lapispass/lab/fleet.py
+++ b/lapispass/lab/fleet.py
@@ -13,7 +13,7 @@
 
 from lapispass import interface as face
 from lapispass.balance import Controller
-from lapispass.standins.fleet import MS, SECOND, Place, Size, World
+from lapispass.standins.fleet import MS, SECOND, Size, World
 
 Fault = Callable[[World, Callable[[str], None]], None]
 LENGTH_S = 36.0
@@ -188,9 +188,9 @@
     )
 
 
-def days(seeds: range, size: Size, planted: str = "") -> Iterator[Verdict]:
+def days(seeds: range, size: Size) -> Iterator[Verdict]:
     for seed in seeds:
-        yield play(seed, size, planted)
+        yield play(seed, size)
 
 
 def main(seed: int, seeds: int, size: Size, say: Callable[[str], None] = print) -> int:
@@ -218,6 +218,3 @@
         f"sent to a cold server {peak:.2f} times what it can do; {time.monotonic() - began:.0f} s"
     )
     return 1 if broken else 0
-
-
-__all__ = ["FAULTS", "Place", "Size", "Verdict", "days", "main", "play"]
--- a/lapispass/standins/fleet.py
+++ b/lapispass/standins/fleet.py
@@ -198,7 +198,8 @@
         self.registry_free, self.registry_down = self.now, 0
         self.met: dict[tuple[int, str], list[int]] = {}  # place and server: tries, lost
         self.came: dict[tuple[int, int, int], int] = {}  # place, slice and class
-        self.judge = Checker(Bounds(self.told.bare_us + SLACK, 1500 * MS + SLACK), int)
+        bounds = Bounds(self.told.bare_us + SLACK, 1500 * MS + SLACK, int(self.told.queue_lines))
+        self.judge = Checker(bounds, int)
         self.visits = self.served = self.handovers = self.newcomers = 0
         for place in self.places:
             place.told = place.known = len(self.changes)
@@ -478,15 +479,13 @@
                     )
         steps = [(order, self.step.get(getattr(order, "table", None) or 0, 0)) for order in message]
         lines = len(message) + self.told.head_lines
-        for streams in self.streams:
+        early = self.planted == "answers before applying" and place.process
+        marks = [order.number for order in message if isinstance(order, face.Mark) and early]
+        for number, streams in enumerate(self.streams):
             if (stream := streams[place.number]).joined_at >= 0:
                 place.written += lines
                 stream.waiting.append(Message(place.written, self.now, steps))
-            if self.planted == "answers before applying" and place.process and stream.joined_at >= 0:
-                marks = [order for order in message if isinstance(order, face.Mark)]
-                number = next(n for n, streams_ in enumerate(self.streams) if streams_ is streams)
-                place.news += [face.Answered(number, mark.number, 50 * MS) for mark in marks]
-        self.judge.bounds.waiting_most = int(self.told.queue_lines)
+                place.news += [face.Answered(number, mark, 50 * MS) for mark in marks]
         self.judge.waiting(self.now, f"channel of n{place.number}", int(place.written - place.left))
 
     def proxy(self, number: int) -> None:
