--- a/lapispass/__main__.py
+++ b/lapispass/__main__.py
@@ -12,4 +12,6 @@
     signals.ignore()  # before the rest is loaded, which takes most of the start
     from lapispass.net.service import main
 
-    sys.exit(main())
+    status = main()
+    signals.hold()  # until the interpreter is gone
+    sys.exit(status)
--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -410,7 +410,7 @@
         for gain, slice_, place, want in due:
             if len(orders) < (room if gain > SECOND else spare):
                 slice_.levels[place] = want
-                orders.append(face.Admit(slice_.number, 1 << place, self.rules.retry, want * self.rules.all))
+                orders.append(face.Admit(slice_.number, 1 << place, self.rules.retries[place], want * self.rules.all))
         return orders
 
     def withdrawals(self) -> Iterable[face.Order]:
@@ -480,7 +480,7 @@
         slice_.shut = not clean
         slice_.levels = {} if clean else dict.fromkeys(rules.writes, 0.0)
         return [face.Own(slice_.number, owner, 1.0), *(
-            face.Admit(slice_.number, 1 << place, rules.retry, 0.0) for place in slice_.levels)]
+            face.Admit(slice_.number, 1 << place, rules.retries[place], 0.0) for place in slice_.levels)]
 
     def choose(self, slice_: Slice) -> int | None:
         """The server with least load per listed weight, a cold one counted by what it surely can do."""
@@ -585,7 +585,8 @@
                 self.turns.append((self.mark, self.lines))
                 self.lines += len(orders) + 1 + rules.head_lines
                 self.waiting += self.joined * (len(orders) + 1 + rules.head_lines)
-                self.mail.orders += [*orders, face.Mark(self.mark % (1 << 16), True)]
+                first = self.rules.first if self.mark == 1 else []
+                self.mail.orders += [*first, *orders, face.Mark(self.mark % (1 << 16), True)]
 
 
 class Spread(Part):
@@ -644,10 +645,15 @@
         self.own_zone = sum(1 << place for place, kind in places if kind.own_zone)
         self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
         self.zone_tables = {zone: 1 + place for place, zone in enumerate(told.zones) if self.own_zone}
-        self.slices, self.retry, self.load_fields = max(1, told.slices), told.usual_retry, told.load_fields
+        self.slices, self.load_fields = max(1, told.slices), told.load_fields
+        # Guards what must not run twice, or only within its group and window: a class that may not simply be repeated
+        # is tried again on proof alone that it never ran, whatever is usual, and that is said before all else.
+        self.retries = [told.usual_retry if kind.repeats else min(1, told.usual_retry) for kind in told.classes]
+        careful = sum(1 << place for place, retry in enumerate(self.retries) if retry < told.usual_retry)
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
         self.shares, self.shuts = told.admits == "share", told.admits != "none"  # a rate is only shut or open
         self.all = 1.0 if self.shares else 1e6
+        self.first = [face.Admit(None, careful, 1, self.all)] if careful else []
         self.agreed_us = sum(kind.agreed_us for kind in told.classes) / max(1, len(told.classes))
         self.echo_us, self.quiet_us = told.report_every_us + SECOND, 2 * told.report_every_us + SECOND
         # A move bares a slice for the longest write and about 2 s: worth it where more is lost in 10 s.
@@ -658,7 +664,7 @@
         self.lines_per_us, self.queue_lines = told.lines_per_s / SECOND, told.queue_lines
         self.heads_us = int(4 * SECOND * told.head_lines / max(1.0, told.lines_per_s))
         self.messages_over_us = told.messages_over_us or 10 * SECOND
-        self.messages_most, self.head_lines = told.messages_most or 100, told.head_lines
+        self.messages_most, self.head_lines = told.messages_most or 100, told.head_lines + len(self.first)
         self.gap_us = self.messages_over_us // self.messages_most // 2
 
 
--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -42,9 +43,6 @@
     ] = None,
 ) -> None:
     """Serve as the platform's controller, told by LB_CONFIG and the variables beside it."""
-    from lapispass.net import signals
-
-    signals.ignore()
     if operator is None:
         from lapispass.net.service import main
 
@@ -119,5 +117,12 @@
 
 
 def main() -> None:
-    """The console script."""
-    app()
+    """The console script, a process of its own: signals are its to set, from its first moment to its last."""
+    from lapispass.net import signals
+
+    if sys.argv[1:2] in (["run"], ["gate"]):
+        signals.ignore()
+    try:
+        app()
+    finally:
+        signals.hold()
--- a/lapispass/deployment.py
+++ b/lapispass/deployment.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from math import isfinite
 from typing import Any
 
 from lapispass import interface as face
@@ -9,45 +11,110 @@
 LOAD_FIELDS = {"busy_reqs": "held", "pending": "waiting", "cpu_share": "busy", "svc_ms": "service_ms",
                "served_ps": "completed_per_s", "failed_ps": "failed_per_s"}
 ADMITS = {"fraction": "share", "per_second": "rate"}
+FIGURE_MOST = 1e15  # above any span in microseconds, any count and any rate that means something
+NUMBER_MOST = 65_536  # proxies and tables are numbers below this
 
 
-def read(env: Any) -> face.Deployment:
-    """Keys it does not know are passed over; a ValueError says which are missing or odd."""
-    try:
-        extra = env.get("extra", {})
-        rules = env.get("rules", {})
-        limits = env.get("limits", {})
-        grades = env["grades"]
-        writes = extra.get("class-writes") or [False] * len(grades)
-        home = extra.get("home-only") or [False] * len(grades)
-        classes = tuple(
-            face.VisitClass(grade["name"], int(grade["target-us"]), int(grade["hard-limit-us"]),
-                            float(grade["worth"]), bool(write), bool(own))
-            for grade, write, own in zip(grades, writes, home, strict=True))
-        return face.Deployment(
-            classes=classes,
-            zones=tuple(env.get("zones", ())),
-            proxies=int(extra.get("data-plane-size", 0)),
-            slices=int(extra.get("key-ranges", 0)),
-            lease_us=int(extra.get("lease-us", 0)),
-            linger_us=int(extra.get("lingers-us", 0)),
-            bare_us=int(extra.get("blackhole-us", 0)),
-            lines_per_s=float(extra.get("lines-per-s", 0)),
-            head_lines=float(extra.get("fixed-cost", 0)),
-            queue_lines=float(extra.get("queue-cap", 0)),
-            messages_most=int(extra.get("pushes-allowed", 0)),
-            messages_over_us=int(extra.get("update-window-us", 0)),
-            report_every_us=int(extra.get("report-every-us", 0)),
-            usual_retry=int(extra.get("usual-how", 0)),
-            asks_for_list=env.get("discovery") == "subscribe",
-            may_probe=bool(limits.get("probes", False)),
-            gone_binds=not rules.get("drain-binds-alone", False),
-            admits=ADMITS.get(extra.get("admit"), "none"),
-            cold_us=int(rules.get("cold-us", 0)),
-            cold_share=float(rules.get("start-capacity", 1)),
-            fall_multiple=float(rules.get("fall-multiple", 2)),
-            load_fields=tuple(LOAD_FIELDS.get(name, name) for name in env.get("stats", {}).get("fields", ())),
-            turn_every_us=int(env.get("period-us", 5000)),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise ValueError(f"{type(error).__name__} {error}") from None
+class Part:
+    """One object of the settings. What it reads is checked, and named by its path where it makes no sense."""
+
+    def __init__(self, told: Any, path: str = "") -> None:
+        if not isinstance(told, dict):
+            raise ValueError(f"{path or 'settings'}: no object")
+        self.told, self.path = told, path
+
+    def name(self, key: str) -> str:
+        return f"{self.path}.{key}" if self.path else key
+
+    def part(self, key: str) -> Part:
+        """An object that may be left out."""
+        return Part({} if self.told.get(key) is None else self.told[key], self.name(key))
+
+    def one(self, key: str, default: Any, sound: Callable[[Any], bool], what: str) -> Any:
+        """A value; None as the default says that it must be there."""
+        value = default if self.told.get(key) is None else self.told[key]
+        if value is None:
+            raise ValueError(f"{self.name(key)}: missing")
+        if not sound(value):
+            raise ValueError(f"{self.name(key)}: {str(value)[:60]!r} is no {what}")
+        return value
+
+    def number(self, key: str, default: float | None = 0, most: float = FIGURE_MOST) -> float:
+        def sound(value: Any) -> bool:
+            return isinstance(value, int | float) and not isinstance(value, bool) and (
+                isinstance(value, int) or isfinite(value)) and 0 <= value <= most
+        return float(self.one(key, default, sound, f"number from 0 to {most:g}"))
+
+    def whole(self, key: str, default: float | None = 0, most: float = FIGURE_MOST) -> int:
+        return int(self.number(key, default, most))
+
+    def word(self, key: str, default: str | None = "") -> str:
+        return str(self.one(key, default, lambda value: isinstance(value, str), "word"))
+
+    def flag(self, key: str, default: bool = False) -> bool:
+        return bool(self.one(key, default, lambda value: value in (0, 1), "yes or no"))
+
+    def several(self, key: str, sound: Callable[[Any], bool], what: str, length: int | None = None) -> list[Any]:
+        """A list, of one value for each of something where a length is told; it may be left out then."""
+        told = self.one(key, [], lambda value: isinstance(value, list | tuple) and all(map(sound, value)), f"list of {what}")
+        if length is not None and len(told) not in (0, length):
+            raise ValueError(f"{self.name(key)}: {len(told)} values for {length} classes")
+        return list(told) or [False] * (length or 0)
+
+    def words(self, key: str) -> tuple[str, ...]:
+        """Names, each once."""
+        told = self.several(key, lambda value: isinstance(value, str), "words")
+        if twice := next((word for word in told if told.count(word) > 1), None):
+            raise ValueError(f"{self.name(key)}: {twice[:60]!r} stands there twice")
+        return tuple(told)
+
+
+def visit_classes(env: Part, extra: Part) -> tuple[face.VisitClass, ...]:
+    told = env.one("grades", None, lambda value: isinstance(value, list) and len(value) > 0, "list of classes")
+    grades = [Part(grade, f"grades[{place}]") for place, grade in enumerate(told)]
+    names = [grade.word("name", None) for grade in grades]
+    for place, name in enumerate(names):
+        if name in names[:place]:
+            raise ValueError(f"grades[{place}].name: {name[:60]!r} stands there twice")
+    writes, home = (extra.several(key, lambda value: value in (0, 1), "yes or no", len(grades))
+                    for key in ("class-writes", "home-only"))
+    return tuple(
+        face.VisitClass(
+            name, grade.whole("target-us", None), grade.whole("hard-limit-us", None), grade.number("worth", None),
+            bool(write), bool(own),
+            # Where nothing is said of repeats, what writes must not run twice.
+            grade.word("effect", "single_shot" if write else "free") == "free")
+        for grade, name, write, own in zip(grades, names, writes, home, strict=True))
+
+
+def read(told: Any) -> face.Deployment:
+    """Keys it does not know are passed over; a ValueError names the one that is missing or odd."""
+    env = Part(told)
+    extra, rules, limits = env.part("extra"), env.part("rules"), env.part("limits")
+    # A slice with one owner is never handed over without these.
+    needed = None if extra.flag("one-owner") and extra.number("key-ranges") else 0
+    return face.Deployment(
+        classes=visit_classes(env, extra),
+        zones=env.words("zones"),
+        proxies=extra.whole("data-plane-size", most=NUMBER_MOST),
+        slices=extra.whole("key-ranges", most=NUMBER_MOST),
+        lease_us=extra.whole("lease-us", needed),
+        linger_us=extra.whole("lingers-us", needed),
+        bare_us=extra.whole("blackhole-us"),
+        lines_per_s=extra.number("lines-per-s"),
+        head_lines=extra.number("fixed-cost"),
+        queue_lines=extra.number("queue-cap"),
+        messages_most=extra.whole("pushes-allowed"),
+        messages_over_us=extra.whole("update-window-us"),
+        report_every_us=extra.whole("report-every-us"),
+        usual_retry=extra.whole("usual-how", most=3),
+        asks_for_list=env.word("discovery") == "subscribe",
+        may_probe=limits.flag("probes"),
+        gone_binds=not rules.flag("drain-binds-alone"),
+        admits=ADMITS.get(extra.word("admit"), "none"),
+        cold_us=rules.whole("cold-us"),
+        cold_share=rules.number("start-capacity", 1),
+        fall_multiple=rules.number("fall-multiple", 2),
+        load_fields=tuple(LOAD_FIELDS.get(name, name) for name in env.part("stats").words("fields")),
+        turn_every_us=env.whole("period-us", 5000),
+    )
--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -184,6 +184,8 @@
             if gate is None:
                 self.counters["gates.turned_away"] += 1
                 self.log.seldom("stranger turned away", peer=writer.get_extra_info("peername"), why=why)
+        except asyncio.CancelledError:
+            why = "the controller ends"  # in order: asyncio would log a trace of a connection whose task is cancelled
         except Exception:  # a fault of our own costs this stream, not the controller
             self.counters["gates.faults"] += 1
             self.log.failed("gate's stream failed")
--- a/lapispass/interface.py
+++ b/lapispass/interface.py
@@ -22,6 +22,7 @@
     benefit: float
     writes: bool
     own_zone: bool
+    repeats: bool = True  # may run again: after any failure, at any server, at any time
 
 
 @dataclass(frozen=True, slots=True)
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -42,6 +42,7 @@
         self.open: dict[Guest, None] = {}  # in the order of last use
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
+        self.closed = False
 
     async def listen(self, address: str) -> None:
         host, port = split(address)
@@ -54,6 +55,7 @@
         listener.listen(self.limits.backlog)
 
     def close(self) -> None:
+        self.closed = True
         if self.server:
             self.server.close()
         for guest in self.open:
@@ -61,6 +63,9 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """The life of a connection."""
+        if self.closed:  # taken just before: nobody would end it
+            writer.transport.abort()
+            return
         peer, loop = writer.get_extra_info("peername"), asyncio.get_running_loop()
         self.tasks.add(task := asyncio.current_task())  # type: ignore[arg-type]
         self.counters["collectors.opened"] += 1
@@ -127,7 +132,8 @@
             return
         guest.unreadable = 0
         self.counters[f"collectors.{kind}"] += 1
-        self.open[guest] = self.open.pop(guest, None)  # last in the order of use
+        if guest in self.open:  # one crowded out in this instant does not come back
+            self.open[guest] = self.open.pop(guest)  # last in the order of use
         if isinstance(told, str):
             guest.zone = told
         else:
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Iterable
+import random
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, TypeVar
 
 import h11
@@ -22,14 +23,18 @@
 T = TypeVar("T")
 
 
-async def within(wait_us: int, work: Awaitable[T], late_us: int) -> T:
+async def within(wait_us: int, work: Awaitable[T], late_us: int,
+                 unwanted: Callable[[T], None] = lambda result: None) -> T:
     """What the work gives, or a TimeoutError.
 
     Guards against taking our own standing still for the peer's silence: where the process was late by more
     than `late_us`, what arrived meanwhile is read before the peer is given up.
+
+    Guards descriptors, too: where the work was done in the instant in which whoever waits was ended, or gave up,
+    `unwanted` is handed what it gave. A connection that came up just then would stay open, and nobody's.
     """
     loop = asyncio.get_running_loop()
-    task = asyncio.ensure_future(work)
+    task, taken = asyncio.ensure_future(work), False
     try:
         until = loop.time() + wait_us / 1e6
         await asyncio.wait((task,), timeout=wait_us / 1e6)
@@ -37,13 +42,28 @@
             await asyncio.wait((task,), timeout=late_us / 1e6)
         if not task.done():
             raise TimeoutError(f"nothing for {wait_us} us")
+        taken = True
         return task.result()
     finally:
         if not task.done():
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
-        elif not task.cancelled():
-            task.exception()  # heard, also where whoever waited has been ended
+        if not taken and task.done() and not task.cancelled() and task.exception() is None:
+            unwanted(task.result())
+
+
+class Backoff:
+    """Waits before a party is tried again: doubling, with jitter, never in step with others."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits, self.next_us = limits, limits.again_least_us
+
+    async def wait(self) -> None:
+        await asyncio.sleep(self.next_us * random.uniform(0.5, 1.0) / 1e6)
+        self.next_us = min(2 * self.next_us, self.limits.again_most_us)
+
+    def reset(self) -> None:
+        self.next_us = self.limits.again_least_us
 
 
 class Quiet:
@@ -92,32 +112,57 @@
 
 def split(address: str) -> tuple[str, int]:
     """`host:port`; a ValueError where it is none."""
-    host, _, port = address.rpartition(":")
-    number = int(port)
-    if not host or not 0 <= number < 65536:
+    host, _, port = str(address).rpartition(":")
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
         raise ValueError(f"no address: {address!r}")
-    return host.strip("[]"), number
+    return host.strip("[]"), int(port)
+
+
+class Reader(asyncio.StreamReader):
+    """A stream that can tell whether something waits to be read."""
+
+    unread = 0
+
+    def feed_data(self, data: bytes) -> None:
+        self.unread += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        piece = await super().read(n)
+        self.unread -= len(piece)
+        return piece
 
 
 class Link:
     """A connection to one party; calls go one after the other."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, address: str,
-                 limits: Limits) -> None:
+    def __init__(self, reader: Reader, writer: asyncio.StreamWriter, address: str, limits: Limits) -> None:
         self.reader, self.writer, self.address, self.limits = reader, writer, address, limits
         self.state = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.answer_bytes)
+        self.since: int | None = None  # the version that a watch was asked from, until its first line was taken
 
     @classmethod
-    async def open(cls, address: str, limits: Limits) -> Link:
-        opening = asyncio.open_connection(*split(address), limit=limits.read_bytes)
-        reader, writer = await within(limits.connect_us, opening, limits.late_us)
-        return cls(reader, writer, address, limits)
+    async def open(cls, address: str, limits: Limits, wait_us: int | None = None) -> Link:
+        return await within(wait_us or limits.connect_us, cls._dial(address, limits), limits.late_us, cls.close)
+
+    @classmethod
+    async def _dial(cls, address: str, limits: Limits) -> Link:
+        loop = asyncio.get_running_loop()
+        reader = Reader(limit=limits.read_bytes, loop=loop)
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader, loop=loop), *split(address))
+        return cls(reader, asyncio.StreamWriter(transport, protocol, reader, loop), address, limits)
 
     @property
     def usable(self) -> bool:
         """False where the peer has ended it."""
         return not (self.reader.at_eof() or self.writer.is_closing() or self.reader.exception())
 
+    @property
+    def unasked(self) -> bool:
+        """Whether something came that no call of ours asked for."""
+        return self.reader.unread > 0
+
     async def send(self, method: str, target: str, body: bytes = b"",
                    headers: Iterable[tuple[str, str]] = ()) -> None:
         head = [("Host", self.address), ("User-Agent", "lapispass"), *headers]
@@ -174,34 +219,89 @@
         self.writer.transport.abort()
 
 
+class Dialer:
+    """Opens connections to one party; an attempt that runs out of time gives the next one twice as long, up to a limit.
+
+    Guards against dials that take just over the limit (a first packet that is lost is sent again after a second):
+    with one limit for all attempts, none would ever come up. Behind the longest comes a short one again: an attempt
+    made into a cut may never come up, also when the cut is over.
+    """
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits, self.wait_us = limits, limits.connect_us
+
+    async def open(self, address: str) -> Link:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            link = await Link.open(address, self.limits, self.wait_us)
+        except TimeoutError:
+            longest = self.wait_us >= self.limits.connect_most_us
+            self.wait_us = self.limits.connect_us if longest else min(2 * self.wait_us, self.limits.connect_most_us)
+            raise
+        if loop.time() - began < self.limits.connect_us / 1e6:
+            self.wait_us = self.limits.connect_us
+        return link
+
+
 class Place:
-    """Where a party is reached. After a move, the connection to the new place stands before the old one is left."""
+    """Where a party is reached. After a move, the new place is tried until it stands; meanwhile the old one serves.
 
-    def __init__(self, address: str, limits: Limits) -> None:
-        self.address, self.limits = address, limits
-        self.ready: Link | None = None
+    Guards against a move that happens while a connection to the old place is being made, or while the new one does
+    not answer yet: the party's stream would stay at the old place for as long as that one gives signs of life.
+    """
+
+    def __init__(self, address: str, limits: Limits, opened: Callable[[str], Awaitable[Link]],
+                 switch: Callable[[], None]) -> None:
+        self.address, self.limits, self.opened, self.switch = address, limits, opened, switch
+        self.ready: Link | None = None  # stands already, and is taken with the next `link`
+        self.used = ""  # the place of the link that was taken last
+        self.moved = asyncio.Event()
 
     async def link(self) -> Link:
-        """A new connection: the one that a move has opened, if it still stands."""
+        """A new connection: the one that stands already, if it still does."""
         link, self.ready = self.ready, None
-        if link and link.usable and link.address == self.address:
-            return link
-        if link:
+        if link and not (link.usable and link.address == self.address):
+            link.close()
+            link = None
+        link = link or await self.opened(self.address)
+        self.used = link.address
+        return link
+
+    async def renew(self) -> None:
+        """A further connection; once it stands, `switch` has the stream begin anew over it."""
+        link = await self.opened(self.address)
+        if link.address != self.address:  # it has moved meanwhile
             link.close()
-        return await Link.open(self.address, self.limits)
+            return
+        self.close()
+        self.ready = link
+        self.switch()
 
-    async def move(self, address: str) -> bool:
-        """Whether a connection to the new place stands; where none does, the old one serves for as long as it can."""
+    def move(self, address: str) -> None:
         self.address = address
-        try:
-            opened = await Link.open(address, self.limits)
-        except BROKEN:
-            return False
-        self.close()
-        self.ready = opened
-        return True
+        self.moved.set()
+
+    async def moves(self) -> None:
+        """Tries each new place until it stands, or until it is another."""
+        while await self.moved.wait():
+            self.moved.clear()
+            again = Backoff(self.limits)
+            while self.address not in (self.used, self.ready and self.ready.address):
+                try:
+                    await self.renew()
+                except Exception:  # whatever it was, a further attempt follows: nobody else would make one
+                    await again.wait()
 
     def close(self) -> None:
         if self.ready:
             self.ready.close()
         self.ready = None
+
+
+async def ended(*tasks: asyncio.Task[Any] | None) -> None:
+    """Ends tasks and waits until they have; what they raised is heard."""
+    standing = [task for task in tasks if task is not None]
+    for task in standing:
+        task.cancel()
+    await asyncio.gather(*standing, return_exceptions=True)
--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -62,18 +62,20 @@
             # Whatever the settings say of discovery: on sockets nobody tells the list to whom has not asked for it.
             told = replace(deployment.read(given["settings"]), asks_for_list=True)
             part = "limits"
-            limits = Limits.within(int((given.get("limits") or {}).get("sockets", 1024)), told.proxies, told.slices)
+            sockets = deployment.Part(given).part("limits").whole("sockets", 1024)
+            limits = Limits.within(sockets, told.proxies, told.slices)
             part = "known"
             known = Codec(told, limits.id_bytes).listed(
-                given.get("known") or {"revision": 0, "complete": False, "members": []})
+                deployment.Part(given).part("known").told or {"revision": 0, "complete": False, "members": []})
             part = "seed"
             seed = int(str(given["seed"]), 16)
             part = "store.address"
-            relay = given["store"]["address"]
-            addresses = one("LB_LISTEN", "listen"), given.get("discovery") or one("LB_DISCOVERY", "discovery"), relay
-            for address in addresses:
-                part = f"address {address!r}"
-                split(address)
-        except (KeyError, ValueError, TypeError, AttributeError, WireError) as error:
+            relay = deployment.Part(given).part("store").word("address", None)
+            split(relay)
+            part = "listen"
+            split(listen := one("LB_LISTEN", "listen"))
+            part = "discovery"
+            split(registry := given.get("discovery") or one("LB_DISCOVERY", "discovery"))
+        except (KeyError, ValueError, TypeError, AttributeError, OverflowError, WireError) as error:
             raise BadStart(f"LB_CONFIG {where!r}: {part}: {type(error).__name__} {error}") from None
-        return cls(one("LB_NAME", "name"), *addresses[:2], relay, seed, known, told, limits)
+        return cls(one("LB_NAME", "name"), listen, registry, relay, seed, known, told, limits)
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -32,11 +32,17 @@
 
     # times
     join_us: int = 1_000_000  # from connecting, or from the last PING, until a collector joins
-    connect_us: int = 1_000_000
+    connect_us: int = 1_000_000  # a first attempt to connect; the next one gets twice as long ...
+    connect_most_us: int = 2_000_000  # ... up to this, once attempts run out of time, and then a short one again
     answer_us: int = 200_000  # a relay answers within 50 ms or never; the rest is for a late wake-up here
     list_us: int = 2_000_000  # until the list or the head of a watch's answer comes
     watch_quiet_us: int = 3_000_000  # a watch gives a sign of life every 2 s
-    unasked_us: int = 5_500_000  # a lost watch that nobody asks for again is opened all the same
+    # What the list has to tell counts as told 6 s on, heard or not: by then the next attempt has been made.
+    unasked_us: int = 4_500_000  # a lost watch that nobody asks for again is opened all the same, a fifth sooner or later
+    renew_us: int = 20_000_000  # a watch that told nothing for so long is opened anew, a fifth sooner or later ...
+    renew_most_us: int = 80_000_000  # ... and up to this, while a registry is slow to answer that, or fails
+    renew_slow_us: int = 300_000
+    strange_us: int = 1_000_000  # a server that others name may be missing from the list for so long
     news_quiet_us: int = 2_500_000  # the relay gives a sign of life each second
     told_us: int = 500_000  # until the relay begins to tell what stands, and again until it is done
     picture_us: int = 100_000  # news that pause for so long have told all that stands
@@ -47,6 +53,7 @@
     lasted_us: int = 5_000_000  # a stream of news that lasted so long was a good one
     late_us: int = 100_000  # a process later than this stood still, and reads what waits first
     log_every_us: int = 1_000_000  # for lines that a peer can cause
+    bind_us: int = 3_000_000  # for a process that still holds the listening address to end
     stop_us: int = 300_000  # for connections to close at the end
 
     @classmethod
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -47,6 +47,13 @@
             self.counters["probes.sent"] += 1
             self.under_way[backend] = asyncio.create_task(self.probe(backend, address))
 
+    def forget(self, backend: face.BackendId) -> None:
+        """The server is another: at another address, or started anew. What the old one answers tells nothing of it."""
+        self.line.pop(backend, None)
+        if task := self.under_way.get(backend):
+            self.counters["probes.outdated"] += 1
+            task.cancel()  # the module asks again
+
     def close(self) -> list[asyncio.Task[None]]:
         """Begins no further one; those under way are the caller's to end."""
         self.line.clear()
@@ -66,7 +73,7 @@
         except WireError:  # a report that is spoilt: the probe was answered all the same
             self.counters["probes.unreadable"] += 1
         except TimeoutError:
-            reason = LATE if link else UNREACHABLE
+            reason = LATE  # also where the dial took too long: nothing was refused
         except (*BROKEN, ValueError):  # ValueError: the list gave no address
             pass
         except Exception:
@@ -76,7 +83,7 @@
                 link.close()
             self.under_way.pop(backend, None)
             self.go_on()
-            self.counters[f"probes.reason_{reason}"] += 1
+        self.counters[f"probes.reason_{reason}"] += 1
         took_us = (time.monotonic_ns() - began) // 1000
         self.tell(face.Probed(backend, reason, took_us, load))
 
--- a/lapispass/net/process.py
+++ b/lapispass/net/process.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from lapispass.net import log
+from lapispass.net import log, signals
 from lapispass.net.log import Part
 
 
@@ -22,6 +22,22 @@
     loop.add_signal_handler(signal.SIGHUP, read_again)
 
 
+def to_the_end(life: Coroutine[Any, Any, None]) -> None:
+    """A process's life on a loop of its own. Signals are held from its end until the loop is gone.
+
+    Guards its last moments: handlers go with the loop, and a second SIGTERM, or a SIGHUP, would end the process by
+    the signal in place of with its status. Whoever is about to leave the process holds them for good.
+    """
+    async def whole() -> None:
+        try:
+            await life
+        finally:
+            signals.hold()
+
+    with signals.kept():
+        asyncio.run(whole())
+
+
 def status(life: Coroutine[Any, Any, None], bad: type[Exception], listens: str,
            lines: logging.Formatter | None = None) -> int:
     """0 ended in order, 1 a fault, 2 bad input: a `bad` file, or an address `listens` that can't be had."""
@@ -29,7 +45,7 @@
     if lines is not None:
         handler.setFormatter(lines)
     try:
-        asyncio.run(life)
+        to_the_end(life)
     except bad as error:
         print(error, file=sys.stderr)
         return 2
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -9,7 +9,7 @@
 from lapispass import interface as face
 from lapispass.net.codec import Codec, Listing, WireError
 from lapispass.net.counters import Counters
-from lapispass.net.http import BROKEN, Link, Overfull, Place, within
+from lapispass.net.http import BROKEN, Dialer, Link, Overfull, Place, Quiet, ended, within
 from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
@@ -21,14 +21,19 @@
     """Follows the list once asked to; a watch that ends is told as lost, and the module asks again."""
 
     def __init__(self, address: str, known: Listing, tell: Callable[[face.Event], None], codec: Codec,
-                 limits: Limits, counters: Counters) -> None:
-        self.place, self.tell, self.codec = Place(address, limits), tell, codec
-        self.link: Link | None = None
-        self.limits, self.counters = limits, counters
+                 limits: Limits, counters: Counters,
+                 replaced: Callable[[face.BackendId], None] = lambda backend: None) -> None:
+        self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
+        self.replaced = replaced  # is told of a server that is at another address now, or has started anew
+        self.place, self.dialer = Place(address, limits, self.begin, self.switch), Dialer(limits)
+        self.watching: asyncio.Task[None] | None = None
         self.log = Part("registry", limits.log_every_us)
         self.version: int | None = known.version if known.entries else None
         self.addresses: dict[face.BackendId, str] = dict(known.addresses)
-        self.asked = asyncio.Event()
+        self.born: dict[face.BackendId, int] = {entry.backend: entry.born_us or 0 for entry in known.entries}
+        self.asked, self.open = asyncio.Event(), asyncio.Event()
+        self.strange, self.stranger = asyncio.Event(), None  # a server that only others name
+        self.heard_at = 0.0  # when the list last told something, or a watch was opened
         tell(face.Listed("remembered", known.entries))
 
     def follow(self) -> None:
@@ -38,55 +43,130 @@
     async def run(self) -> None:
         """One watch after the other, each when it is asked for."""
         await self.asked.wait()
-        while True:
-            self.asked.clear()
-            await self.watch()
-            if self.place.ready:
-                continue  # it goes on at the new place from the version known: nothing is missed
-            self.counters["registry.lost"] += 1
-            self.tell(face.Listed("lost", ()))
-            # Guards the list where no turn can ask, as while a relay call is unsettled.
-            unasked_us = int(self.limits.unasked_us * random.uniform(0.8, 1.2))
+        beside = [asyncio.create_task(life) for life in (self.place.moves(), self.renewals())]
+        try:
+            while True:
+                self.asked.clear()
+                self.watching = asyncio.create_task(self.watch())
+                await asyncio.wait((self.watching,))
+                if self.place.ready:
+                    continue  # it goes on from the version known: nothing is missed
+                self.counters["registry.lost"] += 1
+                self.tell(face.Listed("lost", ()))
+                # Guards the list where no turn can ask, as while a relay call is unsettled.
+                unasked_us = int(self.limits.unasked_us * random.uniform(0.8, 1.2))
+                try:
+                    await within(unasked_us, self.asked.wait(), 0)
+                except TimeoutError:
+                    self.counters["registry.unasked"] += 1
+        finally:
+            await ended(*beside, self.watching)
+            self.place.close()
+
+    def move(self, address: str) -> None:
+        """Follows the registry to another place; the watch goes on there as soon as it is answered."""
+        self.place.move(address)
+
+    def switch(self) -> None:
+        """A connection that stands takes over, whatever the present one is waiting for."""
+        self.asked.set()
+        if self.watching:
+            self.watching.cancel()
+
+    def named(self, backend: face.BackendId) -> None:
+        """Somebody else spoke of a server: one that the list has never named is a sign that it moves on elsewhere."""
+        if backend not in self.born:
+            self.stranger = backend
+            self.strange.set()
+
+    async def renewals(self) -> None:
+        """Opens a watch anew that has told nothing for long, or seems to be behind, before the old one is left.
+
+        Guards against a watch that gives signs of life and nothing else while the list moves on elsewhere: nobody
+        would ever ask again. A registry can take one call of every controller in some seconds, so each asks by its own
+        chance, seldom, and less often where the registry is slow.
+        """
+        loop, limits, every_us, asked_at = asyncio.get_running_loop(), self.limits, self.limits.renew_us, 0.0
+        while await self.open.wait():
+            due = self.heard_at + every_us * random.uniform(0.8, 1.2) / 1e6
             try:
-                await within(unasked_us, self.asked.wait(), 0)
+                async with asyncio.timeout(max(0.0, due - loop.time())):
+                    await self.strange.wait()
             except TimeoutError:
-                self.counters["registry.unasked"] += 1
+                if loop.time() < self.heard_at + 0.8 * every_us / 1e6:
+                    continue  # it has told something meanwhile
+            else:
+                self.strange.clear()
+                await asyncio.sleep(limits.strange_us * random.uniform(0.5, 1.5) / 1e6)
+                if self.stranger in self.born or loop.time() < asked_at + 5 * limits.strange_us / 1e6:
+                    continue  # the list was a little behind only
+            if not self.open.is_set():
+                continue
+            self.counters["registry.renewals"] += 1
+            self.born.setdefault(self.stranger, 0)  # one that no list names is asked for once
+            asked_at = self.heard_at = loop.time()
+            try:
+                await self.place.renew()
+                slow = loop.time() - asked_at > limits.renew_slow_us / 1e6
+            except Exception:  # whatever it was: this life must not end
+                slow = True
+            every_us = min(2 * every_us, limits.renew_most_us) if slow else limits.renew_us
+
+    async def begin(self, address: str) -> Link:
+        """A connection; its watch is answered, where there is a version to go on from."""
+        link = await self.dialer.open(address)
+        try:
+            if self.version is not None:
+                await self.ask(link)
+        except BaseException:
+            link.close()
+            raise
+        return link
 
-    async def move(self, address: str) -> None:
-        """Follows the registry to another place; the watch goes on there."""
-        if await self.place.move(address) and self.link:
-            self.link.close()
+    async def ask(self, link: Link) -> None:
+        link.since = self.version
+        status = await within(self.limits.list_us, self.call(link, f"{TARGET}?watch=1&from={self.version}"),
+                              self.limits.late_us)
+        if status != 200:
+            raise EOFError(f"status {status}")
 
     async def watch(self) -> None:
         """The life of a watch, from its call to its end."""
-        why = ""
+        why, link = "", None
         try:
             if self.version is None:  # nothing to go on from
                 await self.fetch()
-            self.link = link = await self.place.link()
-            target = f"{TARGET}?watch=1&from={self.version}"
-            status = await within(self.limits.list_us, self.call(link, target), self.limits.late_us)
-            if status != 200:
-                raise EOFError(f"status {status}")
+            link = await self.place.link()
+            if link.since is None:
+                await self.ask(link)
             self.counters["registry.watches"] += 1
             self.log.say("watch open", version=self.version)
-            lines = Lines(self.limits.list_bytes)
-            while True:
-                piece = await within(self.limits.watch_quiet_us, link.piece(), self.limits.late_us)
-                if not piece:
-                    raise EOFError("ended")
-                for line in lines.cut(piece):
-                    if line:
-                        self.take(self.codec.listing(line))
+            self.heard_at = asyncio.get_running_loop().time()
+            self.open.set()
+            lines, begun = Lines(self.limits.list_bytes), False
+            async with Quiet(self.limits.late_us) as quiet:
+                quiet.hear(self.limits.watch_quiet_us)
+                while piece := await link.piece():
+                    whole = 0
+                    for line in lines.cut(piece):
+                        whole += 1
+                        if line:
+                            self.take(self.codec.listing(line), link)
+                    # Guards against bytes that dribble in and never make a line: only a whole one, or the first
+                    # byte of a next one, is a sign of life.
+                    if whole or not begun:
+                        quiet.hear(self.limits.watch_quiet_us)
+                    begun = bool(lines.rest)
+            raise EOFError("ended")
         except (*BROKEN, WireError, TooLong) as error:
             why = f"{type(error).__name__} {error}"
         except Exception as error:  # a fault of our own costs this watch, not the controller
             why = type(error).__name__
             self.log.failed("watch failed")
         finally:
-            if self.link:
-                self.link.close()
-                self.link = None
+            self.open.clear()
+            if link:
+                link.close()
         self.log.seldom("watch lost", version=self.version, why=why)
 
     @staticmethod
@@ -107,7 +187,7 @@
         self.counters["registry.lists"] += 1
         self.take(self.codec.listing(body))
 
-    def take(self, listing: Listing) -> None:
+    def take(self, listing: Listing, link: Link | None = None) -> None:
         """One message of the registry."""
         self.counters["registry.messages"] += 1
         if listing.unreadable:
@@ -117,7 +197,12 @@
         if unknown := len(listing.entries) - len(entries):
             self.counters["registry.too_many"] += unknown
             self.log.seldom("too many servers", left_out=unknown, most=self.limits.servers)
-        if self.version is not None and listing.version < self.version and not listing.whole:
+        behind = self.version is not None and listing.version < self.version
+        if link:
+            if behind and link.since is not None and link.since <= listing.version:
+                return  # written before the watch that this one takes over from told more: that is known
+            link.since, self.heard_at = None, asyncio.get_running_loop().time()
+        if behind and not listing.whole:
             # What changed since cannot be told from it: the next watch begins with the whole list.
             self.version = None
             raise WireError(f"version went back to {listing.version}")
@@ -129,9 +214,15 @@
             self.version = None  # what was not taken in is told again with the whole list
             raise
         self.version = listing.version
-        for backend, *_ in entries:
-            if address := listing.addresses.get(backend):
-                self.addresses.pop(backend, None)  # the one longest unheard of stands first
+        for backend, _, _, _, born_us in entries:
+            address = listing.addresses.get(backend, self.addresses.get(backend))
+            if address != self.addresses.get(backend) or born_us and born_us != self.born.get(backend, 0):
+                self.replaced(backend)
+            # The one longest unheard of stands first.
+            if self.addresses.pop(backend, None) or address:
                 self.addresses[backend] = address
-        while len(self.addresses) > 2 * self.limits.servers:
-            del self.addresses[next(iter(self.addresses))]
+            known_us = self.born.pop(backend, 0)
+            self.born[backend] = born_us or known_us
+        for known in (self.addresses, self.born):
+            while len(known) > 2 * self.limits.servers:
+                del known[next(iter(known))]
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -11,11 +10,13 @@
 from lapispass.net import codec as words
 from lapispass.net.codec import Codec, Refused, WireError
 from lapispass.net.counters import Counters
-from lapispass.net.http import BROKEN, Link, Place, Quiet, within
+from lapispass.net.http import BROKEN, Backoff, Dialer, Link, Place, Quiet, ended, within
 from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
 
+PATIENCE = 2  # attempts at a picture, each of which doubles the time for the next; calls wait meanwhile
+SPOILT = 3  # pictures that hold what can't be read, before one is taken as it is
 FORM = (("Content-Type", "application/x-www-form-urlencoded"),)
 
 
@@ -27,20 +28,6 @@
     backend: face.BackendId | None  # the owner that the slice has then
 
 
-class Backoff:
-    """Waits before a party is tried again: doubling, with jitter, never in step with others."""
-
-    def __init__(self, limits: Limits) -> None:
-        self.limits, self.next_us = limits, limits.again_least_us
-
-    async def wait(self) -> None:
-        await asyncio.sleep(self.next_us * random.uniform(0.5, 1.0) / 1e6)
-        self.next_us = min(2 * self.next_us, self.limits.again_most_us)
-
-    def reset(self) -> None:
-        self.next_us = self.limits.again_least_us
-
-
 class Calls:
     """Carries out orders: one call at a time, each settled before the next is thought of."""
 
@@ -48,7 +35,7 @@
         self.address, self.codec, self.limits, self.counters = address, codec, limits, counters
         self.log = Part("relay", limits.log_every_us)
         self.link: Link | None = None
-        self.used_at = 0.0
+        self.dialer, self.used_at = Dialer(limits), 0.0
         self.rows: dict[int, face.BackendId | None] = {}  # each slice's owner, as last told or ordered
         self.given: set[int] = set()  # slices given anew while a call is under way
         # Held while a turn's calls are not settled, or while the relay tells what stands: a picture taken
@@ -121,7 +108,6 @@
                 self.log.failed("call failed", orders=len(part))
                 await again.wait()
             else:
-                again.reset()
                 if any(item.slice in self.given for item in part):
                     self.doubt()  # was that before or after the slice was given anew?
                 if count == len(part):
@@ -129,6 +115,8 @@
                     return
                 # Guards against a spoilt answer that can be read: a short count is believed when it comes again.
                 if count != short:
+                    if short >= 0:  # Guards the relay against calls without a pause while each count is another.
+                        await again.wait()
                     short = count
                     continue
                 self.counters["relay.orders_taken"] += count
@@ -146,10 +134,16 @@
         loop = asyncio.get_running_loop()
         link, self.link = self.link, None
         idle = loop.time() - self.used_at > self.limits.idle_us / 1e6
-        if link and (not link.usable or idle or link.address != self.address):
+        if link and link.unasked:
+            # Guards against an answer that came twice: the second may have passed for that to the next call, which
+            # would count as carried out though nobody knows. What stands is compared.
+            self.counters["relay.answers_unasked"] += 1
+            self.log.seldom("answer unasked")
+            self.doubt()
+        if link and (not link.usable or idle or link.unasked or link.address != self.address):
             link.close()  # guards against one that the relay is about to close, as idle or since it has moved
             link = None
-        link = link or await Link.open(self.address, self.limits)
+        link = link or await self.dialer.open(self.address)
         try:
             answer = await within(self.limits.answer_us, self.exchange(link, body), self.limits.late_us)
             if link.next_call():
@@ -174,38 +168,54 @@
 
     def __init__(self, address: str, calls: Calls, tell: Callable[[face.Event], None], codec: Codec,
                  limits: Limits, counters: Counters) -> None:
-        self.place, self.calls, self.tell, self.codec = Place(address, limits), calls, tell, codec
-        self.limits, self.counters = limits, counters
+        self.dialer = Dialer(limits)
+        self.place = Place(address, limits, self.dialer.open, self.switch)
+        self.calls, self.tell, self.codec, self.limits, self.counters = calls, tell, codec, limits, counters
         self.log = Part("news", limits.log_every_us)
         self.link: Link | None = None
+        self.streaming: asyncio.Task[None] | None = None
         calls.doubt = self.look_again
         self.joined: set[int] = set()
         self.picture: list[face.Event] | None = None  # what stands, while the relay is still telling it
+        self.failed, self.spoilt = 0, 0  # pictures in a row that did not come whole, and that held what can't be read
 
     async def run(self) -> None:
         again = Backoff(self.limits)
-        while True:
-            began = asyncio.get_running_loop().time()
-            await self.stream()
-            if asyncio.get_running_loop().time() - began > self.limits.lasted_us / 1e6:
-                again.reset()
-            if not self.place.ready:
-                await again.wait()
+        moving = asyncio.create_task(self.place.moves())
+        try:
+            while True:
+                began = asyncio.get_running_loop().time()
+                self.streaming = asyncio.create_task(self.stream())
+                await asyncio.wait((self.streaming,))
+                if asyncio.get_running_loop().time() - began > self.limits.lasted_us / 1e6:
+                    again.reset()
+                if not self.place.ready:
+                    await again.wait()
+        finally:
+            await ended(moving, self.streaming)
+            self.place.close()
 
-    async def move(self, address: str) -> None:
+    def move(self, address: str) -> None:
         """Follows the relay to another place; what stands there is compared as after any gap."""
-        if await self.place.move(address):
-            self.look_again()
+        self.place.move(address)
+
+    def switch(self) -> None:
+        """A connection to another place stands: the stream begins anew there, whatever it is waiting for."""
+        if self.streaming:
+            self.streaming.cancel()
 
     async def stream(self) -> None:
         """The life of a stream of news, from the call to its end. Nothing is written after the call."""
-        why = ""
+        why, loop = "", asyncio.get_running_loop()
         try:
             self.link = link = await self.place.link()
             await self.calls.quiet.acquire()
             self.picture = []
-            until = asyncio.get_running_loop().time() + 2 * self.limits.told_us / 1e6
-            if (status := await within(self.limits.told_us, self.ask(link), self.limits.late_us)) != 200:
+            # Guards against a relay that needs longer than usual, which would never come to an end of its picture:
+            # each attempt that fails gives the next one twice as long. Only what is spent waiting for it counts.
+            patience_us = self.limits.told_us << min(self.failed, PATIENCE)
+            left_us = 2 * patience_us
+            if (status := await within(patience_us, self.ask(link), self.limits.late_us)) != 200:
                 raise EOFError(f"status {status}")
             self.counters["news.opened"] += 1
             self.log.say("news open", joined=len(self.joined), slices=len(self.calls.rows))
@@ -213,13 +223,17 @@
             async with Quiet(self.limits.late_us) as quiet:
                 while True:
                     if self.picture is None:
-                        quiet.hear(self.limits.news_quiet_us)
                         piece = await link.piece()
-                    elif asyncio.get_running_loop().time() > until:
+                    elif left_us <= 0 or len(self.picture) > 2 * self.limits.events:
                         raise TimeoutError("no end to what stands")
-                    elif (piece := await self.told(link)) is None:
-                        self.compare()
-                        continue
+                    else:
+                        since = loop.time()
+                        piece = await self.told(link, patience_us)
+                        left_us -= int((loop.time() - since) * 1e6)
+                        if piece is None:
+                            self.compare()
+                            quiet.hear(self.limits.news_quiet_us)
+                            continue
                     if not piece:
                         raise EOFError("ended")
                     for line in lines.cut(piece):
@@ -232,6 +246,9 @@
                         elif not line:  # one that was cut off before its end is none
                             self.take(kind, data)
                             kind, data = "", ""
+                        # Only whole lines are signs of life: bytes may dribble in that never make one.
+                        if self.picture is None:
+                            quiet.hear(self.limits.news_quiet_us)
         except (*BROKEN, UnicodeError, TooLong, WireError) as error:
             why = f"{type(error).__name__} {error}"
         except Exception as error:  # a fault of our own costs this stream, not the controller
@@ -241,16 +258,17 @@
             self.look_again()
             if self.picture is not None:  # told in part only: the next one is compared with what was known
                 self.picture = None
+                self.failed += 1
                 self.calls.quiet.release()
         self.counters["news.lost"] += 1
         self.log.seldom("news lost", why=why)
 
-    async def told(self, link: Link) -> bytes | bytearray | None:
+    async def told(self, link: Link, patience_us: int) -> bytes | bytearray | None:
         """A further piece of what stands; None where news pause: the end is not told, so that was all."""
         pause = Quiet(self.limits.late_us)
         try:
             async with pause:
-                pause.hear(self.limits.picture_us if self.picture else self.limits.told_us)
+                pause.hear(self.limits.picture_us if self.picture else patience_us)
                 return await link.piece()
         except TimeoutError:
             if not pause.ends.expired():
@@ -278,6 +296,11 @@
             self.log.seldom("event unreadable", kind=kind[:40], why=error)
             if self.picture is None:
                 raise  # something has changed unheard: what stands must be told afresh
+            # Guards what is decided on a picture: a proxy or a slice that can't be read would count as gone. It is
+            # asked for again; where it can't be read however often, that is what stands.
+            self.spoilt += 1
+            if self.spoilt <= SPOILT:
+                raise
             return
         self.counters[f"news.{kind}" if event else "news.unknown_kind"] += 1
         if event is None:
@@ -308,7 +331,7 @@
         """All that stands has been told: turns the differences from what was known into events."""
         if (picture := self.picture) is None:
             return
-        self.picture = None
+        self.picture, self.failed, self.spoilt = None, 0, 0
         self.calls.quiet.release()
         held = {event.slice: event.backend for event in picture if isinstance(event, face.Held)}
         ours = {event.slice for event in picture if isinstance(event, face.Given)}
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import signal
 import sys
@@ -21,6 +22,7 @@
 from lapispass.net.launch import BadStart, Launch
 from lapispass.net.log import Part, lost
 from lapispass.net.probes import Probes
+from lapispass.net.process import to_the_end
 from lapispass.net.registry import Registry
 from lapispass.net.relay import Calls, News
 
@@ -48,8 +50,8 @@
         common = (codec, self.limits, self.counters)
         self.calls = Calls(launch.relay, *common)
         self.news = News(launch.relay, self.calls, self.tell, *common)
-        self.registry = Registry(launch.registry, launch.known, self.tell, *common)
         self.probes = Probes(self.tell, *common)
+        self.registry = Registry(launch.registry, launch.known, self.tell, *common, self.probes.forget)
         self.collectors = Collectors(self.tell, *common)
         self.controller = Controller(launch.told, launch.seed, self.clock.now())
         self.beside: list[Beside] = []
@@ -67,6 +69,8 @@
             return
         if waiting >= 2 * self.limits.events and event != face.Listed("lost", ()):
             raise Overfull(f"{waiting} events wait")
+        if isinstance(event, face.Held | face.Met):
+            self.registry.named(event.backend)
         self.inbox.append(event)
         self.news_came.set()
 
@@ -78,10 +82,8 @@
 
     async def run(self) -> None:
         """Serves until `stop()`; a fault in the module is raised."""
-        try:
-            await self.collectors.listen(self.launch.listen)
-        except (OSError, ValueError) as error:
-            raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
+        if not await self.listen():
+            return
         tasks = [asyncio.create_task(life) for life in (
             self.news.run(), self.registry.run(), self.turns(), self.ended.wait(),
             *(front.run() for front in self.beside))]
@@ -93,14 +95,34 @@
             self.log.say("ended")
         finally:
             self.collectors.close()
-            for party in (self.calls, self.news.place, self.registry.place):
-                party.close()
+            self.calls.close()
             ending = [*tasks, *self.probes.close()]
             for task in ending:
                 task.cancel()
             await asyncio.wait([*ending, *self.collectors.tasks], timeout=self.limits.stop_us / 1e6)
             self.print_counters()
 
+    async def listen(self) -> bool:
+        """Takes the listening address; False where it was stopped before it had that.
+
+        Guards against a restart that comes while the process before still holds the address: its end is waited for.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.limits.bind_us / 1e6
+        while not self.ended.is_set():
+            try:
+                await self.collectors.listen(self.launch.listen)
+                return True
+            except (OSError, ValueError) as error:
+                if getattr(error, "errno", None) != errno.EADDRINUSE or loop.time() >= until:
+                    raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
+            try:
+                async with asyncio.timeout(self.limits.again_least_us / 1e6):
+                    await self.ended.wait()
+            except TimeoutError:
+                pass
+        return False
+
     async def follow(self, launch: Launch) -> None:
         """Goes by a configuration that was replaced: to where relay and registry are now, under load.
 
@@ -111,13 +133,11 @@
         self.counters["service.reloads"] += 1
         self.log.say("configuration read again", relay=launch.relay, registry=launch.registry,
                      **({"after_a_restart": ",".join(rest)} if rest else {}))
-        moves = []
         if launch.relay != old.relay:
             self.calls.address = launch.relay
-            moves.append(self.news.move(launch.relay))
+            self.news.move(launch.relay)
         if launch.registry != old.registry:
-            moves.append(self.registry.move(launch.registry))
-        await asyncio.gather(*moves)
+            self.registry.move(launch.registry)
 
     async def turns(self) -> None:
         """One turn after the other: waits, gathers, asks the module, carries out what it orders."""
@@ -217,7 +237,7 @@
     """The process's status."""
     log.start()
     try:
-        asyncio.run(serve(os.environ, joined, attach))
+        to_the_end(serve(os.environ, joined, attach))
     except BadStart as error:
         print(f"lapispass: {error}", file=sys.stderr)
         return 2
--- a/lapispass/peers/coordination.py
+++ b/lapispass/peers/coordination.py
@@ -110,7 +110,10 @@
             self.link = None
             try:
                 async with asyncio.timeout(self.call_us / 1e6):
-                    if link is None or not link.usable:
+                    if link is not None and not link.usable:
+                        link.close()  # ended by the service: our half of it would stay open
+                        link = None
+                    if link is None:
                         link = await Link.open(self.address, self.limits)
                     await link.send(
                         "POST", target, msgspec.json.encode(told), [("Content-Type", "application/json")]
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -253,6 +253,40 @@
     assert face.Own(0, 5, 0.0) in orders
 
 
+@pytest.mark.parametrize("usual", [0, 1, 2, 3])
+@pytest.mark.parametrize("admits", ["share", "rate", "none"])
+def test_no_order_has_a_class_tried_again_that_may_not_simply_be_repeated(usual: int, admits: str) -> None:
+    """Of a keyed class with a short window, a further try after any failure would come later than its window."""
+    classes = (face.VisitClass("look", SECOND, 3 * SECOND, 1.0, False, False),
+               face.VisitClass("hold", SECOND, 3 * SECOND, 2.0, True, False, False),
+               face.VisitClass("print", SECOND, 3 * SECOND, 1.0, False, False, False))
+    for slices in (12, 0):
+        told = deployment(classes=classes, usual_retry=usual, admits=admits, slices=slices)
+        ordered: list[face.Order] = []
+        entries = [face.Entry(100 + n, "east", "ready", 1.0, None) for n in range(3)]
+        for life in range(2):  # a restart says it again
+            controller, now = Controller(told, 7 + life, 100 * SECOND), 100 * SECOND
+            orders = controller.turn(now, standing(entries, 4, slices, first=False))
+            first = [order for order in orders if not isinstance(order, face.Log | face.Probe | face.Follow | face.Wake)]
+            if usual > 1:
+                assert first[0] == face.Admit(None, 0b110, 1, 1.0 if admits == "share" else 1e6)
+            for step in range(600):
+                now += 50 * MS
+                events = answers(orders, 4, MS) + [face.Woken(0)]
+                if step == 100:
+                    events.append(face.Listed("changes", (entries[0]._replace(state="draining"),)))
+                if step % 20 == 0:
+                    events += [face.Met(101, "east", 6, 9, 3 * SECOND, SECOND, None),
+                               *(face.Came(n, kind.name, 9, 0, SECOND) for n in range(slices) for kind in classes)]
+                orders = controller.turn(now, events)
+                ordered += orders
+        admitted = [order for order in ordered if isinstance(order, face.Admit)]
+        assert all(order.retry <= 1 for order in admitted if order.classes & 0b110)
+        assert all(order.retry == usual for order in admitted if order.classes == 0b001)
+        if slices and admits == "share":
+            assert any(order.classes == 0b001 for order in admitted) and any(order.classes & 0b110 for order in admitted)
+
+
 def test_the_list_is_asked_for_again_after_it_was_lost() -> None:
     controller = Controller(deployment(asks_for_list=True), 7, 0)
     follows = []
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -290,8 +290,8 @@
 
 @pytest.mark.parametrize(("change", "named"), [
     ({"settings": {}}, "settings"), ({"settings": None}, "settings"), ({"seed": "x"}, "seed"), ({"store": {}}, "store"),
-    ({"limits": {"sockets": 9}}, "limits"), ({"listen": "nowhere"}, "'nowhere'"), ({"listen": None}, "LB_LISTEN"),
-    ({"discovery": "h:99999"}, "h:99999"), ({"known": {"revision": "x"}}, "known"), ({"name": ""}, "LB_NAME")])
+    ({"limits": {"sockets": 9}}, "limits"), ({"listen": "nowhere"}, "listen"), ({"listen": None}, "LB_LISTEN"),
+    ({"discovery": "h:99999"}, "discovery.*h:99999"), ({"known": {"revision": "x"}}, "known"), ({"name": ""}, "LB_NAME")])
 def test_a_bad_start_is_named_in_one_line(tmp_path, change: dict, named: str) -> None:
     (tmp_path / "config.json").write_text(json.dumps({**CONFIG, **change}))
     with pytest.raises(BadStart, match=named) as error:
@@ -299,6 +299,77 @@
     assert "\n" not in str(error.value)
 
 
+def put(path: str, value: object) -> dict:
+    """The settings with one field changed; None takes it out."""
+    told = json.loads(json.dumps(SETTINGS))
+    *way, last = path.split(".")
+    part: dict = told
+    for step in way:
+        part = part[int(step)] if isinstance(part, list) else part.setdefault(step, {})
+    if value is None:
+        del part[last]
+    else:
+        part[last] = value
+    return told
+
+
+@pytest.mark.parametrize(("path", "value", "named"), [
+    ("grades.0.name", None, "grades.0..name: missing"), ("grades.0.target-us", "soon", "grades.0..target-us"),
+    ("grades.0.worth", float("inf"), "grades.0..worth"), ("grades.0.hard-limit-us", -1, "grades.0..hard-limit-us"),
+    ("grades", [], "grades"), ("grades", {"a": 1}, "grades"), ("grades", ["x"], "grades.0.: no object"),
+    ("grades", SETTINGS["grades"] * 2, "grades.1..name: 'pay' stands there twice"),
+    ("extra.class-writes", [True, False], "extra.class-writes: 2 values for 1 classes"),
+    ("extra.class-writes", ["yes"], "extra.class-writes"), ("extra.lease-us", 1e300, "extra.lease-us"),
+    ("extra.lease-us", float("nan"), "extra.lease-us"), ("extra.lease-us", True, "extra.lease-us"),
+    ("extra.key-ranges", 70_000, "extra.key-ranges"), ("extra.data-plane-size", 10 ** 400, "extra.data-plane-size"),
+    ("extra.one-owner", True, "extra.lease-us: missing"), ("extra.usual-how", 9, "extra.usual-how"),
+    ("extra", [], "extra: no object"), ("zones", ["a", "a"], "zones: 'a' stands there twice"), ("zones", [1], "zones"),
+    ("rules.cold-us", "x" * 10_000, "rules.cold-us"), ("limits.probes", 7, "limits.probes"),
+    ("stats.fields", "util", "stats.fields"), ("discovery", 5, "discovery"), ("period-us", [], "period-us")])
+def test_an_odd_setting_is_named_by_its_field_in_one_line(tmp_path, path: str, value: object, named: str) -> None:
+    (tmp_path / "config.json").write_text(json.dumps({**CONFIG, "settings": put(path, value)}))
+    with pytest.raises(BadStart, match=named) as error:
+        Launch.read({"LB_CONFIG": str(tmp_path / "config.json")})
+    assert "\n" not in str(error.value) and len(str(error.value)) < 400
+
+
+@pytest.mark.parametrize(("change", "named"), [
+    ({"limits": {"sockets": float("inf")}}, "limits.sockets"), ({"limits": {"sockets": "many"}}, "limits.sockets"),
+    ({"limits": [1]}, "limits"), ({"store": {"address": 5}}, "store.address"), ({"store": "127.0.0.1:1"}, "store"),
+    ({"discovery": 5}, "discovery"), ({"listen": "h:1:x"}, "listen"), ({"known": []}, "known")])
+def test_an_odd_field_beside_the_settings_is_named(tmp_path, change: dict, named: str) -> None:
+    (tmp_path / "config.json").write_text(json.dumps({**CONFIG, **change}))
+    with pytest.raises(BadStart, match=named) as error:
+        Launch.read({"LB_CONFIG": str(tmp_path / "config.json")})
+    assert "\n" not in str(error.value)
+
+
+def test_what_may_run_again_is_read_from_its_effect_or_from_whether_it_writes() -> None:
+    def repeats(effect: str | None, writes: bool) -> bool:
+        grade = {**SETTINGS["grades"][0], **({"effect": effect} if effect else {})}
+        told = settings.read({"grades": [grade], "extra": {"class-writes": [writes]}})
+        return told.classes[0].repeats
+    assert repeats("free", False) and repeats(None, False) and not repeats(None, True)
+    assert not any(repeats(effect, False) for effect in ("guarded", "single_shot", "of a later version"))
+
+
+def test_settings_of_one_instance_never_show_in_another() -> None:
+    one, two = (settings.read({"grades": [{**SETTINGS["grades"][0], "name": name}],
+                               "extra": {"key-ranges": 4, "data-plane-size": 2, "usual-how": how, "lines-per-s": 1e4,
+                                         "queue-cap": 2e4, "class-writes": [True], "lease-us": lease}})
+                for name, how, lease in (("pay", 0, 1), ("sign", 3, 2)))
+    first = Controller(one, 1, 0)
+    before = {name: repr(value) for name, value in vars(first.rules).items()}
+    second = Controller(two, 1, 0)
+    second.turn(SECOND, [face.Listed("whole", (face.Entry("s-1", "", "ready", 1.0, None),)), face.Joined(0, True, "", 1.0),
+                         face.Given(1, True)])
+    assert {name: repr(value) for name, value in vars(first.rules).items()} == before
+    assert not first.backends and not first.table.slices and first.rules.classes != second.rules.classes
+    shared = [name for name, value in vars(first.rules).items()
+              if isinstance(value, list | dict | set) and value is vars(second.rules)[name]]
+    assert not shared
+
+
 def test_a_start_without_a_configuration_is_named(tmp_path) -> None:
     (tmp_path / "odd.json").write_text("{")
     for environment, named in (({}, "LB_CONFIG"), ({"LB_CONFIG": "/nowhere"}, "/nowhere"),
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -356,6 +356,14 @@
     play(test())
 
 
+async def until_ended(seconds: float) -> None:
+    """A pause; asyncio complains of a connection whose task is cancelled at the test's end."""
+    try:
+        await asyncio.sleep(seconds)
+    except asyncio.CancelledError:
+        pass
+
+
 @pytest.mark.parametrize(
     "answer",
     [
@@ -371,7 +379,7 @@
     async def meet(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         if answer is None:
-            await asyncio.sleep(5)  # never answers
+            await until_ended(5)  # never answers
         writer.write(answer or b"")
         writer.close()
 
@@ -399,7 +407,10 @@
             + accept_of(key.encode())
             + b"\r\n\r\n"
         )
-        await life(reader, writer)
+        try:
+            await life(reader, writer)
+        except asyncio.CancelledError:
+            pass  # the test has ended; asyncio complains of a connection whose task is cancelled
         writer.close()
 
     server = await asyncio.start_server(meet, "127.0.0.1", 0)
--- a/tests/test_gate_fleet.py
+++ b/tests/test_gate_fleet.py
@@ -262,7 +262,10 @@
                 + accept_of(key.encode())
                 + b"\r\n\r\n"
             )
-            await asyncio.sleep(20)
+            try:
+                await asyncio.sleep(20)
+            except asyncio.CancelledError:
+                pass  # the test has ended; asyncio complains of a connection whose task is cancelled
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         writer.close()
 
@@ -345,6 +348,7 @@
             assert stand.service.counters["gates.turned_away"] == 1
             assert stand.gates["g0"].steering.lease is not None
             assert not stand.tasks["controller"].done()
+            writer.transport.abort()
 
     play(test())
 
--- a/tests/test_xds_core.py
+++ b/tests/test_xds_core.py
@@ -540,6 +540,7 @@
         time.sleep(0.01 + 0.007 * kill)
         process.send_signal(signal.SIGKILL)
         last = [line for line in process.stdout.read().split("\n") if line.strip().isdigit()]
+        process.stdout.close()
         process.wait()
         acknowledged = int(last[-1]) if last else acknowledged
         store = Assignments(tmp_path / "s", 8)
