--- a/lapispass/balance.py
+++ b/lapispass/balance.py
@@ -410,7 +410,8 @@
         for gain, slice_, place, want in due:
             if len(orders) < (room if gain > SECOND else spare):
                 slice_.levels[place] = want
-                orders.append(face.Admit(slice_.number, 1 << place, self.rules.retries[place], want * self.rules.all))
+                retry = self.rules.retries[place]
+                orders.append(face.Admit(slice_.number, 1 << place, retry, want * self.rules.all))
         return orders
 
     def withdrawals(self) -> Iterable[face.Order]:
@@ -646,9 +647,9 @@
         self.any_zone = sum(1 << place for place, kind in places if not kind.own_zone)
         self.zone_tables = {zone: 1 + place for place, zone in enumerate(told.zones) if self.own_zone}
         self.slices, self.load_fields = max(1, told.slices), told.load_fields
-        # Guards what must not run twice, or only within its group and window: a class that may not simply be repeated
-        # is tried again on proof alone that it never ran, whatever is usual, and that is said before all else.
-        self.retries = [told.usual_retry if kind.repeats else min(1, told.usual_retry) for kind in told.classes]
+        # Guards what must not run twice, or only within its group and window: a class that may not simply be
+        # repeated is tried again on proof alone that it never ran, and that is said before all else.
+        self.retries = [min(told.usual_retry, 3 if kind.repeats else 1) for kind in told.classes]
         careful = sum(1 << place for place, retry in enumerate(self.retries) if retry < told.usual_retry)
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
         self.shares, self.shuts = told.admits == "share", told.admits != "none"  # a rate is only shut or open
--- a/lapispass/deployment.py
+++ b/lapispass/deployment.py
@@ -54,9 +54,12 @@
     def flag(self, key: str, default: bool = False) -> bool:
         return bool(self.one(key, default, lambda value: value in (0, 1), "yes or no"))
 
-    def several(self, key: str, sound: Callable[[Any], bool], what: str, length: int | None = None) -> list[Any]:
+    def several(self, key: str, sound: Callable[[Any], bool], what: str,
+                length: int | None = None) -> list[Any]:
         """A list, of one value for each of something where a length is told; it may be left out then."""
-        told = self.one(key, [], lambda value: isinstance(value, list | tuple) and all(map(sound, value)), f"list of {what}")
+        def whole(value: Any) -> bool:
+            return isinstance(value, list | tuple) and all(map(sound, value))
+        told = self.one(key, [], whole, f"list of {what}")
         if length is not None and len(told) not in (0, length):
             raise ValueError(f"{self.name(key)}: {len(told)} values for {length} classes")
         return list(told) or [False] * (length or 0)
@@ -70,7 +73,7 @@
 
 
 def visit_classes(env: Part, extra: Part) -> tuple[face.VisitClass, ...]:
-    told = env.one("grades", None, lambda value: isinstance(value, list) and len(value) > 0, "list of classes")
+    told = env.one("grades", None, lambda value: isinstance(value, list) and value != [], "list of classes")
     grades = [Part(grade, f"grades[{place}]") for place, grade in enumerate(told)]
     names = [grade.word("name", None) for grade in grades]
     for place, name in enumerate(names):
@@ -80,8 +83,8 @@
                     for key in ("class-writes", "home-only"))
     return tuple(
         face.VisitClass(
-            name, grade.whole("target-us", None), grade.whole("hard-limit-us", None), grade.number("worth", None),
-            bool(write), bool(own),
+            name, grade.whole("target-us", None), grade.whole("hard-limit-us", None),
+            grade.number("worth", None), bool(write), bool(own),
             # Where nothing is said of repeats, what writes must not run twice.
             grade.word("effect", "single_shot" if write else "free") == "free")
         for grade, name, write, own in zip(grades, names, writes, home, strict=True))
--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -185,7 +185,7 @@
                 self.counters["gates.turned_away"] += 1
                 self.log.seldom("stranger turned away", peer=writer.get_extra_info("peername"), why=why)
         except asyncio.CancelledError:
-            why = "the controller ends"  # in order: asyncio would log a trace of a connection whose task is cancelled
+            why = "the controller ends"  # in order; asyncio would log a trace of a task that was cancelled
         except Exception:  # a fault of our own costs this stream, not the controller
             self.counters["gates.faults"] += 1
             self.log.failed("gate's stream failed")
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -30,8 +30,8 @@
     Guards against taking our own standing still for the peer's silence: where the process was late by more
     than `late_us`, what arrived meanwhile is read before the peer is given up.
 
-    Guards descriptors, too: where the work was done in the instant in which whoever waits was ended, or gave up,
-    `unwanted` is handed what it gave. A connection that came up just then would stay open, and nobody's.
+    Guards descriptors, too: where the work was done in the instant in which whoever waits was ended, or gave
+    up, `unwanted` is handed what it gave. A connection that came up just then would stay open, and nobody's.
     """
     loop = asyncio.get_running_loop()
     task, taken = asyncio.ensure_future(work), False
@@ -139,11 +139,12 @@
     def __init__(self, reader: Reader, writer: asyncio.StreamWriter, address: str, limits: Limits) -> None:
         self.reader, self.writer, self.address, self.limits = reader, writer, address, limits
         self.state = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.answer_bytes)
-        self.since: int | None = None  # the version that a watch was asked from, until its first line was taken
+        self.since: int | None = None  # the version that a watch was asked from, until its first line
 
     @classmethod
     async def open(cls, address: str, limits: Limits, wait_us: int | None = None) -> Link:
-        return await within(wait_us or limits.connect_us, cls._dial(address, limits), limits.late_us, cls.close)
+        dial = cls._dial(address, limits)
+        return await within(wait_us or limits.connect_us, dial, limits.late_us, cls.close)
 
     @classmethod
     async def _dial(cls, address: str, limits: Limits) -> Link:
@@ -220,11 +221,11 @@
 
 
 class Dialer:
-    """Opens connections to one party; an attempt that runs out of time gives the next one twice as long, up to a limit.
+    """Opens connections to one party; an attempt that runs out of time gives the next one twice as long.
 
-    Guards against dials that take just over the limit (a first packet that is lost is sent again after a second):
-    with one limit for all attempts, none would ever come up. Behind the longest comes a short one again: an attempt
-    made into a cut may never come up, also when the cut is over.
+    Guards against dials that take just over the limit (a first packet that is lost is sent again after a
+    second): with one limit for all attempts, none would ever come up. Behind the longest comes a short one
+    again: an attempt made into a cut may never come up, also when the cut is over.
     """
 
     def __init__(self, limits: Limits) -> None:
@@ -236,8 +237,8 @@
         try:
             link = await Link.open(address, self.limits, self.wait_us)
         except TimeoutError:
-            longest = self.wait_us >= self.limits.connect_most_us
-            self.wait_us = self.limits.connect_us if longest else min(2 * self.wait_us, self.limits.connect_most_us)
+            least_us, most_us = self.limits.connect_us, self.limits.connect_most_us
+            self.wait_us = least_us if self.wait_us >= most_us else min(2 * self.wait_us, most_us)
             raise
         if loop.time() - began < self.limits.connect_us / 1e6:
             self.wait_us = self.limits.connect_us
@@ -245,10 +246,10 @@
 
 
 class Place:
-    """Where a party is reached. After a move, the new place is tried until it stands; meanwhile the old one serves.
+    """Where a party is reached. After a move, the new place is tried until it stands; the old one serves meanwhile.
 
-    Guards against a move that happens while a connection to the old place is being made, or while the new one does
-    not answer yet: the party's stream would stay at the old place for as long as that one gives signs of life.
+    Guards against a move that happens while a connection to the old place is being made, or while the new one
+    does not answer yet: the party's stream would stay at the old place while that one gives signs of life.
     """
 
     def __init__(self, address: str, limits: Limits, opened: Callable[[str], Awaitable[Link]],
--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -65,8 +65,8 @@
             sockets = deployment.Part(given).part("limits").whole("sockets", 1024)
             limits = Limits.within(sockets, told.proxies, told.slices)
             part = "known"
-            known = Codec(told, limits.id_bytes).listed(
-                deployment.Part(given).part("known").told or {"revision": 0, "complete": False, "members": []})
+            listed = deployment.Part(given).part("known").told
+            known = Codec(told, limits.id_bytes).listed(listed or {"revision": 0, "complete": False, "members": []})
             part = "seed"
             seed = int(str(given["seed"]), 16)
             part = "store.address"
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -33,13 +33,13 @@
     # times
     join_us: int = 1_000_000  # from connecting, or from the last PING, until a collector joins
     connect_us: int = 1_000_000  # a first attempt to connect; the next one gets twice as long ...
-    connect_most_us: int = 2_000_000  # ... up to this, once attempts run out of time, and then a short one again
+    connect_most_us: int = 2_000_000  # ... up to this, once attempts run out of time
     answer_us: int = 200_000  # a relay answers within 50 ms or never; the rest is for a late wake-up here
     list_us: int = 2_000_000  # until the list or the head of a watch's answer comes
     watch_quiet_us: int = 3_000_000  # a watch gives a sign of life every 2 s
     # What the list has to tell counts as told 6 s on, heard or not: by then the next attempt has been made.
-    unasked_us: int = 4_500_000  # a lost watch that nobody asks for again is opened all the same, a fifth sooner or later
-    renew_us: int = 20_000_000  # a watch that told nothing for so long is opened anew, a fifth sooner or later ...
+    unasked_us: int = 4_500_000  # a lost watch that nobody asks for is opened all the same, more or less a fifth
+    renew_us: int = 20_000_000  # a watch that told nothing for so long is opened anew, more or less a fifth ...
     renew_most_us: int = 80_000_000  # ... and up to this, while a registry is slow to answer that, or fails
     renew_slow_us: int = 300_000
     strange_us: int = 1_000_000  # a server that others name may be missing from the list for so long
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -48,7 +48,7 @@
             self.under_way[backend] = asyncio.create_task(self.probe(backend, address))
 
     def forget(self, backend: face.BackendId) -> None:
-        """The server is another: at another address, or started anew. What the old one answers tells nothing of it."""
+        """The server is another: at another address, or started anew. The old one's answer tells nothing of it."""
         self.line.pop(backend, None)
         if task := self.under_way.get(backend):
             self.counters["probes.outdated"] += 1
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -74,17 +74,17 @@
             self.watching.cancel()
 
     def named(self, backend: face.BackendId) -> None:
-        """Somebody else spoke of a server: one that the list has never named is a sign that it moves on elsewhere."""
+        """Somebody else spoke of a server: one that the list never named shows that it moves on elsewhere."""
         if backend not in self.born:
             self.stranger = backend
             self.strange.set()
 
     async def renewals(self) -> None:
-        """Opens a watch anew that has told nothing for long, or seems to be behind, before the old one is left.
+        """Opens a watch anew that told nothing for long, or seems to be behind, before the old one is left.
 
-        Guards against a watch that gives signs of life and nothing else while the list moves on elsewhere: nobody
-        would ever ask again. A registry can take one call of every controller in some seconds, so each asks by its own
-        chance, seldom, and less often where the registry is slow.
+        Guards against a watch that gives signs of life and nothing else while the list moves on elsewhere:
+        nobody would ever ask again. A registry can take one call of every controller in some seconds, so each
+        asks by its own chance, seldom, and less often where the registry is slow.
         """
         loop, limits, every_us, asked_at = asyncio.get_running_loop(), self.limits, self.limits.renew_us, 0.0
         while await self.open.wait():
@@ -152,8 +152,8 @@
                         whole += 1
                         if line:
                             self.take(self.codec.listing(line), link)
-                    # Guards against bytes that dribble in and never make a line: only a whole one, or the first
-                    # byte of a next one, is a sign of life.
+                    # Guards against bytes that dribble in and never make a line: only a whole one, or the
+                    # first byte of a next one, is a sign of life.
                     if whole or not begun:
                         quiet.hear(self.limits.watch_quiet_us)
                     begun = bool(lines.rest)
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -115,7 +115,7 @@
                     return
                 # Guards against a spoilt answer that can be read: a short count is believed when it comes again.
                 if count != short:
-                    if short >= 0:  # Guards the relay against calls without a pause while each count is another.
+                    if short >= 0:  # Guards the relay against calls without a pause where counts differ.
                         await again.wait()
                     short = count
                     continue
@@ -135,8 +135,8 @@
         link, self.link = self.link, None
         idle = loop.time() - self.used_at > self.limits.idle_us / 1e6
         if link and link.unasked:
-            # Guards against an answer that came twice: the second may have passed for that to the next call, which
-            # would count as carried out though nobody knows. What stands is compared.
+            # Guards against an answer that came twice: the second may have passed for that to the next call,
+            # which would count as carried out though nobody knows. What stands is compared.
             self.counters["relay.answers_unasked"] += 1
             self.log.seldom("answer unasked")
             self.doubt()
@@ -177,7 +177,7 @@
         calls.doubt = self.look_again
         self.joined: set[int] = set()
         self.picture: list[face.Event] | None = None  # what stands, while the relay is still telling it
-        self.failed, self.spoilt = 0, 0  # pictures in a row that did not come whole, and that held what can't be read
+        self.failed, self.spoilt = 0, 0  # pictures in a row that did not come whole; that can't be read
 
     async def run(self) -> None:
         again = Backoff(self.limits)
@@ -211,8 +211,8 @@
             self.link = link = await self.place.link()
             await self.calls.quiet.acquire()
             self.picture = []
-            # Guards against a relay that needs longer than usual, which would never come to an end of its picture:
-            # each attempt that fails gives the next one twice as long. Only what is spent waiting for it counts.
+            # Guards against a relay that needs longer than usual, which would never come to an end: each attempt
+            # that fails gives the next one twice as long. Only what is spent waiting for it counts.
             patience_us = self.limits.told_us << min(self.failed, PATIENCE)
             left_us = 2 * patience_us
             if (status := await within(patience_us, self.ask(link), self.limits.late_us)) != 200:
@@ -296,8 +296,8 @@
             self.log.seldom("event unreadable", kind=kind[:40], why=error)
             if self.picture is None:
                 raise  # something has changed unheard: what stands must be told afresh
-            # Guards what is decided on a picture: a proxy or a slice that can't be read would count as gone. It is
-            # asked for again; where it can't be read however often, that is what stands.
+            # Guards what is decided on a picture: a proxy or a slice that can't be read would count as gone. It
+            # is asked for again; where it can't be read however often, that is what stands.
             self.spoilt += 1
             if self.spoilt <= SPOILT:
                 raise
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -105,7 +105,7 @@
     async def listen(self) -> bool:
         """Takes the listening address; False where it was stopped before it had that.
 
-        Guards against a restart that comes while the process before still holds the address: its end is waited for.
+        Guards against a restart while the process before still holds the address: its end is waited for.
         """
         loop = asyncio.get_running_loop()
         until = loop.time() + self.limits.bind_us / 1e6
--- a/lapispass/net/signals.py
+++ b/lapispass/net/signals.py
@@ -23,7 +23,8 @@
 
 def hold() -> None:
     """Lets no signal through any more: the process is about to end by itself."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals() - FAULTS - {signal.SIGKILL, signal.SIGSTOP})
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, signal.valid_signals() - FAULTS - {signal.SIGKILL, signal.SIGSTOP})
 
 
 @contextmanager
