--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -316,6 +316,20 @@
     play(test())
 
 
+def test_a_probe_whose_dial_takes_too_long_found_silence_and_no_refusal(held: Held) -> None:
+    """One refused probe ends a server that a list wrongly calls gone; one slow dial does not."""
+    async def test() -> None:
+        heard: list[face.Probed] = []
+        held.gates["127.0.0.1:9"] = asyncio.Event()
+        held.refused.add("127.0.0.1:8")
+        probes = Probes(heard.append, CODEC, replace(QUICK, connect_us=30 * MS), Counters())
+        probes.start("s-1", "127.0.0.1:9")
+        probes.start("s-2", "127.0.0.1:8")
+        await until(lambda: len(heard) == 2)
+        assert {told.backend: told.reason for told in heard} == {"s-1": 3, "s-2": 4}
+    play(test())
+
+
 def test_probes_that_are_ended_begin_no_further_ones() -> None:
     async def test() -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
