--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -637,11 +637,7 @@
                 ends = world.loop.time() + chance.uniform(0.05, 0.9)
                 while world.loop.time() < ends and not world.broken:
                     if chance.random() < 0.3:
-                        name = f"s-{chance.randrange(3)}"
-                        up = sum(member["phase"] == "Ready" for member in roll.members.values())
-                        ready = roll.members[name]["phase"] == "Ready"
-                        if not ready or up > 1:
-                            roll.put(name, chance.choice(("Terminating", "Gone")) if ready else "Ready")
+                        roll.change(chance)
                     if chance.random() < 0.2:
                         world.faults.append(chance.choice(("reset after", "silent after", "unreadable")))
                     await asyncio.sleep(chance.uniform(0.005, 0.05))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -809,6 +809,14 @@
         self.version += 1
         self.members[name] = {**MEMBER, "id": name, "phase": phase}
 
+    def change(self, chance: random.Random) -> None:
+        """A server drawn from three drains, goes or returns; the last one that is ready stays."""
+        name = f"s-{chance.randrange(3)}"
+        up = sum(member["phase"] == "Ready" for member in self.members.values())
+        ready = self.members[name]["phase"] == "Ready"
+        if not ready or up > 1:
+            self.put(name, chance.choice(("Terminating", "Gone")) if ready else "Ready")
+
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_rule_2_holds_and_all_comes_right_while_everything_fails(seed: int) -> None:
@@ -836,11 +844,7 @@
                         case 5 if chance.random() < 0.2:
                             time.sleep(chance.uniform(0.05, 0.3))  # all stand still
                         case 6 | 7:
-                            name = f"s-{chance.randrange(3)}"
-                            up = sum(member["phase"] == "Ready" for member in roll.members.values())
-                            ready = roll.members[name]["phase"] == "Ready"
-                            if not ready or up > 1:
-                                roll.put(name, chance.choice(("Terminating", "Gone")) if ready else "Ready")
+                            roll.change(chance)
                     await asyncio.sleep(chance.uniform(0.01, 0.08))
                     world.look()
                 assert not world.broken, world.broken
