Split the decision module into small ones under policy; what decides nothing moves to core

Change: lapispass/policy (controller, health, handovers, channel, spread, rules), named in deploy/balancer.toml; random numbers, decaying sums, inboxes and message types move to lapispass/core. No behaviour: DecayingSum and RandomSource are new names of what they were.

--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -13,7 +13,8 @@
 from pathlib import Path
 
 from lapispass import interface as face
-from lapispass.balance import SECOND, Controller
+from lapispass.core.units import SECOND
+from lapispass.policy.controller import Controller
 
 MS = 1000
 
--- /dev/null
+++ b/lapispass/policy/__init__.py
@@ -0,0 +1,1 @@
+"""All decisions: pure, events in, orders out. The settings of `deploy/balancer.toml` name each module."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -8,7 +8,10 @@
 from fleet import MS, SECOND, Fleet, answers, deployment, standing
 
 from lapispass import interface as face
-from lapispass.balance import Backend, Chance, Controller, Fading
+from lapispass.core.decay import DecayingSum
+from lapispass.core.random_source import RandomSource
+from lapispass.policy.controller import Controller
+from lapispass.policy.health import Backend
 
 
 def owners(fleet: Fleet) -> set[int | None]:
@@ -317,10 +320,10 @@
 
 
 def test_chance_and_fading_sums() -> None:
-    one, two = Chance(9), Chance(9)
+    one, two = RandomSource(9), RandomSource(9)
     draws = [one.draw() for _ in range(100)]
     assert draws == [two.draw() for _ in range(100)] and 0 <= min(draws) < 0.2 < 0.8 < max(draws) < 1
-    fading = Fading(SECOND)
+    fading = DecayingSum(SECOND)
     fading.add(0, 8.0)
     assert fading.read(2 * SECOND) == pytest.approx(2.0)
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -18,7 +18,7 @@
 
 from lapispass import deployment as settings
 from lapispass import interface as face
-from lapispass.balance import Controller
+from lapispass.policy.controller import Controller
 from lapispass.drill.codec import read_batches
 from lapispass.net import log
 from lapispass.net.codec import Codec, Listing, Refused, WireError, call, taken
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -10,9 +10,11 @@
 from typer.testing import CliRunner
 
 from lapispass import interface as face
-from lapispass.balance import Channel, Ledger, Missed
 from lapispass.cli.main import app
+from lapispass.core.messages import Missed
 from lapispass.lab import fleet as days
+from lapispass.policy.channel import Channel
+from lapispass.policy.handovers import Ledger
 from lapispass.standins.fleet import MS, SECOND, Size, World, deployment
 
 Tell = Callable[[str], None]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -12,7 +12,7 @@
 from fleet import MS, SECOND, answers, deployment, standing
 
 from lapispass import interface as face
-from lapispass.balance import Controller
+from lapispass.policy.controller import Controller
 from lapispass.core import ownership
 from lapispass.core.membership import Members
 from lapispass.drill.codec import read_batches
