--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 
 from lapispass import interface as face
-from lapispass.core.units import SECOND
 from lapispass.controller import Controller
+from lapispass.core.units import SECOND
 
 MS = 1000
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -8,9 +8,9 @@
 from fleet import MS, SECOND, Fleet, answers, deployment, standing
 
 from lapispass import interface as face
+from lapispass.controller import Controller
 from lapispass.core.decay import DecayingSum
 from lapispass.core.random_source import RandomSource
-from lapispass.controller import Controller
 from lapispass.policy.health import Backend
 
 
