--- a/tests/test_gate_fleet.py
+++ b/tests/test_gate_fleet.py
@@ -201,6 +201,7 @@
             await until(lambda: not stand.nodes["n0"].held)
             await until(lambda: all(screen.open for screen in screens), 15)
             await asyncio.sleep(0.3)
+            await until(lambda: sum(len(node.writes) for node in stand.nodes.values()) > 40, 60)
             for task in running:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
