Close the connections of xDS clients when their controller ends

grpclib's server cancels its calls when it closes and leaves the connections open: a client found out by a ping that failed, 4 s later in the tests. And in Python 3.11 a connection that is accepted in the round in which the server closes is lost, neither served nor closed: the random drop test failed by it on a busy machine (an unclosed transport, allocated in accept).

The desk's server keeps its connections and closes them when it ends; it stops accepting a round earlier.

--- a/lapispass/xds/desk.py
+++ b/lapispass/xds/desk.py
@@ -15,7 +15,7 @@
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
 from lapispass import interface as face
 from lapispass.core import resources, tables
@@ -27,6 +27,7 @@
 from lapispass.net.log import Part
 from lapispass.operator.read import BadFile, Source
 from lapispass.xds import codec
+from lapispass.xds.server import ClosingServer
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
@@ -154,7 +155,7 @@
             _keepalive_permit_without_calls=True,
             _http2_max_pings_without_data=0,
         )
-        server = Server([self], config=pings)
+        server = ClosingServer([self], config=pings)
         await server.start(host, port, ssl=self.tls)
         bound = server._server.sockets[0].getsockname()  # type: ignore[union-attr]
         self.address = f"{bound[0]}:{bound[1]}"
@@ -164,7 +165,7 @@
             await server.wait_closed()
         finally:
             ticking.cancel()
-            server.close()
+            await server.end()
 
     async def sotw(self, stream: Stream[Any, Any]) -> None:
         await self.serve(stream, True)
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -5,13 +5,15 @@
 
 import asyncio
 import logging
+import socket
 import ssl
 from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
 import pytest
+from grpclib.config import Configuration
 from support_gate import play, until
 
 from lapispass import interface as face
@@ -22,6 +24,7 @@
 from lapispass.rules.held import Breach
 from lapispass.standins.xds_client import Faults, XdsClient
 from lapispass.xds.host import Host
+from lapispass.xds.server import ClosingServer
 
 FILE = """
 xds {{ listen: "127.0.0.1:0" late_ms: 400 new_per_s: {rate} burst: {rate} {tls} }}
@@ -34,11 +37,13 @@
 
 
 @asynccontextmanager
-async def controller(path: Path, tls: str = "", rate: int = 1000) -> AsyncIterator[Host]:
+async def controller(
+    path: Path, tls: str = "", rate: int = 1000, keepalive_s: float = 1.0
+) -> AsyncIterator[Host]:
     file = path / "operator.textproto"
     file.write_text(FILE.format(n0="READY", tls=tls, rate=rate))
     host = Host(operator.read(file), 5)
-    host.desk.keepalive_s = 1.0
+    host.desk.keepalive_s = keepalive_s
     running = asyncio.create_task(host.run())
     await until(lambda: host.desk.address or running.done())
     try:
@@ -127,6 +132,47 @@
     play(test())
 
 
+def test_a_controller_that_ends_closes_every_connection(tmp_path: Path) -> None:
+    """grpclib cancels the calls and leaves connections open: clients kept them until a ping failed."""
+
+    async def test() -> None:
+        async with controller(tmp_path, keepalive_s=3600.0) as host:
+            address = host.desk.address.split(":")
+            opened = [await asyncio.open_connection(*address) for _ in range(20)]
+            await opened[0][0].readexactly(9)  # the server's settings: it is served by now
+            coming = [asyncio.create_task(asyncio.open_connection(*address)) for _ in range(20)]
+            await asyncio.sleep(0)  # these come in the moment of the end
+            host.stop()
+            came = await asyncio.gather(*coming, return_exceptions=True)
+            for pair in [*opened, *(one for one in came if isinstance(one, tuple))]:
+                with suppress(ConnectionError):
+                    await asyncio.wait_for(pair[0].read(), 10)
+                pair[1].close()
+
+    play(test())
+
+
+@pytest.mark.parametrize("rounds", range(6))
+def test_a_connection_accepted_at_any_round_of_a_servers_end_is_closed(rounds: int) -> None:
+    """One accepted in the round of the close was left open, unserved, until it was collected as garbage."""
+
+    async def test() -> None:
+        server = ClosingServer([], config=Configuration())
+        await server.start("127.0.0.1", 0)
+        assert isinstance(server._server, asyncio.Server)
+        with socket.create_connection(server._server.sockets[0].getsockname()) as client:
+            for _ in range(rounds):
+                await asyncio.sleep(0)
+            await server.end()
+            client.setblocking(False)
+            with suppress(ConnectionError):
+                while await asyncio.get_running_loop().sock_recv(client, 1000):
+                    pass
+        assert not server.connections
+
+    play(test())
+
+
 def test_two_streams_of_one_node_the_newer_one_stays(tmp_path: Path) -> None:
     async def test() -> None:
         async with controller(tmp_path) as host:
