--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -431,16 +431,23 @@
 
     # What six days see in four seconds depends on the machine; each goes on until it has seen its part.
     day = drops.Duration(seconds=4.0, most_s=120.0, writes=90, handovers=6, drops=10)
+    # Two at a time: six in one process need most of a core, and where it is shared they run into the times
+    # that the rules allow.
+    gate = asyncio.Semaphore(2)
+
+    async def one(seed: int) -> drops.Verdict:
+        async with gate:
+            return await drops.play(seed, day)
 
     async def test() -> None:
-        verdicts = await asyncio.gather(*(drops.play(seed, day) for seed in range(first, first + 6)))
+        verdicts = await asyncio.gather(*(one(seed) for seed in range(first, first + 6)))
         for verdict in verdicts:
             assert not verdict.breaches, str(verdict)
             assert verdict.drops >= day.drops, str(verdict)
         assert sum(verdict.handovers for verdict in verdicts) > 30
         assert sum(verdict.writes for verdict in verdicts) > 500
 
-    play(test(), limit_s=180)
+    play(test(), limit_s=400)
 
 
 @pytest.mark.parametrize(
