Break the two circles of imports, in the command line and in the gate

cli/fronts.py imported cli/main.py for the seed, and the gate's connection, uplink and lone keeper imported the gate that imports them, for its type.

The seed has a module of its own; what the parts of a gate need of it is said by protocols: gate/host.py for all, and one beside the connection. Nothing behaves otherwise.

--- a/lapispass/cli/fronts.py
+++ b/lapispass/cli/fronts.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+from lapispass.cli.seeds import drawn
 from lapispass.net.launch import BadStart, Launch
 from lapispass.net.service import Service
 from lapispass.net.service import main as serve
@@ -46,7 +47,6 @@
         print(error, file=sys.stderr)
         return 2
     if source.told.HasField("alone"):
-        from lapispass.cli.main import drawn
         from lapispass.xds.host import main as host
 
         if source.told.alone.HasField("shared"):
--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -8,6 +8,8 @@
 
 import typer
 
+from lapispass.cli.seeds import drawn
+
 app = typer.Typer(
     name="lapispass",
     no_args_is_help=True,
@@ -109,13 +111,6 @@
     raise typer.Exit(main(seed, seeds, Size(controllers, proxies, servers)))
 
 
-def drawn() -> int:
-    """A seed for whoever gives none."""
-    import secrets
-
-    return secrets.randbits(63) | 1
-
-
 def main() -> None:
     """The console script, a process of its own: signals are its to set, from its first moment to its last."""
     from lapispass.net import signals
--- /dev/null
+++ b/lapispass/cli/seeds.py
@@ -0,0 +1,10 @@
+"""The seed of all chance of a process."""
+
+from __future__ import annotations
+
+import secrets
+
+
+def drawn() -> int:
+    """A seed for whoever gives none: 63 bits, never 0."""
+    return secrets.randbits(63) | 1
--- a/lapispass/gate/lone.py
+++ b/lapispass/gate/lone.py
@@ -3,26 +3,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from lapispass.core import tables
 from lapispass.core.facts import NodeView
 from lapispass.core.keeper import Counted, Keeper
 from lapispass.core.plans import NONE
+from lapispass.gate.host import TableHost
 from lapispass.operator import read as operator
 from lapispass.operator.operator_pb2 import Node
 from lapispass.operator.read import BadFile, Source
 
-if TYPE_CHECKING:
-    from lapispass.gate.service import Gate
-
 STATES = {Node.READY: "ready", Node.DRAINING: "out", Node.GONE: "gone"}
 
 
 class Lone:
     """The keeper of one gate's plans, told by a file instead of a controller."""
 
-    def __init__(self, gate: Gate, source: Source) -> None:
+    def __init__(self, gate: TableHost, source: Source) -> None:
         self.gate = gate
         told = source.told
         now = gate.clock.now()
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
 import h11
@@ -17,11 +17,9 @@
 from lapispass.gate import upgrade
 from lapispass.gate.ears import Ear, connect
 from lapispass.gate.frames import Side
+from lapispass.gate.host import GateHost
 from lapispass.gate.upgrade import BadUpgrade, Opening, Towards
 
-if TYPE_CHECKING:
-    from lapispass.gate.service import Gate
-
 EVENTS_MOST = 64  # passed on from one side before the other one has its turn
 GOING = (1001, 1012, 1013)  # codes by which a node says that it leaves, restarts or is too busy
 PASSED_ON = {1000, 1001, 1002, 1003, 1007, 1008, 1009, 1010, 1011, 1012, 1013}
@@ -64,6 +62,21 @@
     until: int
 
 
+class TunnelHost(GateHost, Protocol):
+    """What a connection needs of its gate."""
+
+    key_parameter: str
+
+    def stands(self, tunnel: Tunnel) -> None:
+        """The connection has its node."""
+
+    def parted(self, tunnel: Tunnel, answers: list[int]) -> None:
+        """The connection has ended; marks that can be answered now."""
+
+    def tell(self, answers: list[int]) -> None:
+        """Marks that can be answered."""
+
+
 class Tunnel:
     """One connection. Its gate's steering decides; here bytes move."""
 
@@ -92,7 +105,7 @@
         "writer",
     )
 
-    def __init__(self, gate: Gate, ear: Ear, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, gate: TunnelHost, ear: Ear, writer: asyncio.StreamWriter) -> None:
         self.gate, self.limits, self.clock = gate, gate.limits, gate.clock
         self.ear, self.writer, self.wake = ear, writer, ear.wake
         name = writer.get_extra_info("peername")
--- a/lapispass/gate/uplink.py
+++ b/lapispass/gate/uplink.py
@@ -5,21 +5,18 @@
 
 import asyncio
 import secrets
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from lapispass.gate import wire
+from lapispass.gate.host import TableHost
 from lapispass.net.http import split
 
-if TYPE_CHECKING:
-    from lapispass.gate.service import Gate
-
 
 class Uplink:
     """Joins, keeps the lease, reports, and hands on what is ordered."""
 
-    def __init__(self, gate: Gate, address: str, secret: bytes) -> None:
+    def __init__(self, gate: TableHost, address: str, secret: bytes) -> None:
         self.gate, self.address, self.secret = gate, address, secret
         self.writer: asyncio.StreamWriter | None = None  # while it has joined
         self.beats: dict[int, int] = {}  # number: when it was sent
