lab scale: a real controller at a fleet's size, start and quiet minute, one verdict

Nothing of ours measured a real controller process at the target's size. `lapispass lab scale` starts one as operators do, with the registry, the relay with its proxies and collectors, and the servers as stand-ins in four processes, and reads processor time and memory from the system, bytes and messages at the stand-ins.

--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -109,6 +109,29 @@
     raise typer.Exit(main(seed, seeds, Size(controllers, proxies, servers)))
 
 
+@lab.command("scale")
+def lab_scale(
+    servers: Annotated[int, typer.Option(help="In the registry's list.")] = 5700,
+    services: Annotated[int, typer.Option(help="That the servers belong to.")] = 120,
+    slices: Annotated[int, typer.Option(help="Of the whole fleet.")] = 2200,
+    held: Annotated[int, typer.Option(help="Slices that each controller holds.")] = 3,
+    zones: Annotated[int, typer.Option(help="One collector in each.")] = 16,
+    proxies: Annotated[int, typer.Option(help="Behind the relay.")] = 320,
+    real: Annotated[int, typer.Option(help="Controllers that are processes of their own.")] = 1,
+    hollow: Annotated[int, typer.Option(help="Controllers that only hold connections.")] = 0,
+    requests: Annotated[float, typer.Option(help="A second, of the whole fleet at its peak.")] = 140_000,
+    seconds: Annotated[float, typer.Option(help="Of each phase that lasts.")] = 60,
+    seed: Annotated[int, typer.Option(help="For all chance.")] = 1,
+    json: Annotated[Path | None, typer.Option(help="Write all figures to this file.")] = None,
+) -> None:
+    """Run real controllers at a fleet's size and judge what they cost; 1 where a budget is passed over."""
+    from lapispass.lab.scale.run import main
+    from lapispass.lab.scale.size import Size
+
+    size = Size(servers, services, slices, held, zones, proxies, real, hollow, requests, seconds, seed)
+    raise typer.Exit(main(size, json))
+
+
 def drawn() -> int:
     """A seed for whoever gives none."""
     import secrets
--- /dev/null
+++ b/lapispass/lab/scale/report.py
@@ -0,0 +1,90 @@
+"""What a run prints and writes: a line for each phase, one verdict, and the whole as JSON."""
+
+from __future__ import annotations
+
+import subprocess
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from lapispass.lab.scale.budgets import Budgets, Finding, Phase
+from lapispass.lab.scale.processes import ROOT
+from lapispass.lab.scale.size import Bounds, Size
+from lapispass.lab.scale.system import Machine, machine
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """All that a run measured, and on what."""
+
+    commit: str
+    machine: Machine
+    size: Size
+    budgets: Budgets
+    bounds: Bounds
+    processes: int
+    memory_mb: float  # the most that all processes of the run had together
+    phases: list[Phase]
+    findings: list[Finding]
+
+
+def commit() -> str:
+    """The commit that runs, with `+` where files differ from it; empty outside a checkout."""
+    try:
+        told = subprocess.run(
+            ["git", "describe", "--always", "--abbrev=12", "--dirty=+", "--exclude=*"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=10,
+            check=True,
+        )
+    except (OSError, subprocess.SubprocessError):
+        return ""
+    return told.stdout.strip()
+
+
+def make(
+    size: Size,
+    budgets: Budgets,
+    bounds: Bounds,
+    processes: int,
+    memory_mb: float,
+    phases: list[Phase],
+    findings: list[Finding],
+) -> Report:
+    return Report(commit(), machine(), size, budgets, bounds, processes, memory_mb, phases, findings)
+
+
+def lines(phase: Phase) -> Iterator[str]:
+    """A phase as text."""
+    note = f"; {phase.note}" if phase.note else ""
+    yield f"{phase.name}: {phase.seconds:.1f} s, load average {phase.load_average:.1f}{note}"
+    for cost in phase.controllers:
+        passed = cost.rates
+        yield (
+            f"  {cost.name}: {cost.cpu_percent:.2f}% of a core, {cost.memory_mb:.1f} MB, "
+            f"{cost.bytes_per_s / 1024:.2f} KB/s (reports {passed.report_bytes / 1024:.2f}, "
+            f"relay {passed.relay_bytes / 1024:.2f}, registry {passed.registry_bytes / 1024:.2f}, "
+            f"probes {passed.probe_bytes / 1024:.2f}); a second: {passed.relay_calls:.2f} calls with "
+            f"{passed.orders:.2f} orders, {passed.news:.1f} news, {passed.reports:.1f} reports, "
+            f"{passed.probes:.2f} probes, {passed.registry_calls:.3f} calls of the registry"
+        )
+    for what, by_whom in phase.times_s.items():
+        worst = max(by_whom, key=lambda whose: by_whom[whose], default="")
+        if worst:
+            yield f"  {what}: at most {by_whom[worst]:.3f} s ({worst}), {len(by_whom)} timed"
+
+
+def verdict(findings: Sequence[Finding]) -> Iterator[str]:
+    """One line for each budget that was passed, then the verdict."""
+    for finding in findings:
+        yield f"PASSED OVER: {finding}"
+    yield "all budgets held" if not findings else f"BUDGETS NOT HELD: {len(findings)} passed over"
+
+
+def write(path: Path, report: object) -> None:
+    """The report as JSON, one object; an OSError where the file cannot be written."""
+    path.write_bytes(msgspec.json.encode(report) + b"\n")
--- /dev/null
+++ b/lapispass/lab/scale/stand_in.py
@@ -0,0 +1,169 @@
+"""A process of stand-ins: `python -m lapispass.lab.scale.stand_in KIND`, led over its standard streams.
+
+It ends when its standard input does, so that none outlives the run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter, defaultdict
+from dataclasses import replace
+from typing import Protocol
+
+from lapispass.lab.scale import messages as say
+from lapispass.standins.collectors import Collectors, Load
+from lapispass.standins.nodes import clock_us
+from lapispass.standins.platform import Registry, Relay
+from lapispass.standins.servers import Servers
+
+LINE_BYTES = 64 << 20  # the longest command: a whole list with its addresses
+SIGN_OF_WATCH_S, SIGN_OF_NEWS_S = 2.0, 1.0
+
+
+class StandIn(Protocol):
+    """Carries out commands."""
+
+    async def carry_out(self, command: say.Command) -> say.Answer: ...
+
+
+class RegistryStandIn:
+    """The registry."""
+
+    def __init__(self) -> None:
+        self.registry = Registry(SIGN_OF_WATCH_S)
+
+    async def carry_out(self, command: say.Command) -> say.Answer:
+        registry = self.registry
+        match command:
+            case say.OpenRegistry(clients, members):
+                registry.members = {member.id: member for member in members}
+                return say.Addresses({client: await registry.listen(client) for client in clients})
+            case say.Change(members):
+                registry.change(*members)
+                return say.Told(registry.revision, clock_us())
+            case say.Count():
+                return say.RegistryCounts(registry.traffic, len(registry.watches))
+        return say.Failed(f"the registry knows no {type(command).__name__}")
+
+
+class CountedRelay(Relay):
+    """A relay that counts orders in place of keeping them, and notes when a server left its last slice."""
+
+    def __init__(self, slices: int, proxies: int, zones: tuple[str, ...]) -> None:
+        super().__init__(slices, proxies, zones=zones, sign_s=SIGN_OF_NEWS_S)
+        self.counts: defaultdict[str, Counter[str]] = defaultdict(Counter)
+        self.owned: Counter[str] = Counter()  # slices by owner
+        self.left_at: dict[str, int] = {}
+
+    def carry_out(self, order: list[str], client: str = "") -> None:
+        number = int(order[1]) if order[0] in ("SET", "DEL") else None
+        before = self.owners.get(number) if number is not None else None
+        super().carry_out(order, client)
+        self.orders.clear()
+        self.published.clear()
+        self.counts[client][order[0]] += 1
+        after = self.owners.get(number) if number is not None else None
+        if before != after:
+            self.move(before, after)
+
+    def move(self, before: str | None, after: str | None) -> None:
+        """A slice went from one owner to another."""
+        if after is not None:
+            self.owned[after] += 1
+            self.left_at.pop(after, None)
+        if before is not None:
+            self.owned[before] -= 1
+            if not self.owned[before]:
+                self.left_at[before] = clock_us()
+
+
+class RelayStandIn:
+    """The relay, its proxies and the collectors."""
+
+    def __init__(self) -> None:
+        self.relay = CountedRelay(0, 0, ())
+        self.collectors = Collectors(self.relay, Load(0.0, ()), 0)
+
+    async def carry_out(self, command: say.Command) -> say.Answer:
+        relay, collectors = self.relay, self.collectors
+        match command:
+            case say.OpenRelay():
+                return await self.open(command)
+            case say.Report(client, address):
+                collectors.report_to(client, address)
+            case say.Requests(per_s):
+                collectors.load = replace(collectors.load, requests=per_s)
+            case say.LoseZone(zone, servers, lost):
+                self.lose(zone, servers, lost)
+            case say.AskLeft(servers):
+                return say.Left({name: at for name in servers if (at := relay.left_at.get(name))})
+            case say.Count():
+                orders = {client: dict(counts) for client, counts in relay.counts.items()}
+                return say.RelayCounts(relay.traffic, orders, collectors.traffic, relay.owners)
+            case _:
+                return say.Failed(f"the relay knows no {type(command).__name__}")
+        return say.Done()
+
+    async def open(self, told: say.OpenRelay) -> say.Answer:
+        self.relay = relay = CountedRelay(told.slices, told.proxies, tuple(told.zones))
+        relay.charges.update(told.charges)
+        self.collectors = Collectors(relay, Load(told.requests, tuple(told.classes)), told.seed)
+        return say.Addresses({client: await relay.listen(client) for client in told.clients})
+
+    def lose(self, zone: str, servers: list[str], lost: bool) -> None:
+        relay = self.relay
+        if lost:
+            relay.part(zone)
+            self.collectors.lost_servers.update(servers)
+        else:
+            relay.join_cold(zone)
+            self.collectors.lost_servers.difference_update(servers)
+
+
+class ServersStandIn:
+    """Servers."""
+
+    def __init__(self) -> None:
+        self.servers = Servers()
+
+    async def carry_out(self, command: say.Command) -> say.Answer:
+        servers = self.servers
+        match command:
+            case say.OpenServers(first, names):
+                return say.Addresses(await servers.listen_all(first, names))
+            case say.LoseZone(_, names, lost):
+                servers.silent = servers.silent | set(names) if lost else servers.silent - set(names)
+                return say.Done()
+            case say.Count():
+                return say.ServerCounts(servers.real, servers.hollow)
+        return say.Failed(f"servers know no {type(command).__name__}")
+
+
+KINDS: dict[str, type[RegistryStandIn] | type[RelayStandIn] | type[ServersStandIn]] = {
+    "registry": RegistryStandIn,
+    "relay": RelayStandIn,
+    "servers": ServersStandIn,
+}
+
+
+async def lead(stand_in: StandIn) -> None:
+    """Carries out commands until there are no more."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=LINE_BYTES)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        try:
+            answer = await stand_in.carry_out(say.commands.decode(line))
+        except OSError as error:
+            answer = say.Failed(f"{type(error).__name__} {error}")
+        sys.stdout.buffer.write(say.encode(answer) + b"\n")
+        sys.stdout.buffer.flush()
+
+
+def main() -> None:
+    asyncio.run(lead(KINDS[sys.argv[1]]()))
+
+
+if __name__ == "__main__":
+    main()
