lab scale: hollow controllers, peak, a lost zone, a change of the list; planted faults are named

One real controller alone shows neither what 720 of them cost registry and relay nor how late the last one hears of a change. Hollow controllers, 180 to a process, fetch the list, hold a watch and a stream of news, and send calls, probes and further watches at the rates that the real ones were measured at in the second before; what the stand-ins could not carry is counted and printed. Further phases: peak, a zone that is lost and comes back cold (an hour compressed, by how much is said), a drain told to each real controller with the time to its withdrawal and to the last controller. Tests play a small fleet that holds wide budgets and one with a busy and a late controller, each of which is named.

--- a/lapispass/lab/scale/messages.py
+++ b/lapispass/lab/scale/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lapispass.standins.hollow import Pace
 from lapispass.standins.http import Traffic
 from lapispass.standins.platform import Member
 from lapispass.standins.servers import Probed
@@ -31,9 +32,13 @@
 
 
 class OpenRelay(Message, frozen=True):
-    """Listen for each client; its slices are in `charges`. Answered by `Addresses`."""
+    """Listen for each client; its slices are in `charges`. Answered by `Addresses`.
+
+    Clients in `shared` stand for many controllers.
+    """
 
     clients: list[str]
+    shared: list[str]
     slices: int
     proxies: int
     zones: list[str]
@@ -74,13 +79,65 @@
     """Answered by the counts of the stand-in."""
 
 
+class WatchLeft(Message, frozen=True):
+    """Note when each client's last slice leaves this server, by client, from now on; answered by `Done`."""
+
+    servers: dict[str, str]
+
+
 class AskLeft(Message, frozen=True):
-    """Which servers have left all tables since they were asked to be watched; answered by `Left`."""
+    """What was noted since the last `WatchLeft`; answered by `Left`."""
+
+
+class OpenHollow(Message, frozen=True):
+    """Have so many hollow controllers, which begin with `Begin`; answered by `Done`."""
 
+    count: int
+    registry: str
+    relay: str
     servers: list[str]
+    seed: int
+
+
+class Begin(Message, frozen=True):
+    """All hollow controllers start within this time; answered by `Done`."""
+
+    spread_s: float
+
 
+class Keep(Message, frozen=True):
+    """Hollow controllers keep this pace from now on; answered by `Done`."""
 
-Command = OpenServers | OpenRegistry | OpenRelay | Report | Requests | Change | LoseZone | Count | AskLeft
+    pace: Pace
+
+
+class AskHeard(Message, frozen=True):
+    """Which hollow controllers know this revision of the list; answered by `Moments`."""
+
+    revision: int
+
+
+class AskStanding(Message, frozen=True):
+    """Which hollow controllers stand; answered by `Moments`."""
+
+
+Command = (
+    OpenServers
+    | OpenRegistry
+    | OpenRelay
+    | OpenHollow
+    | Report
+    | Requests
+    | Change
+    | LoseZone
+    | Count
+    | WatchLeft
+    | AskLeft
+    | Begin
+    | Keep
+    | AskHeard
+    | AskStanding
+)
 
 
 # Answers
@@ -110,11 +167,18 @@
 
 
 class Left(Message, frozen=True):
-    """When a server left the last slice that it owned, by its name; none that still owns one."""
+    """When it first did, by client, on the machine's monotonic clock; none that never did."""
 
     at_us: dict[str, int]
 
 
+class Moments(Message, frozen=True):
+    """How many hollow controllers have come so far, and when the last one did, on the monotonic clock."""
+
+    count: int
+    last_us: int
+
+
 class RegistryCounts(Message, frozen=True):
     """By client."""
 
@@ -132,13 +196,14 @@
 
 
 class ServerCounts(Message, frozen=True):
-    """Probes by real controllers, all together, and by hollow ones."""
+    """Probes by real controllers, all together, and by hollow ones; how many servers real ones probed."""
 
+    probed: int
     real: Probed
     hollow: Probed
 
 
-Answer = Done | Failed | Addresses | Told | Left | RegistryCounts | RelayCounts | ServerCounts
+Answer = Done | Failed | Addresses | Told | Left | Moments | RegistryCounts | RelayCounts | ServerCounts
 
 commands: msgspec.json.Decoder[Command] = msgspec.json.Decoder(Command)
 answers: msgspec.json.Decoder[Answer] = msgspec.json.Decoder(Answer)
--- a/lapispass/lab/scale/report.py
+++ b/lapispass/lab/scale/report.py
@@ -11,6 +11,7 @@
 
 from lapispass.lab.scale.budgets import Budgets, Finding, Phase
 from lapispass.lab.scale.processes import ROOT
+from lapispass.lab.scale.rig import Wanted
 from lapispass.lab.scale.size import Bounds, Size
 from lapispass.lab.scale.system import Machine, machine
 
@@ -26,6 +27,7 @@
     bounds: Bounds
     processes: int
     memory_mb: float  # the most that all processes of the run had together
+    hollow_played: Wanted
     phases: list[Phase]
     findings: list[Finding]
 
@@ -52,10 +54,13 @@
     bounds: Bounds,
     processes: int,
     memory_mb: float,
+    hollow_played: Wanted,
     phases: list[Phase],
     findings: list[Finding],
 ) -> Report:
-    return Report(commit(), machine(), size, budgets, bounds, processes, memory_mb, phases, findings)
+    return Report(
+        commit(), machine(), size, budgets, bounds, processes, memory_mb, hollow_played, phases, findings
+    )
 
 
 def lines(phase: Phase) -> Iterator[str]:
@@ -72,6 +77,15 @@
             f"{passed.orders:.2f} orders, {passed.news:.1f} news, {passed.reports:.1f} reports, "
             f"{passed.probes:.2f} probes, {passed.registry_calls:.3f} calls of the registry"
         )
+    hollow = phase.hollow
+    if hollow.registry_bytes:
+        yield (
+            f"  hollow ones together: relay {hollow.relay_bytes / 1024:.0f} KB/s, "
+            f"registry {hollow.registry_bytes / 1024:.0f} KB/s; "
+            f"a second: {hollow.relay_calls:.1f} calls with {hollow.orders:.1f} orders, "
+            f"{hollow.news:.0f} news, {hollow.probes:.1f} probes, "
+            f"{hollow.registry_calls:.1f} calls of the registry"
+        )
     for what, by_whom in phase.times_s.items():
         worst = max(by_whom, key=lambda whose: by_whom[whose], default="")
         if worst:
@@ -85,6 +99,15 @@
     yield "all budgets held" if not findings else f"BUDGETS NOT HELD: {len(findings)} passed over"
 
 
+def played(told: Report) -> str:
+    """What of the hollow controllers' work was left out."""
+    wanted = told.hollow_played
+    return (
+        f"hollow controllers sent {wanted.probes_played:.0f} of {wanted.probes:.0f} probes and "
+        f"{wanted.calls_played:.0f} of {wanted.calls:.0f} calls that real ones would have sent in their place"
+    )
+
+
 def write(path: Path, report: object) -> None:
     """The report as JSON, one object; an OSError where the file cannot be written."""
     path.write_bytes(msgspec.json.encode(report) + b"\n")
--- a/lapispass/lab/scale/run.py
+++ b/lapispass/lab/scale/run.py
@@ -36,12 +36,11 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
     try:
         await rig.open()
-        for phase in (phases.start, phases.quiet):
+        for phase in phases.ALL:
             await phase(course)
         found = judge(course.phases, budgets)
-        return report.make(
-            size, budgets, bounds, len(rig.processes()) + 1, rig.memory_most_mb, course.phases, found
-        )
+        count = len(rig.processes()) + 1
+        return report.make(size, budgets, bounds, count, rig.memory_most_mb, rig.wanted, course.phases, found)
     finally:
         await rig.close()
 
@@ -69,9 +68,14 @@
     except RunFailed as error:
         say(f"RUN FAILED: {error}")
         return PASSED
+    except asyncio.CancelledError:
+        say("RUN FAILED: ended by a signal")
+        return PASSED
     for phase in told.phases:
         for line in report.lines(phase):
             say(line)
+    if size.hollow:
+        say(report.played(told))
     say(f"{told.processes} processes with {told.memory_mb:.0f} MB; commit {told.commit}, seed {size.seed}")
     if json_file is not None:
         report.write(json_file, told)
--- a/lapispass/lab/scale/samples.py
+++ b/lapispass/lab/scale/samples.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lapispass.lab.scale.system import Usage
+from lapispass.standins.hollow import Pace
 from lapispass.standins.http import Traffic
 from lapispass.standins.servers import Probed
 
@@ -24,6 +25,7 @@
     reports: dict[str, Traffic]  # that collectors wrote, by controller
     real_probes: Probed
     hollow_probes: Probed
+    servers_probed: int  # by real controllers, each counted once
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +95,22 @@
     )
 
 
+def mean_pace(before: Sample, after: Sample) -> Pace:
+    """What a real controller did between two moments, in the mean of all of them."""
+    each = [rates(before, after, name, len(after.controllers)) for name in after.controllers]
+    count = len(each)
+    if not count:
+        return Pace()
+    calls = sum(one.relay_calls for one in each) / count
+    return Pace(
+        calls=calls,
+        marks=sum(one.marks for one in each) / count / calls if calls else 0.0,
+        orders=sum(one.orders for one in each) / count / calls if calls else 0.0,
+        probes=sum(one.probes for one in each) / count,
+        watches=sum(one.registry_calls for one in each) / count,
+    )
+
+
 def costs(before: Sample, after: Sample) -> list[Cost]:
     """Of each real controller between two moments."""
     seconds, found = after.at_s - before.at_s, []
--- a/lapispass/lab/scale/size.py
+++ b/lapispass/lab/scale/size.py
@@ -19,8 +19,9 @@
 
     processes: int = 200
     memory_share: float = 0.5  # of the machine's memory, all processes of the run together
-    descriptors: int = 18_000  # of one stand-in
+    descriptors: int = 18_000  # of one process
     probes_per_s: float = 1500.0  # that hollow controllers send together; those left out are counted
+    calls_per_s: float = 3000.0  # the same for calls of the relay
 
 
 @dataclass(frozen=True, slots=True)
--- a/lapispass/lab/scale/stand_in.py
+++ b/lapispass/lab/scale/stand_in.py
@@ -8,11 +8,13 @@
 import asyncio
 import sys
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
 
 from lapispass.lab.scale import messages as say
 from lapispass.standins.collectors import Collectors, Load
+from lapispass.standins.hollow import Herd, Places
 from lapispass.standins.nodes import clock_us
 from lapispass.standins.platform import Registry, Relay
 from lapispass.standins.servers import Servers
@@ -53,7 +55,8 @@
     def __init__(self, slices: int, proxies: int, zones: tuple[str, ...]) -> None:
         super().__init__(slices, proxies, zones=zones, sign_s=SIGN_OF_NEWS_S)
         self.counts: defaultdict[str, Counter[str]] = defaultdict(Counter)
-        self.owned: Counter[str] = Counter()  # slices by owner
+        self.owned: Counter[tuple[str, str]] = Counter()  # slices, by client and owner
+        self.watched: dict[str, str] = {}  # a server by client, and when its last slice first left it
         self.left_at: dict[str, int] = {}
 
     def carry_out(self, order: list[str], client: str = "") -> None:
@@ -65,17 +68,16 @@
         self.counts[client][order[0]] += 1
         after = self.owners.get(number) if number is not None else None
         if before != after:
-            self.move(before, after)
+            self.move(client, before, after)
 
-    def move(self, before: str | None, after: str | None) -> None:
-        """A slice went from one owner to another."""
+    def move(self, client: str, before: str | None, after: str | None) -> None:
+        """A client's slice went from one owner to another, or to none."""
         if after is not None:
-            self.owned[after] += 1
-            self.left_at.pop(after, None)
+            self.owned[client, after] += 1
         if before is not None:
-            self.owned[before] -= 1
-            if not self.owned[before]:
-                self.left_at[before] = clock_us()
+            self.owned[client, before] -= 1
+            if not self.owned[client, before] and self.watched.get(client) == before:
+                self.left_at.setdefault(client, clock_us())
 
 
 class RelayStandIn:
@@ -96,8 +98,10 @@
                 collectors.load = replace(collectors.load, requests=per_s)
             case say.LoseZone(zone, servers, lost):
                 self.lose(zone, servers, lost)
-            case say.AskLeft(servers):
-                return say.Left({name: at for name in servers if (at := relay.left_at.get(name))})
+            case say.WatchLeft(servers):
+                relay.watched, relay.left_at = servers, {}
+            case say.AskLeft():
+                return say.Left(relay.left_at)
             case say.Count():
                 orders = {client: dict(counts) for client, counts in relay.counts.items()}
                 return say.RelayCounts(relay.traffic, orders, collectors.traffic, relay.owners)
@@ -108,6 +112,7 @@
     async def open(self, told: say.OpenRelay) -> say.Answer:
         self.relay = relay = CountedRelay(told.slices, told.proxies, tuple(told.zones))
         relay.charges.update(told.charges)
+        relay.shared.update(told.shared)
         self.collectors = Collectors(relay, Load(told.requests, tuple(told.classes)), told.seed)
         return say.Addresses({client: await relay.listen(client) for client in told.clients})
 
@@ -136,14 +141,42 @@
                 servers.silent = servers.silent | set(names) if lost else servers.silent - set(names)
                 return say.Done()
             case say.Count():
-                return say.ServerCounts(servers.real, servers.hollow)
+                return say.ServerCounts(len(servers.probed), servers.real, servers.hollow)
         return say.Failed(f"servers know no {type(command).__name__}")
 
 
-KINDS: dict[str, type[RegistryStandIn] | type[RelayStandIn] | type[ServersStandIn]] = {
+class HollowStandIn:
+    """Hollow controllers."""
+
+    def __init__(self) -> None:
+        self.herd = Herd(0, Places("", "", ()), 0)
+
+    async def carry_out(self, command: say.Command) -> say.Answer:
+        match command:
+            case say.OpenHollow(count, registry, relay, servers, seed):
+                self.herd = Herd(count, Places(registry, relay, tuple(servers)), seed)
+            case say.Begin(spread_s):
+                self.herd.begin(spread_s)
+            case say.Keep(pace):
+                self.herd.pace = pace
+            case say.AskHeard(revision):
+                return moments(self.herd.heard(revision))
+            case say.AskStanding():
+                return moments(self.herd.standing())
+            case _:
+                return say.Failed(f"hollow controllers know no {type(command).__name__}")
+        return say.Done()
+
+
+def moments(at_us: list[int]) -> say.Moments:
+    return say.Moments(len(at_us), max(at_us, default=0))
+
+
+KINDS: dict[str, Callable[[], StandIn]] = {
     "registry": RegistryStandIn,
     "relay": RelayStandIn,
     "servers": ServersStandIn,
+    "hollow": HollowStandIn,
 }
 
 
--- a/lapispass/lab/scale/system.py
+++ b/lapispass/lab/scale/system.py
@@ -36,6 +36,11 @@
     )
 
 
+def descriptors(pid: int) -> int:
+    """How many a process holds."""
+    return sum(1 for _ in Path(f"/proc/{pid}/fd").iterdir())
+
+
 def machine_memory_mb() -> float:
     return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / (KB_PER_MB * KB_PER_MB)
 
--- a/lapispass/standins/platform.py
+++ b/lapispass/standins/platform.py
@@ -156,8 +156,10 @@
             self.waiting.append((conversation, response(self.whole())))
         else:
             query = parse_qs(request.target.partition("?")[2])
-            known = int(query["from"][0]) if "from" in query else -1
-            self.waiting.append((conversation, CHUNKED + chunk(self.since(known) + b"\n")))
+            known = query.get("from", [""])[0]
+            self.waiting.append(
+                (conversation, CHUNKED + chunk(self.since(int(known) if known.isdigit() else -1) + b"\n"))
+            )
             self.watches.add(conversation)
             if self.signs is None:
                 self.signs = asyncio.get_running_loop().call_later(self.sign_s, self.sign)
@@ -228,9 +230,10 @@
         self.owners: dict[int, str] = {}
         self.published: list[Published] = []
         self.orders: list[str] = []
-        self.news: dict[str, set[Conversation]] = {}  # by client
+        self.news: dict[str, list[Conversation]] = {}  # by client
         self.refuses = False  # every call is turned back as throttled
         self.away: set[str] = set()  # zones whose proxies have no stream
+        self.shared: set[str] = set()  # clients that stand for many controllers, as of one's own stream each
         self.signs: asyncio.TimerHandle | None = None
         self.answers: dict[tuple[str, str], list[bytes]] = {}  # to a mark, by zone and time taken
 
@@ -261,12 +264,13 @@
             if number in self.owners:
                 lines.append(event("ROW", shard=number, endpoint=self.owners[number], w=1))
         stream.write(CHUNKED + chunk(b"".join(lines) + b":\n\n"), len(lines))
-        self.news.setdefault(stream.client, set()).add(stream)
+        self.news.setdefault(stream.client, []).append(stream)
         if self.signs is None:
             self.signs = asyncio.get_running_loop().call_later(self.sign_s, self.sign)
 
     def lost(self, conversation: Conversation) -> None:
-        self.news.get(conversation.client, set()).discard(conversation)
+        if conversation in (streams := self.news.get(conversation.client, [])):
+            streams.remove(conversation)
 
     def sign(self) -> None:
         """A sign of life on every stream, for as long as there is one."""
@@ -282,7 +286,7 @@
             return
         data = chunk(b"".join(lines))
         for name in self.news if client is None else [client]:
-            for stream in self.news.get(name, set()):
+            for stream in self.news.get(name, []):
                 stream.write(data, len(lines))
 
     def part(self, zone: str) -> None:
@@ -309,6 +313,9 @@
             case ["DEL", number]:
                 self.owners.pop(int(number), None)
                 self.published.append(Published(clock_us(), int(number), None))
+            case ["SYNC", mark, _] if client in self.shared:
+                later_s = 1.5 * self.answer_s
+                asyncio.get_running_loop().call_later(later_s, self.acknowledge_one, mark, client, later_s)
             case ["SYNC", mark, _]:
                 loop = asyncio.get_running_loop()
                 for place, zone in enumerate(self.zones):
@@ -321,6 +328,18 @@
             return
         self.say([line.replace(MARK, mark.encode()) for line in self.answering(zone, later_s)], client)
 
+    def acknowledge_one(self, mark: str, client: str, later_s: float) -> None:
+        """All proxies have applied a mark of one controller of many, who gets the answers in its turn."""
+        streams = self.news.get(client)
+        if not streams:
+            return
+        stream = streams.pop(0)
+        streams.append(stream)
+        lines = [
+            line for zone in self.zones if zone not in self.away for line in self.answering(zone, later_s)
+        ]
+        stream.write(chunk(b"".join(lines).replace(MARK, mark.encode())), len(lines))
+
     def answering(self, zone: str, later_s: float) -> list[bytes]:
         """What the proxies of a zone answer to any mark; hundreds of controllers send marks all the time."""
         key = (zone, f"{1000 * later_s:.1f}")
--- a/lapispass/standins/servers.py
+++ b/lapispass/standins/servers.py
@@ -42,6 +42,7 @@
         super().__init__()
         self.real, self.hollow = Probed(), Probed()
         self.silent: set[str] = set()
+        self.probed: set[str] = set()  # by real controllers, since the start
 
     async def listen_all(self, first: int, names: Iterable[str]) -> dict[str, str]:
         """Listens for each server, by its number from `first` on; the addresses by name."""
@@ -49,6 +50,8 @@
 
     def serve(self, conversation: Conversation, request: Request) -> None:
         probed = self.hollow if HOLLOW_AGENT in request.head else self.real
+        if probed is self.real:
+            self.probed.add(conversation.client)
         probed.probes += 1
         probed.bytes_in += len(request.head) + 4
         if conversation.client not in self.silent:
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,115 @@
+"""Whole scale runs at a small size, on processes: one that holds its budgets, and one with planted faults."""
+
+from __future__ import annotations
+
+import json
+import multiprocessing
+import os
+import sys
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lapispass.lab.scale import run
+from lapispass.lab.scale.budgets import Budgets
+from lapispass.lab.scale.processes import CONTROLLER
+from lapispass.lab.scale.size import Bounds, Size
+
+SMALL = Size(
+    servers=12,
+    services=3,
+    slices=24,
+    held=2,
+    zones=2,
+    proxies=4,
+    real=1,
+    hollow=4,
+    requests=200.0,
+    seconds=1.0,
+)
+# Wide enough for a machine on which much else runs: the planted faults are far beyond them.
+WIDE = Budgets(cpu_percent=15.0, bytes_per_s=65_536.0, withdrawal_s=1.5, change_s=1.5)
+PLANTED = (sys.executable, str(Path(__file__).parent / "planted_controller.py"))
+
+
+def children() -> set[str]:
+    """The ids of this process's children."""
+    return set(Path(f"/proc/{os.getpid()}/task/{os.getpid()}/children").read_text().split())
+
+
+@dataclass(frozen=True)
+class Played:
+    """A run in a process of its own."""
+
+    status: int
+    said: list[str]
+    left: set[str]  # processes that it has not ended
+
+
+def play(size: Size, json_file: Path | None, command: tuple[str, ...]) -> Played:
+    said: list[str] = []
+    before = children()
+    status = run.main(size, json_file, WIDE, Bounds(), command, said.append)
+    return Played(status, said, children() - before)
+
+
+@pytest.fixture(scope="module")
+def plays(tmp_path_factory: pytest.TempPathFactory) -> Iterator[tuple[Played, dict[str, Any], Played]]:
+    """One run that is well, with its JSON, and one with planted faults, side by side."""
+    path = tmp_path_factory.mktemp("scale") / "out.json"
+    with ProcessPoolExecutor(2, multiprocessing.get_context("spawn")) as pool:
+        well = pool.submit(play, SMALL, path, CONTROLLER)
+        planted = pool.submit(play, replace(SMALL, real=3, hollow=0), None, PLANTED)
+        yield well.result(), json.loads(path.read_text()), planted.result()
+
+
+def test_a_small_fleet_plays_all_phases_and_holds_wide_budgets(plays) -> None:
+    played, told, _ = plays
+    assert played.status == 0 and played.said[-1] == "all budgets held", "\n".join(played.said)
+    assert not played.left
+    assert [phase["name"] for phase in told["phases"]] == ["start", "quiet", "peak", "zone", "change"]
+    assert told["size"]["seed"] == SMALL.seed and told["machine"]["cores"] == os.cpu_count()
+    start, quiet, peak, zone, change = told["phases"]
+    assert start["times_s"]["ready"].keys() == {"real-0", "the last hollow controller"}
+    assert start["note"] == "12 of 12 servers probed"
+    (cost,) = quiet["controllers"]
+    assert cost["rates"]["report_bytes"] > 0 and cost["rates"]["relay_bytes"] > 0
+    assert cost["memory_mb"] > 5 and quiet["hollow"]["news"] > 0
+    assert peak["controllers"][0]["rates"]["reports"] > cost["rates"]["reports"]
+    assert zone["times_s"]["withdrawal after a zone was lost"].keys() == {"real-0"}
+    assert change["times_s"]["change in force"].keys() == {"real-0", "the last hollow controller"}
+
+
+def test_a_controller_that_is_too_busy_and_one_that_hears_late_are_each_named(plays) -> None:
+    _, _, played = plays
+    passed = [line for line in played.said if line.startswith("PASSED OVER")]
+    about = "\n".join(played.said)
+    assert played.status == 1 and not played.left, about
+    assert [
+        line for line in passed if "quiet: real-0: processor" in line and "limit 15 % of a core" in line
+    ], about
+    assert [line for line in passed if "change: real-1: change in force" in line and "limit 1.5 s" in line], (
+        about
+    )
+    assert not [line for line in passed if "real-2" in line], about
+    assert not [line for line in passed if "real-0: change" in line or "real-1: processor" in line], about
+
+
+def test_a_run_that_passes_its_own_bounds_fails_by_name_and_leaves_no_process() -> None:
+    said: list[str] = []
+    before = children()
+    assert run.main(SMALL, None, WIDE, replace(Bounds(), processes=4), say=said.append) == 1
+    assert said == ["RUN FAILED: processes of the run: 5, limit 4"] and children() == before
+
+
+def test_a_controller_that_ends_by_itself_fails_the_run_by_name() -> None:
+    said: list[str] = []
+    before = children()
+    command = (sys.executable, "-c", "raise SystemExit('no such luck')")
+    assert run.main(SMALL, None, WIDE, command=command, say=said.append) == 1
+    assert said == ["RUN FAILED: controller real-0 ended with status 1: no such luck"]
+    assert children() == before
--- a/tests/test_scale_rules.py
+++ b/tests/test_scale_rules.py
@@ -24,6 +24,7 @@
     {"real-0": Traffic(1, 0, 50, 0, 5000)},
     Probed(100, 1000, 1000),
     Probed(0, 0, 0),
+    50,
 )
 AFTER = Sample(
     20.0,
@@ -34,6 +35,7 @@
     {"real-0": Traffic(1, 0, 150, 0, 15000)},
     Probed(140, 1400, 1600),
     Probed(60, 600, 900),
+    60,
 )
 SMALL = Size(servers=4, services=2, slices=8, held=1, zones=2, proxies=2)
 
