--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -122,14 +122,19 @@
     requests: Annotated[float, typer.Option(help="A second, of the whole fleet at its peak.")] = 140_000,
     seconds: Annotated[float, typer.Option(help="Of each phase that lasts.")] = 60,
     seed: Annotated[int, typer.Option(help="For all chance.")] = 1,
+    sweep: Annotated[
+        bool,
+        typer.Option("--sweep", help="Vary servers, controllers, proxies; fit base and slope of each cost."),
+    ] = False,
     json: Annotated[Path | None, typer.Option(help="Write all figures to this file.")] = None,
 ) -> None:
     """Run real controllers at a fleet's size and judge what they cost; 1 where a budget is passed over."""
     from lapispass.lab.scale.run import main
     from lapispass.lab.scale.size import Size
+    from lapispass.lab.scale.sweep import Counts
 
     size = Size(servers, services, slices, held, zones, proxies, real, hollow, requests, seconds, seed)
-    raise typer.Exit(main(size, json))
+    raise typer.Exit(main(size, json, counts=Counts() if sweep else None))
 
 
 def drawn() -> int:
--- a/lapispass/lab/scale/phases.py
+++ b/lapispass/lab/scale/phases.py
@@ -5,7 +5,7 @@
 import asyncio
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
 from lapispass.lab.scale import messages as say
@@ -181,21 +181,22 @@
     started_ms = int(time.time() * 1000)
     await rig.change([replace(rig.members[name], up_since_ms=started_ms) for name in names])
     await rig.wait(back_s, f"{lost} is back cold", course.progress)
-    await unmoved(course)
     left, until = await rig.left(), time.monotonic()
     times_s = {client: left.get(client, until) - began for client in struck}
+    unheard = f"; {len(struck) - len(left)} have not withdrawn by its end" if len(left) < len(struck) else ""
     await course.note(
         "zone",
         before,
         False,
         {"withdrawal after a zone was lost": times_s},
-        f"{len(names)} servers of {lost} away for {away_s:g} s: an hour, {HOUR_S / away_s:.0f} times faster",
+        f"{len(names)} servers away for {away_s:g} s: an hour, {HOUR_S / away_s:.0f} times faster{unheard}",
     )
 
 
 async def change(course: Course) -> None:
     """One change of the list: a server of each real controller drains."""
     rig, limit_s = course.rig, course.budgets.change_s + LATE_S
+    await unmoved(course)
     before = await rig.sample()
     drains = {client: servers[0] for client, servers in (await owned_by_real(rig)).items()}
     await rig.watch_left(drains)
@@ -243,4 +244,6 @@
     return found
 
 
-ALL = (start, quiet, peak, zone, change)
+Play = Callable[[Course], Awaitable[None]]
+ALL: tuple[Play, ...] = (start, quiet, peak, zone, change)
+SWEPT: tuple[Play, ...] = (start, quiet, change)
--- a/lapispass/lab/scale/report.py
+++ b/lapispass/lab/scale/report.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import subprocess
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -13,22 +13,32 @@
 from lapispass.lab.scale.processes import ROOT
 from lapispass.lab.scale.rig import Wanted
 from lapispass.lab.scale.size import Bounds, Size
+from lapispass.lab.scale.sweep import Fitted
 from lapispass.lab.scale.system import Machine, machine
 
 
 @dataclass(frozen=True, slots=True)
-class Report:
-    """All that a run measured, and on what."""
+class Run:
+    """What was played at one size, and what it took of the machine."""
 
-    commit: str
-    machine: Machine
     size: Size
-    budgets: Budgets
-    bounds: Bounds
     processes: int
     memory_mb: float  # the most that all processes of the run had together
     hollow_played: Wanted
     phases: list[Phase]
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """All that was measured, and on what."""
+
+    commit: str
+    machine: Machine
+    seed: int
+    budgets: Budgets
+    bounds: Bounds
+    runs: list[Run]
+    fits: list[Fitted]
     findings: list[Finding]
 
 
@@ -49,21 +59,26 @@
 
 
 def make(
-    size: Size,
+    seed: int,
     budgets: Budgets,
     bounds: Bounds,
-    processes: int,
-    memory_mb: float,
-    hollow_played: Wanted,
-    phases: list[Phase],
+    runs: list[Run],
+    fits: list[Fitted],
     findings: list[Finding],
 ) -> Report:
-    return Report(
-        commit(), machine(), size, budgets, bounds, processes, memory_mb, hollow_played, phases, findings
-    )
+    return Report(commit(), machine(), seed, budgets, bounds, runs, fits, findings)
+
+
+def lines(run: Run) -> Iterator[str]:
+    """A run as text."""
+    for phase in run.phases:
+        yield from phase_lines(phase)
+    if run.size.hollow:
+        yield played(run.hollow_played)
+    yield f"{run.processes} processes with at most {run.memory_mb:.0f} MB together"
 
 
-def lines(phase: Phase) -> Iterator[str]:
+def phase_lines(phase: Phase) -> Iterator[str]:
     """A phase as text."""
     note = f"; {phase.note}" if phase.note else ""
     yield f"{phase.name}: {phase.seconds:.1f} s, load average {phase.load_average:.1f}{note}"
@@ -92,16 +107,19 @@
             yield f"  {what}: at most {by_whom[worst]:.3f} s ({worst}), {len(by_whom)} timed"
 
 
-def verdict(findings: Sequence[Finding]) -> Iterator[str]:
+def verdict(told: Report) -> Iterator[str]:
     """One line for each budget that was passed, then the verdict."""
-    for finding in findings:
+    for finding in told.findings:
         yield f"PASSED OVER: {finding}"
-    yield "all budgets held" if not findings else f"BUDGETS NOT HELD: {len(findings)} passed over"
+    where = f"commit {told.commit or 'unknown'}, seed {told.seed}"
+    if told.findings:
+        yield f"BUDGETS NOT HELD: {len(told.findings)} passed over; {where}"
+    else:
+        yield f"all budgets held; {where}"
 
 
-def played(told: Report) -> str:
+def played(wanted: Wanted) -> str:
     """What of the hollow controllers' work was left out."""
-    wanted = told.hollow_played
     return (
         f"hollow controllers sent {wanted.probes_played:.0f} of {wanted.probes:.0f} probes and "
         f"{wanted.calls_played:.0f} of {wanted.calls:.0f} calls that real ones would have sent in their place"
--- a/lapispass/lab/scale/run.py
+++ b/lapispass/lab/scale/run.py
@@ -1,4 +1,4 @@
-"""A whole run: its phases, its report and its verdict."""
+"""A whole run or a sweep of runs: what is played, reported and judged."""
 
 from __future__ import annotations
 
@@ -7,9 +7,10 @@
 import sys
 import tempfile
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 
-from lapispass.lab.scale import phases, report
+from lapispass.lab.scale import phases, report, sweep
 from lapispass.lab.scale.budgets import Budgets, judge
 from lapispass.lab.scale.processes import CONTROLLER, RunFailed
 from lapispass.lab.scale.rig import Rig
@@ -18,6 +19,8 @@
 HELD, PASSED, BAD_ARGUMENTS = 0, 1, 2
 LINE_WIDTH = 78
 
+Say = Callable[[str], None]
+
 
 def progress(text: str) -> None:
     """One line that is written over, where somebody watches."""
@@ -25,24 +28,81 @@
         print(f"\r{text[:LINE_WIDTH]:<{LINE_WIDTH}}", end="", file=sys.stderr, flush=True)
 
 
+def end_with(task: asyncio.Task[None] | None) -> None:
+    """SIGTERM ends the run in order: every process it started is ended first."""
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 async def play(
-    size: Size, budgets: Budgets, bounds: Bounds, command: Sequence[str], folder: Path
-) -> report.Report:
-    """Plays all phases; every process has ended when it returns, however it does."""
-    rig = Rig(size, bounds, folder, command)
-    course = phases.Course(rig, budgets, progress)
-    this = asyncio.current_task()
-    assert this is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
-    try:
-        await rig.open()
-        for phase in phases.ALL:
-            await phase(course)
-        found = judge(course.phases, budgets)
-        count = len(rig.processes()) + 1
-        return report.make(size, budgets, bounds, count, rig.memory_most_mb, rig.wanted, course.phases, found)
-    finally:
-        await rig.close()
+    size: Size, budgets: Budgets, bounds: Bounds, command: Sequence[str], which: Sequence[phases.Play]
+) -> report.Run:
+    """Plays phases; every process has ended when it returns, however it does."""
+    with tempfile.TemporaryDirectory(prefix="lapispass-scale-") as folder:
+        rig = Rig(size, bounds, Path(folder), command)
+        course = phases.Course(rig, budgets, progress)
+        try:
+            await rig.open()
+            for phase in which:
+                await phase(course)
+            count = len(rig.processes()) + 1
+            return report.Run(size, count, rig.memory_most_mb, rig.wanted, course.phases)
+        finally:
+            await rig.close()
+
+
+class Plan:
+    """What is asked of a run."""
+
+    def __init__(
+        self, size: Size, budgets: Budgets, bounds: Bounds, command: Sequence[str], say: Say
+    ) -> None:
+        self.size, self.budgets, self.bounds, self.command, self.say = size, budgets, bounds, command, say
+        self.runs: list[report.Run] = []
+        self.fits: list[sweep.Fitted] = []
+
+    async def one(self) -> None:
+        """All phases at one size."""
+        end_with(asyncio.current_task())
+        self.runs.append(await self.play(self.size, phases.ALL))
+
+    async def several(self, counts: sweep.Counts) -> None:
+        """Start, quiet and a change at each size of a sweep; a size that comes twice is played once."""
+        end_with(asyncio.current_task())
+        known: dict[Size, report.Run] = {}
+        played = []
+        for step in sweep.steps(self.size, counts):
+            if step.size not in known:
+                self.say(f"{step.count} {step.varies}:")
+                known[step.size] = await self.play(step.size, phases.SWEPT)
+                self.runs.append(known[step.size])
+            played.append((step, known[step.size].phases))
+        self.fits = sweep.fits(played)
+
+    async def play(self, size: Size, which: Sequence[phases.Play]) -> report.Run:
+        run = await play(size, self.budgets, self.bounds, self.command, which)
+        for line in report.lines(run):
+            self.say(line)
+        return run
+
+    def report(self) -> report.Report:
+        found = [
+            replace(
+                finding, whose=f"{finding.whose} ({run.size.servers} servers, {run.size.proxies} proxies)"
+            )
+            for run in self.runs
+            for finding in judge(run.phases, self.budgets)
+        ]
+        return report.make(self.size.seed, self.budgets, self.bounds, self.runs, self.fits, found)
+
+
+def check(size: Size, json_file: Path | None, counts: sweep.Counts | None) -> None:
+    """Raises `BadSize` for what makes no sense, before anything is started."""
+    size.check()
+    for step in sweep.steps(size, counts) if counts else ():
+        step.size.check()
+    if json_file is not None and not json_file.absolute().parent.is_dir():
+        raise BadSize(f"--json {json_file}: no such folder")
 
 
 def main(
@@ -51,34 +111,32 @@
     budgets: Budgets = Budgets(),
     bounds: Bounds = Bounds(),
     command: Sequence[str] = CONTROLLER,
-    say: Callable[[str], None] = print,
+    say: Say = print,
+    counts: sweep.Counts | None = None,
 ) -> int:
-    """Plays a run; the status: 0 all budgets held, 1 one passed or the run failed, 2 bad arguments."""
+    """Plays a run, or a sweep over `counts`.
+
+    The status: 0 all budgets held, 1 one passed or the run failed, 2 bad arguments.
+    """
     try:
-        size.check()
+        check(size, json_file, counts)
     except BadSize as error:
         say(str(error))
         return BAD_ARGUMENTS
-    if json_file is not None and not json_file.absolute().parent.is_dir():
-        say(f"--json {json_file}: no such folder")
-        return BAD_ARGUMENTS
+    plan = Plan(size, budgets, bounds, command, say)
     try:
-        with tempfile.TemporaryDirectory(prefix="lapispass-scale-") as folder:
-            told = asyncio.run(play(size, budgets, bounds, command, Path(folder)))
+        asyncio.run(plan.several(counts) if counts else plan.one())
     except RunFailed as error:
         say(f"RUN FAILED: {error}")
         return PASSED
     except asyncio.CancelledError:
         say("RUN FAILED: ended by a signal")
         return PASSED
-    for phase in told.phases:
-        for line in report.lines(phase):
-            say(line)
-    if size.hollow:
-        say(report.played(told))
-    say(f"{told.processes} processes with {told.memory_mb:.0f} MB; commit {told.commit}, seed {size.seed}")
+    told = plan.report()
+    for fitted in told.fits:
+        say(str(fitted))
     if json_file is not None:
         report.write(json_file, told)
-    for line in report.verdict(told.findings):
+    for line in report.verdict(told):
         say(line)
     return PASSED if told.findings else HELD
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -69,11 +69,12 @@
 
 def test_a_small_fleet_plays_all_phases_and_holds_wide_budgets(plays) -> None:
     played, told, _ = plays
-    assert played.status == 0 and played.said[-1] == "all budgets held", "\n".join(played.said)
+    assert played.status == 0 and played.said[-1].startswith("all budgets held"), "\n".join(played.said)
     assert not played.left
-    assert [phase["name"] for phase in told["phases"]] == ["start", "quiet", "peak", "zone", "change"]
-    assert told["size"]["seed"] == SMALL.seed and told["machine"]["cores"] == os.cpu_count()
-    start, quiet, peak, zone, change = told["phases"]
+    (run_told,) = told["runs"]
+    assert [phase["name"] for phase in run_told["phases"]] == ["start", "quiet", "peak", "zone", "change"]
+    assert told["seed"] == SMALL.seed and told["machine"]["cores"] == os.cpu_count()
+    start, quiet, peak, zone, change = run_told["phases"]
     assert start["times_s"]["ready"].keys() == {"real-0", "the last hollow controller"}
     assert start["note"] == "12 of 12 servers probed"
     (cost,) = quiet["controllers"]
@@ -90,13 +91,18 @@
     about = "\n".join(played.said)
     assert played.status == 1 and not played.left, about
     assert [
-        line for line in passed if "quiet: real-0: processor" in line and "limit 15 % of a core" in line
+        line
+        for line in passed
+        if "quiet: real-0 (12 servers, 4 proxies): processor" in line and "limit 15 % of a core" in line
+    ], about
+    assert [
+        line
+        for line in passed
+        if "change: real-1 (12 servers, 4 proxies): change in force" in line and "limit 1.5 s" in line
     ], about
-    assert [line for line in passed if "change: real-1: change in force" in line and "limit 1.5 s" in line], (
-        about
-    )
     assert not [line for line in passed if "real-2" in line], about
-    assert not [line for line in passed if "real-0: change" in line or "real-1: processor" in line], about
+    assert not [line for line in passed if "real-0" in line and "processor" not in line], about
+    assert not [line for line in passed if "real-1" in line and "processor" in line], about
 
 
 def test_a_run_that_passes_its_own_bounds_fails_by_name_and_leaves_no_process() -> None:
--- a/tests/test_scale_rules.py
+++ b/tests/test_scale_rules.py
@@ -8,6 +8,7 @@
 from typer.testing import CliRunner
 
 from lapispass.cli.main import app
+from lapispass.lab.scale import fit, sweep
 from lapispass.lab.scale.budgets import Budgets, Phase, judge
 from lapispass.lab.scale.samples import HOLLOW, Cost, Rates, Sample, costs, rates
 from lapispass.lab.scale.size import BadSize, Size
@@ -137,3 +138,94 @@
     assert result.exit_code == 2 and "--servers 0" in result.output
     result = run(app, ["lab", "scale", "--json", str(tmp_path / "none" / "file")])
     assert result.exit_code == 2 and "--json" in result.output
+
+
+def test_a_straight_line_is_found_with_its_base_and_slope() -> None:
+    found = fit.line([200, 1000, 5700], [3.0, 7.0, 30.5])
+    assert found.base == pytest.approx(2.0) and found.slope == pytest.approx(0.005) and found.straight
+    assert found.residual == pytest.approx(0.0, abs=1e-9) and found.at(400) == pytest.approx(4.0)
+
+
+@pytest.mark.parametrize("costs", [[0.0, 0.0, 0.0], [24.1, 24.0, 24.2]])
+def test_a_cost_that_does_not_vary_is_straight(costs: list[float]) -> None:
+    found = fit.line([5, 240, 720], costs)
+    assert found.straight and found.slope == pytest.approx(0.0, abs=1e-3)
+
+
+def test_a_bent_line_is_not_straight() -> None:
+    found = fit.line([200, 1000, 2850, 5700], [1.0, 30.0, 98.0, 99.0])
+    assert not found.straight and found.residual > fit.STRAIGHT
+
+
+def test_two_points_do_not_show_that_a_line_is_straight() -> None:
+    assert not fit.line([5, 720, 720], [1.0, 2.0, 2.0]).straight
+    with pytest.raises(ValueError, match="two different counts"):
+        fit.line([5, 5], [1.0, 2.0])
+
+
+def run_of(servers: int, cpu_percent: float) -> list[Phase]:
+    """Phases whose quiet processor time is told; all else stays as it is."""
+    passed = Rates(registry_bytes=10.0 * servers, relay_calls=2.0)
+    start = Phase(
+        "start",
+        10.0,
+        1.0,
+        False,
+        [Cost("real-0", 50.0, 20.0, 5.0, passed)],
+        passed,
+        {"ready": {"real-0": 0.3}},
+    )
+    quiet = Phase("quiet", 60.0, 1.0, True, [Cost("real-0", cpu_percent, 20.0, 5.0, Rates())], passed)
+    times_s = {
+        "withdrawal after a drain was told": {"real-0": 0.01},
+        "change in force": {"real-0": 0.01, "the last hollow controller": 0.04},
+    }
+    change = Phase("change", 5.0, 1.0, False, [Cost("real-0", 1.0, 20.0, 5.0, Rates())], passed, times_s)
+    return [start, quiet, change]
+
+
+def fitted(cost: str, percents: dict[int, float], unit: str = "") -> sweep.Fitted:
+    played = [
+        (sweep.Step("servers", servers, replace(SMALL, servers=servers)), run_of(servers, percent))
+        for servers, percent in percents.items()
+    ]
+    (found,) = [each for each in sweep.fits(played) if each.cost == cost and unit in ("", each.unit)]
+    return found
+
+
+def test_a_sweep_fits_each_cost_and_does_not_use_what_is_not_straight() -> None:
+    quiet = "processor of a controller in quiet"
+    straight = fitted(quiet, {200: 1.0, 1000: 1.8, 2000: 2.8})
+    assert str(straight) == f"{quiet} by servers: 0.8 + 0.001 x servers % of a core, residual 0.0%"
+    bent = fitted(quiet, {200: 1.0, 1000: 90.0, 2000: 99.0})
+    assert (
+        str(bent)
+        == f"{quiet} by servers: not straight (1 at 200, 90 at 1000, 99 at 2000 % of a core), not used"
+    )
+
+
+def test_a_start_is_told_whole_and_for_all_controllers_together() -> None:
+    of_one = fitted("list to a controller at its start", {200: 1.0, 1000: 1.0, 2000: 1.0})
+    assert of_one.fit.slope == pytest.approx(100.0) and of_one.unit == "bytes"
+    of_all = fitted("registry in start", {200: 1.0, 1000: 1.0, 2000: 1.0}, "bytes")
+    assert of_all.fit.slope == pytest.approx(200.0)
+
+
+def test_a_sweep_varies_one_count_at_a_time() -> None:
+    size = Size(real=2, hollow=718)
+    steps = list(sweep.steps(size, sweep.Counts()))
+    assert [(step.varies, step.count) for step in steps] == [
+        ("servers", 200),
+        ("servers", 1000),
+        ("servers", 2850),
+        ("servers", 5700),
+        ("controllers", 5),
+        ("controllers", 240),
+        ("controllers", 720),
+        ("proxies", 20),
+        ("proxies", 320),
+        ("proxies", 1600),
+    ]
+    by_count = {(step.varies, step.count): step.size for step in steps}
+    assert by_count["controllers", 720] == size and by_count["controllers", 5].hollow == 3
+    assert by_count["servers", 5700] == by_count["proxies", 320] == replace(size, hollow=0)
