--- a/lapispass/lab/scale/messages.py
+++ b/lapispass/lab/scale/messages.py
@@ -167,9 +167,13 @@
 
 
 class Left(Message, frozen=True):
-    """When it first did, by client, on the machine's monotonic clock; none that never did."""
+    """By client, on the machine's monotonic clock, and only once it came to that.
 
-    at_us: dict[str, int]
+    When the last of its slices first left the server, and when all of its slices first had owners again.
+    """
+
+    left_us: dict[str, int]
+    owned_us: dict[str, int]
 
 
 class Moments(Message, frozen=True):
--- a/lapispass/lab/scale/run.py
+++ b/lapispass/lab/scale/run.py
@@ -6,26 +6,46 @@
 import signal
 import sys
 import tempfile
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
 from lapispass.lab.scale import phases, report, sweep
 from lapispass.lab.scale.budgets import Budgets, judge
+from lapispass.lab.scale.course import Course
 from lapispass.lab.scale.processes import CONTROLLER, RunFailed
 from lapispass.lab.scale.rig import Rig
 from lapispass.lab.scale.size import BadSize, Bounds, Size
 
 HELD, PASSED, BAD_ARGUMENTS = 0, 1, 2
 LINE_WIDTH = 78
+SELDOM_S = 30.0  # between lines of progress where nobody watches
 
 Say = Callable[[str], None]
 
 
-def progress(text: str) -> None:
-    """One line that is written over, where somebody watches."""
-    if sys.stderr.isatty():
-        print(f"\r{text[:LINE_WIDTH]:<{LINE_WIDTH}}", end="", file=sys.stderr, flush=True)
+class Progress:
+    """One line that is written over where somebody watches, and else a line now and then."""
+
+    def __init__(self) -> None:
+        self.watched, self.next_s = sys.stderr.isatty(), time.monotonic() + SELDOM_S
+
+    def __call__(self, text: str) -> None:
+        if self.watched:
+            print(f"\r{text[:LINE_WIDTH]:<{LINE_WIDTH}}", end="", file=sys.stderr, flush=True)
+        elif time.monotonic() >= self.next_s:
+            self.next_s = time.monotonic() + SELDOM_S
+            print(text, file=sys.stderr, flush=True)
+
+    def clear(self) -> None:
+        """Makes room for what is said next."""
+        if self.watched:
+            print(f"\r{'':<{LINE_WIDTH}}\r", end="", file=sys.stderr, flush=True)
+
+
+def say_at_once(text: str) -> None:
+    print(text, flush=True)
 
 
 def end_with(task: asyncio.Task[None] | None) -> None:
@@ -40,7 +60,8 @@
     """Plays phases; every process has ended when it returns, however it does."""
     with tempfile.TemporaryDirectory(prefix="lapispass-scale-") as folder:
         rig = Rig(size, bounds, Path(folder), command)
-        course = phases.Course(rig, budgets, progress)
+        progress = Progress()
+        course = Course(rig, budgets, progress)
         try:
             await rig.open()
             for phase in which:
@@ -48,6 +69,7 @@
             count = len(rig.processes()) + 1
             return report.Run(size, count, rig.memory_most_mb, rig.wanted, course.phases)
         finally:
+            progress.clear()
             await rig.close()
 
 
@@ -111,7 +133,7 @@
     budgets: Budgets = Budgets(),
     bounds: Bounds = Bounds(),
     command: Sequence[str] = CONTROLLER,
-    say: Say = print,
+    say: Say = say_at_once,
     counts: sweep.Counts | None = None,
 ) -> int:
     """Plays a run, or a sweep over `counts`.
--- a/lapispass/lab/scale/stand_in.py
+++ b/lapispass/lab/scale/stand_in.py
@@ -57,7 +57,8 @@
         self.counts: defaultdict[str, Counter[str]] = defaultdict(Counter)
         self.owned: Counter[tuple[str, str]] = Counter()  # slices, by client and owner
         self.watched: dict[str, str] = {}  # a server by client, and when its last slice first left it
-        self.left_at: dict[str, int] = {}
+        self.left_us: dict[str, int] = {}
+        self.owned_us: dict[str, int] = {}  # and when all of the client's slices first had owners then
 
     def carry_out(self, order: list[str], client: str = "") -> None:
         number = int(order[1]) if order[0] in ("SET", "DEL") else None
@@ -77,7 +78,9 @@
         if before is not None:
             self.owned[client, before] -= 1
             if not self.owned[client, before] and self.watched.get(client) == before:
-                self.left_at.setdefault(client, clock_us())
+                self.left_us.setdefault(client, clock_us())
+        if client in self.left_us and all(number in self.owners for number in self.charges[client]):
+            self.owned_us.setdefault(client, clock_us())
 
 
 class RelayStandIn:
@@ -99,9 +102,9 @@
             case say.LoseZone(zone, servers, lost):
                 self.lose(zone, servers, lost)
             case say.WatchLeft(servers):
-                relay.watched, relay.left_at = servers, {}
+                relay.watched, relay.left_us, relay.owned_us = servers, {}, {}
             case say.AskLeft():
-                return say.Left(relay.left_at)
+                return say.Left(relay.left_us, relay.owned_us)
             case say.Count():
                 orders = {client: dict(counts) for client, counts in relay.counts.items()}
                 return say.RelayCounts(relay.traffic, orders, collectors.traffic, relay.owners)
--- a/tests/test_scale_rules.py
+++ b/tests/test_scale_rules.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import random
 from dataclasses import replace
 
 import pytest
@@ -10,10 +12,12 @@
 from lapispass.cli.main import app
 from lapispass.lab.scale import fit, sweep
 from lapispass.lab.scale.budgets import Budgets, Phase, judge
-from lapispass.lab.scale.samples import HOLLOW, Cost, Rates, Sample, costs, rates
+from lapispass.lab.scale.samples import HOLLOW, Cost, Rates, Sample, costs, mean_pace, rates
 from lapispass.lab.scale.size import BadSize, Size
 from lapispass.lab.scale.system import Usage
+from lapispass.standins.hollow import Hollow, Listener, Places
 from lapispass.standins.http import Traffic
+from lapispass.standins.platform import Member, Registry
 from lapispass.standins.servers import Probed
 
 BEFORE = Sample(
@@ -229,3 +233,35 @@
     by_count = {(step.varies, step.count): step.size for step in steps}
     assert by_count["controllers", 720] == size and by_count["controllers", 5].hollow == 3
     assert by_count["servers", 5700] == by_count["proxies", 320] == replace(size, hollow=0)
+
+
+def test_a_hollow_controller_finds_the_revision_however_its_bytes_are_cut() -> None:
+    text = b'5c\r\n{"revision":41,"complete":false,"members":[{"id":"s-1","phase":"Ready"}]}\n\r\n'
+    for cut in range(1, len(text)):
+        hollow = Hollow(Places("", "", ()), random.Random(1))
+        link = Listener(b"", hollow.note, lambda gone: None)
+        hollow.note(link, text[:cut])
+        hollow.note(link, text[cut:])
+        assert hollow.revision == 41 and hollow.heard_us > 0
+
+
+def test_a_hollow_controller_does_as_the_real_ones_in_the_mean() -> None:
+    pace = mean_pace(BEFORE, AFTER)
+    assert (pace.calls, pace.marks, pace.orders) == (1.0, 0.5, 1.0)  # the second real one called nobody
+    assert (pace.probes, pace.watches) == (2.0, 0.05)
+
+
+def test_a_registry_tells_what_changed_since_a_revision_or_the_whole_list() -> None:
+    registry = Registry()
+    registry.members = {f"s-{number}": Member(f"s-{number}", "127.0.0.1:1") for number in range(3)}
+    registry.change(Member("s-0", "127.0.0.1:1", phase="Terminating"))
+    registry.change(Member("s-0", "127.0.0.1:1", phase="Gone"), Member("s-1", "127.0.0.1:2"))
+
+    def told(revision: int) -> tuple[bool, dict[str, str]]:
+        page = json.loads(registry.since(revision))
+        assert page["revision"] == 3
+        return page["complete"], {member["id"]: member["phase"] for member in page["members"]}
+
+    assert told(3) == (False, {})
+    assert told(2) == told(1) == (False, {"s-0": "Gone", "s-1": "Ready"})
+    assert told(0) == told(-1) == told(9) == (True, {"s-1": "Ready", "s-2": "Ready"})
