lab scale: the target's size by default; stand-ins reset whoever leaves too much unread

A stopped client of a registry or relay stand-in would have grown its buffers without end: it is reset at 16 MiB, at the relay at 1 MiB as the platform's does.

--- a/lapispass/lab/scale/size.py
+++ b/lapispass/lab/scale/size.py
@@ -34,8 +34,8 @@
     held: int = 3  # by each real controller
     zones: int = 16
     proxies: int = 320
-    real: int = 1
-    hollow: int = 0
+    real: int = 3
+    hollow: int = 717
     requests: float = 140_000.0
     seconds: float = 60.0
     seed: int = 1
--- a/lapispass/standins/http.py
+++ b/lapispass/standins/http.py
@@ -12,6 +12,7 @@
 
 BACKLOG = 1024
 REQUEST_BYTES = 1 << 20  # the longest request that is read; longer ones end the connection
+UNREAD_BYTES = 16 << 20  # that a client leaves unread before its connection is reset
 HEAD_END = b"\r\n\r\n"
 LENGTH = b"content-length:"
 
@@ -91,9 +92,12 @@
         return Request(method, rest.partition(" ")[0], body, head)
 
     def write(self, data: bytes, messages: int = 1) -> None:
-        """Sends and counts; nothing to a connection that has ended."""
+        """Sends and counts; nothing to a connection that has ended. Whoever falls too far behind is reset."""
         if self.transport is None or self.transport.is_closing():
             return
+        if self.transport.get_write_buffer_size() > self.host.unread_most:
+            self.abort()
+            return
         self.traffic.bytes_out += len(data)
         self.traffic.messages_out += messages
         self.transport.write(data)
@@ -117,6 +121,8 @@
 class Host:
     """A server on loopback with a listening socket for each client that is told apart."""
 
+    unread_most = UNREAD_BYTES
+
     def __init__(self) -> None:
         self.traffic: dict[str, Traffic] = {}
         self.open: set[Conversation] = set()
--- a/lapispass/standins/platform.py
+++ b/lapispass/standins/platform.py
@@ -215,6 +215,8 @@
 class Relay(Host):
     """The store, and the streams of its own proxies. A stream of news gets a sign of life every `sign_s`."""
 
+    unread_most = 1 << 20  # as the platform's relay
+
     def __init__(
         self,
         slices: int,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -94,7 +94,19 @@
 
 
 def test_a_run_that_is_told_to_end_ends_every_process_first() -> None:
-    command = [sys.executable, "-m", "lapispass", "lab", "scale", "--servers", "4", "--services", "2"]
+    command = [
+        sys.executable,
+        "-m",
+        "lapispass",
+        "lab",
+        "scale",
+        "--servers",
+        "4",
+        "--services",
+        "2",
+        "--hollow",
+        "0",
+    ]
     with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True) as process:
         began = time.monotonic()
         while len(started := children(process.pid)) < 4 and time.monotonic() - began < 20:
