--- a/lapispass/standins/coordination.py
+++ b/lapispass/standins/coordination.py
@@ -17,7 +17,7 @@
 import h11
 
 from lapispass.standins.nodes import clock_us
-from lapispass.standins.platform import Party, answer, asked
+from lapispass.standins.party import Party, answer, asked
 
 
 class Kv(NamedTuple):
--- /dev/null
+++ b/lapispass/standins/party.py
@@ -0,0 +1,76 @@
+"""A stand-in that serves each connection in a task of its own, with HTTP by h11: for tens of connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+
+
+class Party:
+    """A server on loopback whose connections are each in the hands of one task."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            await self.meet(reader, writer)
+        except (OSError, EOFError, h11.RemoteProtocolError, h11.LocalProtocolError, asyncio.CancelledError):
+            pass  # the last one: the whole test has ended
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    async def meet(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """The life of a connection."""
+        raise NotImplementedError
+
+    def reset(self) -> None:
+        """Every connection is reset; new ones are taken."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+
+
+async def asked(reader: asyncio.StreamReader, state: h11.Connection) -> tuple[str, str, bytes]:
+    """A whole HTTP request: method, target, body; an EOFError at the end."""
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = state.next_event()
+        if event is h11.NEED_DATA:
+            piece = await reader.read(65536)
+            if not piece:
+                raise EOFError
+            state.receive_data(piece)
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head.method.decode(), head.target.decode(), body
+        else:
+            raise EOFError
+
+
+def answer(state: h11.Connection, status: int, body: str | None) -> bytes:
+    """An answer with its body, or the head of a chunked one."""
+    headers = (
+        [("Transfer-Encoding", "chunked")] if body is None else [("Content-Length", str(len(body.encode())))]
+    )
+    out = state.send(h11.Response(status_code=status, headers=headers)) or b""
+    if body is not None:
+        out += (state.send(h11.Data(data=body.encode())) or b"") + (state.send(h11.EndOfMessage()) or b"")
+    return out
