--- a/lapispass/lab/scale/report.py
+++ b/lapispass/lab/scale/report.py
@@ -40,6 +40,7 @@
     runs: list[Run]
     fits: list[Fitted]
     findings: list[Finding]
+    failures: list[str]  # runs that could not be played to their end
 
 
 def commit() -> str:
@@ -65,8 +66,9 @@
     runs: list[Run],
     fits: list[Fitted],
     findings: list[Finding],
+    failures: list[str],
 ) -> Report:
-    return Report(commit(), machine(), seed, budgets, bounds, runs, fits, findings)
+    return Report(commit(), machine(), seed, budgets, bounds, runs, fits, findings, failures)
 
 
 def lines(run: Run) -> Iterator[str]:
@@ -112,7 +114,10 @@
     for finding in told.findings:
         yield f"PASSED OVER: {finding}"
     where = f"commit {told.commit or 'unknown'}, seed {told.seed}"
-    if told.findings:
+    if told.failures:
+        ended = f"{len(told.failures)} not played to their end"
+        yield f"RUN FAILED: {ended}, {len(told.findings)} budgets passed over; {where}"
+    elif told.findings:
         yield f"BUDGETS NOT HELD: {len(told.findings)} passed over; {where}"
     else:
         yield f"all budgets held; {where}"
--- a/lapispass/lab/scale/run.py
+++ b/lapispass/lab/scale/run.py
@@ -82,29 +82,37 @@
         self.size, self.budgets, self.bounds, self.command, self.say = size, budgets, bounds, command, say
         self.runs: list[report.Run] = []
         self.fits: list[sweep.Fitted] = []
+        self.failures: list[str] = []
 
     async def one(self) -> None:
         """All phases at one size."""
         end_with(asyncio.current_task())
-        self.runs.append(await self.play(self.size, phases.ALL))
+        await self.play(self.size, phases.ALL)
 
     async def several(self, counts: sweep.Counts) -> None:
         """Start, quiet and a change at each size of a sweep; a size that comes twice is played once."""
         end_with(asyncio.current_task())
-        known: dict[Size, report.Run] = {}
+        known: dict[Size, report.Run | None] = {}
         played = []
         for step in sweep.steps(self.size, counts):
             if step.size not in known:
                 self.say(f"{step.count} {step.varies}:")
                 known[step.size] = await self.play(step.size, phases.SWEPT)
-                self.runs.append(known[step.size])
-            played.append((step, known[step.size].phases))
+            if run := known[step.size]:
+                played.append((step, run.phases))
         self.fits = sweep.fits(played)
 
-    async def play(self, size: Size, which: Sequence[phases.Play]) -> report.Run:
-        run = await play(size, self.budgets, self.bounds, self.command, which)
+    async def play(self, size: Size, which: Sequence[phases.Play]) -> report.Run | None:
+        """Plays one size and tells what it showed; a failure is told and kept, and the others go on."""
+        try:
+            run = await play(size, self.budgets, self.bounds, self.command, which)
+        except RunFailed as error:
+            self.failures.append(f"{error} ({size.servers} servers, {size.proxies} proxies)")
+            self.say(f"RUN FAILED: {self.failures[-1]}")
+            return None
         for line in report.lines(run):
             self.say(line)
+        self.runs.append(run)
         return run
 
     def report(self) -> report.Report:
@@ -115,7 +123,9 @@
             for run in self.runs
             for finding in judge(run.phases, self.budgets)
         ]
-        return report.make(self.size.seed, self.budgets, self.bounds, self.runs, self.fits, found)
+        return report.make(
+            self.size.seed, self.budgets, self.bounds, self.runs, self.fits, found, self.failures
+        )
 
 
 def check(size: Size, json_file: Path | None, counts: sweep.Counts | None) -> None:
@@ -148,9 +158,6 @@
     plan = Plan(size, budgets, bounds, command, say)
     try:
         asyncio.run(plan.several(counts) if counts else plan.one())
-    except RunFailed as error:
-        say(f"RUN FAILED: {error}")
-        return PASSED
     except asyncio.CancelledError:
         say("RUN FAILED: ended by a signal")
         return PASSED
@@ -161,4 +168,4 @@
         report.write(json_file, told)
     for line in report.verdict(told):
         say(line)
-    return PASSED if told.findings else HELD
+    return PASSED if told.findings or told.failures else HELD
--- a/lapispass/lab/scale/settings.py
+++ b/lapispass/lab/scale/settings.py
@@ -7,11 +7,16 @@
 from lapispass.lab.scale.size import CLASSES, Size
 
 SOCKETS = 1024  # descriptors that a controller may hold
+# The channel to the proxies, in lines: one message to all of them must fit in, so it grows with their count.
+LINES_PER_S, LINES_PER_S_A_PROXY = 10_000.0, 31.25
+HEAD_LINES = 12.0  # of each message
+QUEUE_S = 2.0  # for which lines may wait
 MS = 1000
 
 
 def configuration(size: Size, seed: int, relay: str) -> str:
     """`LB_CONFIG` of one controller, as JSON; it starts without a remembered list."""
+    lines_per_s = max(LINES_PER_S, LINES_PER_S_A_PROXY * size.proxies)
     settings = {
         "discovery": "subscribe",
         "period-us": 5 * MS,
@@ -29,9 +34,9 @@
             "lease-us": 1500 * MS,
             "lingers-us": 2000 * MS,
             "blackhole-us": 14_000 * MS,
-            "lines-per-s": 10_000.0,
-            "fixed-cost": 12.0,
-            "queue-cap": 20_000.0,
+            "lines-per-s": lines_per_s,
+            "fixed-cost": HEAD_LINES,
+            "queue-cap": QUEUE_S * lines_per_s,
             "report-every-us": 1000 * MS,
             "usual-how": 1,
         },
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -81,7 +81,9 @@
     said: list[str] = []
     before = children()
     assert run.main(SMALL, None, WIDE, replace(Bounds(), processes=4), say=said.append) == 1
-    assert said == ["RUN FAILED: processes of the run: 5, limit 4"] and children() == before
+    assert said[0] == "RUN FAILED: processes of the run: 5, limit 4 (12 servers, 4 proxies)"
+    assert said[1].startswith("RUN FAILED: 1 not played to their end, 0 budgets passed over")
+    assert len(said) == 2 and children() == before
 
 
 def test_a_controller_that_ends_by_itself_fails_the_run_by_name() -> None:
@@ -89,8 +91,10 @@
     before = children()
     command = (sys.executable, "-c", "raise SystemExit('no such luck')")
     assert run.main(SMALL, None, WIDE, command=command, say=said.append) == 1
-    assert said == ["RUN FAILED: controller real-0 ended with status 1: no such luck"]
-    assert children() == before
+    assert (
+        said[0] == "RUN FAILED: controller real-0 ended with status 1: no such luck (12 servers, 4 proxies)"
+    )
+    assert len(said) == 2 and children() == before
 
 
 def test_a_run_that_is_told_to_end_ends_every_process_first() -> None:
--- a/tests/test_scale_rules.py
+++ b/tests/test_scale_rules.py
@@ -10,8 +10,10 @@
 from typer.testing import CliRunner
 
 from lapispass.cli.main import app
-from lapispass.lab.scale import fit, sweep
+from lapispass.lab.scale import fit, report, run, sweep
 from lapispass.lab.scale.budgets import Budgets, Phase, judge
+from lapispass.lab.scale.processes import RunFailed
+from lapispass.lab.scale.rig import Wanted
 from lapispass.lab.scale.samples import HOLLOW, Cost, Rates, Sample, costs, mean_pace, rates
 from lapispass.lab.scale.size import BadSize, Size
 from lapispass.lab.scale.system import Usage
@@ -137,10 +139,10 @@
 
 
 def test_bad_arguments_have_a_status_of_their_own(tmp_path) -> None:
-    run = CliRunner().invoke
-    result = run(app, ["lab", "scale", "--servers", "0"])
+    invoke = CliRunner().invoke
+    result = invoke(app, ["lab", "scale", "--servers", "0"])
     assert result.exit_code == 2 and "--servers 0" in result.output
-    result = run(app, ["lab", "scale", "--json", str(tmp_path / "none" / "file")])
+    result = invoke(app, ["lab", "scale", "--json", str(tmp_path / "none" / "file")])
     assert result.exit_code == 2 and "--json" in result.output
 
 
@@ -265,3 +267,26 @@
     assert told(3) == (False, {})
     assert told(2) == told(1) == (False, {"s-0": "Gone", "s-1": "Ready"})
     assert told(0) == told(-1) == told(9) == (True, {"s-1": "Ready", "s-2": "Ready"})
+
+
+def test_a_sweep_plays_each_size_once_and_goes_on_where_one_fails(monkeypatch, tmp_path) -> None:
+    played: list[Size] = []
+
+    async def play(size: Size, *_: object) -> report.Run:
+        played.append(size)
+        if size.proxies == 9:
+            raise RunFailed("controller real-0 gave no answer")
+        return report.Run(size, 5, 100.0, Wanted(), run_of(size.servers, size.servers / 1000))
+
+    monkeypatch.setattr(run, "play", play)
+    size, said, path = replace(SMALL, real=1, hollow=0), list[str](), tmp_path / "out.json"
+    counts = sweep.Counts(servers=(3, 4, 40), controllers=(1, 5), proxies=(2, 9))
+    assert run.main(size, path, say=said.append, counts=counts) == 1
+    assert len(played) == len(set(played)) == 5  # 4 servers, 1 controller and 2 proxies are one size
+    told = json.loads(path.read_text())
+    assert told["failures"] == ["controller real-0 gave no answer (4 servers, 9 proxies)"]
+    assert len(told["runs"]) == 4 and told["seed"] == size.seed and told["commit"] is not None
+    straight = {(each["varies"], each["cost"]): each["fit"]["straight"] for each in told["fits"]}
+    assert straight["servers", "processor of a controller in quiet"]
+    assert not straight["controllers", "processor of a controller in quiet"]  # two points show no line
+    assert said[-1].startswith("RUN FAILED: 1 not played to their end")
