--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -111,6 +111,34 @@
     raise typer.Exit(main(seed, seeds, Size(controllers, proxies, servers)))
 
 
+@lab.command("scale")
+def lab_scale(
+    servers: Annotated[int, typer.Option(help="In the registry's list.")] = 5700,
+    services: Annotated[int, typer.Option(help="That the servers belong to.")] = 120,
+    slices: Annotated[int, typer.Option(help="Of the whole fleet.")] = 2200,
+    held: Annotated[int, typer.Option(help="Slices that each controller holds.")] = 3,
+    zones: Annotated[int, typer.Option(help="One collector in each.")] = 16,
+    proxies: Annotated[int, typer.Option(help="Behind the relay.")] = 320,
+    real: Annotated[int, typer.Option(help="Controllers that are processes of their own.")] = 3,
+    hollow: Annotated[int, typer.Option(help="Controllers that only hold connections.")] = 717,
+    requests: Annotated[float, typer.Option(help="A second, of the whole fleet at its peak.")] = 140_000,
+    seconds: Annotated[float, typer.Option(help="Of each phase that lasts.")] = 60,
+    seed: Annotated[int, typer.Option(help="For all chance.")] = 1,
+    sweep: Annotated[
+        bool,
+        typer.Option("--sweep", help="Vary servers, controllers, proxies; fit base and slope of each cost."),
+    ] = False,
+    json: Annotated[Path | None, typer.Option(help="Write all figures to this file.")] = None,
+) -> None:
+    """Run real controllers at a fleet's size and judge what they cost; 1 where a budget is passed over."""
+    from lapispass.lab.scale.run import main
+    from lapispass.lab.scale.size import Size
+    from lapispass.lab.scale.sweep import Counts
+
+    size = Size(servers, services, slices, held, zones, proxies, real, hollow, requests, seconds, seed)
+    raise typer.Exit(main(size, json, counts=Counts() if sweep else None))
+
+
 def main() -> None:
     """The console script, a process of its own: signals are its to set, from its first moment to its last."""
     from lapispass.net import signals
