Take lists of 16,384 servers and start files of 16 MiB

Need: the target has 5,700 servers; a list was cut at 4,096 and then passed for changes only, so that nothing that left it was ever gone, and a start file with its list, written with indents, came near its 4 MiB.

Change: `Limits.servers` 16,384 (three times the target, two lists of the longest entries kept), `config_bytes` twice `list_bytes`. Everything stays bounded; the test at the bound is there as before.

--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, quote_plus
@@ -27,6 +28,7 @@
 FIGURE_MOST = 1e9  # above any count or span in milliseconds that means something
 UNIX_MS_MOST = 1e13  # the same for a moment
 MARKS = 1 << 16
+RESERVED = re.compile(r"[,;\r\n]")  # what separates on the wire, and so no id holds
 SIZES = (1e-3, 1e3)  # of servers, one to the other
 
 
@@ -87,7 +89,7 @@
         self.classes = {kind.name for kind in told.classes}
 
     def _id(self, value: Any) -> str:
-        if not isinstance(value, str) or not 0 < len(value) <= self.id_bytes or set(value) & set(",;\r\n"):
+        if not isinstance(value, str) or not 0 < len(value) <= self.id_bytes or RESERVED.search(value):
             raise WireError(f"no id: {str(value)[:40]!r}")
         return value
 
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -13,10 +13,10 @@
 
     # sizes in bytes
     read_bytes: int = 64 << 10  # one read
-    message_bytes: int = 1 << 20  # a line of a collector, of the news or of the list
+    message_bytes: int = 1 << 20  # a line of a collector or of the news
     answer_bytes: int = 64 << 10  # what a relay call or a probe may answer
-    list_bytes: int = 8 << 20  # the whole list
-    config_bytes: int = 4 << 20  # the configuration, its list included
+    list_bytes: int = 8 << 20  # the whole list, as a body or a line of a watch: `servers` of 512 bytes each
+    config_bytes: int = 16 << 20  # the configuration: a whole list, and as much again for the settings
     call_bytes: int = 60_000  # orders in one relay call
     id_bytes: int = 256
     unsent_bytes: int = 16 << 10  # answers to pings that nobody reads
@@ -27,7 +27,7 @@
     backlog: int = 1024  # wait to be taken, in the system's hands
     probes: int = 64  # under way at once; the others wait in line, at most as many as there are servers
     events: int = 20_000  # gathered for one turn, sums among them; twice as many without. More where all that stands is more
-    servers: int = 4_096  # in one list; the addresses of twice as many are kept
+    servers: int = 16_384  # in one list; the addresses of twice as many are kept
     unreadable: int = (
         20  # lines in a row, of a collector that has joined, before its stream counts as spoilt for good
     )
--- a/lapispass/operator/read.py
+++ b/lapispass/operator/read.py
@@ -110,11 +110,12 @@
             yield at("connection_class", "no class: gates could not be planned for")
         if not told.gates.name:
             yield at("gates.name", "no gate may join")
-        names = list(told.gates.name)
-        for place, name in enumerate(names):
-            if not NAME.match(name) or name in names[:place]:
+        names: set[str] = set()
+        for place, name in enumerate(told.gates.name):
+            if not NAME.match(name) or name in names:
                 why = "stands twice" if NAME.match(name) else "is no name"
                 yield at(f"gates.name[{place}]", f"{name!r} {why}")
+            names.add(name)
     yield from check_alone(source)
     yield from check_nodes(source)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -911,8 +911,8 @@
 
 
 def test_a_large_deployment_is_ready_in_time_and_its_picture_comes_whole(tmp_path) -> None:
-    """4,096 servers known, 5,000 proxies and 15,000 slices in what stands, the registry silent."""
-    proxies, slices, servers = 5000, 15_000, 4096
+    """5,700 servers known, 5,000 proxies and 15,000 slices in what stands, the registry silent."""
+    proxies, slices, servers = 5000, 15_000, 5700
 
     class Large(Relay):
         async def relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> str | None:
