--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -4,7 +4,7 @@
 one of each controller takes `--all-s` seconds; a caller that would wait over a second is turned away, which
 costs a part of a call too.
 
-    python benchmarks/registry_herd.py --down 5
+    python benchmarks/registry_herd.py --down 5 [--controllers 720]
 """
 
 from __future__ import annotations
@@ -93,8 +93,9 @@
     parser.add_argument("--all-s", type=float, default=5.0, help="seconds for one call of each controller")
     parser.add_argument("--turned-away", type=float, default=0.3, help="cost of turning one away, of a call")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--controllers", type=int, nargs="*", default=[1, 5, 50, 230])
     given = parser.parse_args()
-    for count in (1, 5, 50, 230):
+    for count in given.controllers:
         for grows in (False, True):
             calls, last = play(count, given.down, given.all_s, given.turned_away, grows, given.seed)
             while calls and not calls[-1]:
