Give a list that came too slowly twice the time at the next attempt

Need: a line of a watch has 3 s and a fetched list 2 s. At 5,700 servers a list is 0.93 MB, so each controller needs 0.31 and 0.46 MB/s; where 720 ask at once, a registry behind a link of 1 Gbit/s has 0.17 MB/s for each (worked out), and every attempt failed and began anew: no controller would ever have had the list.

Change: `Progress` ends the reading where the registry is silent (as before) or where a list that was begun is not whole in time; each such one in a row doubles the time for the next, up to eight times. Silence within a list is given no longer than before, and dribbled bytes are no sign of life, as before. Fetched lists and lines of a watch share it.

--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -201,10 +201,11 @@
         event = await self._next()
         return event.data if isinstance(event, h11.Data) else b""
 
-    async def body(self, most: int) -> bytes:
-        """The whole body; one that is longer counts as broken."""
+    async def body(self, most: int, came: Callable[[], None] = lambda: None) -> bytes:
+        """The whole body; one that is longer counts as broken. `came` is told of each piece."""
         whole = bytearray()
         while piece := await self.piece():
+            came()
             whole += piece
             if len(whole) > most:
                 raise EOFError(f"more than {most} bytes")
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Any
 
 from lapispass import interface as face
 from lapispass.net.codec import Codec, Listing, WireError
@@ -15,6 +16,41 @@
 from lapispass.net.log import Part
 
 TARGET = "/registry/instances"
+PATIENCE = 3  # lists in a row that came too slowly, each of which doubles the time for the next
+
+
+class Progress:
+    """Ends the reading of lists with a TimeoutError where the registry is silent, or too slow with one of them.
+
+    Guards against bytes that dribble in and never make a line: only a whole one, or the first byte of a next
+    one, is a sign of life. Guards the list of a large fleet, too, which all controllers may ask for at once: one
+    that comes, but not whole in its time, gives the next one twice as long. Silence is given no longer.
+    """
+
+    def __init__(self, registry: Registry, quiet_us: int) -> None:
+        self.registry, self.quiet_us = registry, quiet_us
+        self.loop, self.quiet = asyncio.get_running_loop(), Quiet(registry.limits.late_us)
+        self.begun, self.until = False, 0.0
+
+    def came(self, whole: bool = False, begun: bool = True) -> None:
+        """A piece has come: whether it ended a line, and whether it has begun another."""
+        now = self.loop.time()
+        if whole or not self.begun:
+            self.until = now + (self.quiet_us << min(self.registry.slow, PATIENCE)) / 1e6
+        self.begun = begun
+        self.quiet.hear(min(self.quiet_us, max(0, int((self.until - now) * 1e6))))
+
+    async def __aenter__(self) -> Progress:
+        await self.quiet.__aenter__()
+        self.quiet.hear(self.quiet_us)
+        return self
+
+    async def __aexit__(self, *raised: Any) -> bool | None:
+        try:
+            return await self.quiet.__aexit__(*raised)
+        except TimeoutError:
+            self.registry.slow += self.begun
+            raise
 
 
 class Registry:
@@ -41,6 +77,7 @@
         self.asked, self.open = asyncio.Event(), asyncio.Event()
         self.strange, self.stranger = asyncio.Event(), None  # a server that only others name
         self.heard_at = 0.0  # when the list last told something, or a watch was opened
+        self.slow = 0  # lists and lines in a row that were begun and did not come whole in time
         tell(face.Listed("remembered", known.entries))
 
     def follow(self) -> None:
@@ -151,20 +188,15 @@
             self.log.say("watch open", version=self.version)
             self.heard_at = asyncio.get_running_loop().time()
             self.open.set()
-            lines, begun = Lines(self.limits.list_bytes), False
-            async with Quiet(self.limits.late_us) as quiet:
-                quiet.hear(self.limits.watch_quiet_us)
+            lines = Lines(self.limits.list_bytes)
+            async with Progress(self, self.limits.watch_quiet_us) as progress:
                 while piece := await link.piece():
                     whole = 0
                     for line in lines.cut(piece):
                         whole += 1
                         if line:
                             self.take(self.codec.listing(line), link)
-                    # Guards against bytes that dribble in and never make a line: only a whole one, or the
-                    # first byte of a next one, is a sign of life.
-                    if whole or not begun:
-                        quiet.hear(self.limits.watch_quiet_us)
-                    begun = bool(lines.rest)
+                    progress.came(bool(whole), bool(lines.rest))
             raise EOFError("ended")
         except (*BROKEN, WireError, TooLong) as error:
             why = f"{type(error).__name__} {error}"
@@ -187,7 +219,8 @@
         link = await self.place.link()
         try:
             status = await within(self.limits.list_us, self.call(link, TARGET), self.limits.late_us)
-            body = await within(self.limits.list_us, link.body(self.limits.list_bytes), self.limits.late_us)
+            async with Progress(self, self.limits.list_us) as progress:
+                body = await link.body(self.limits.list_bytes, progress.came)
         finally:
             link.close()
         if status != 200:
@@ -221,7 +254,7 @@
         except Overfull:
             self.version = None  # what was not taken in is told again with the whole list
             raise
-        self.version = listing.version
+        self.version, self.slow = listing.version, 0
         for backend, _, _, _, born_us in entries:
             address = listing.addresses.get(backend, self.addresses.get(backend))
             if address != self.addresses.get(backend) or (born_us and born_us != self.born.get(backend, 0)):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -284,6 +284,81 @@
     play(test())
 
 
+def in_pieces(line: bytes, over_s: float, count: int = 10) -> list[bytes | float]:
+    """A line that comes in so many pieces over a time."""
+    size = -(-len(line) // count)
+    pieces = (line[begin : begin + size] for begin in range(0, len(line), size))
+    return [step for piece in pieces for step in (over_s / count, piece)]
+
+
+@pytest.mark.parametrize(("times", "failed"), [(1.5, 1), (3.0, 2)])
+def test_a_list_that_comes_too_slowly_gives_the_next_one_twice_as_long(times: float, failed: int) -> None:
+    """All controllers of a large fleet may ask for the whole list at once: none would ever get it whole."""
+
+    async def test() -> None:
+        line = change(6, *({**MEMBER, "id": f"s-{n}"} for n in range(2, 60)))
+        slow = in_pieces(line, times * QUICK.watch_quiet_us / 1e6)
+        async with Book(*([*slow, b"\n", 3600.0] for _ in range(5))) as book:
+            heard: list[face.Event] = []
+            registry = Registry(book.address, KNOWN, heard.append, CODEC, QUICK, Counters())
+            async with running(registry.run()):
+                registry.follow()
+                await until(lambda: heard[-1].kind == "changes")
+                lost = heard[1:-1]  # a busy machine may need one more
+                assert lost == [LOST] * len(lost) and len(lost) >= failed
+                assert len(book.targets) == len(lost) + 1
+                assert registry.slow == 0, "the next one has the usual time again"
+
+    play(test())
+
+
+def test_a_whole_list_that_is_fetched_too_slowly_gives_the_next_one_twice_as_long() -> None:
+    async def test() -> None:
+        body = json.dumps({"revision": 9, "complete": True, "members": [MEMBER] * 50}).encode()
+
+        async def slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            state = h11.Connection(h11.SERVER)
+            _, target, _ = await request(reader, state)
+            writer.write(answered(state, 200, None))
+            if "watch" in target:
+                await reader.read()
+            for step in in_pieces(body, 1.5 * QUICK.list_us / 1e6):
+                if isinstance(step, float):
+                    await asyncio.sleep(step)
+                else:
+                    writer.write(state.send(h11.Data(data=step)))
+                    await writer.drain()
+            writer.write(state.send(h11.EndOfMessage()))
+
+        async with Party(slowly) as book:
+            heard: list[face.Event] = []
+            known = KNOWN._replace(entries=())
+            registry = Registry(book.address, known, heard.append, CODEC, QUICK, Counters())
+            async with running(registry.run()):
+                registry.follow()
+                await until(lambda: heard[-1].kind == "whole")
+                assert heard[1:-1] == [LOST] * (len(heard) - 2) and len(heard) > 2
+
+    play(test())
+
+
+def test_silence_within_a_list_is_given_no_longer_after_slow_ones() -> None:
+    async def test() -> None:
+        async with Book([b"{", 3600.0]) as book:
+            heard: list[face.Event] = []
+            registry = Registry(book.address, KNOWN, heard.append, CODEC, QUICK, Counters())
+            registry.slow = 3
+            async with running(registry.run()):
+                registry.follow()
+                await until(lambda: registry.open.is_set())
+                began = asyncio.get_running_loop().time()
+                await until(lambda: LOST in heard)
+                took_us = (asyncio.get_running_loop().time() - began) * 1e6
+                assert took_us < 4 * QUICK.watch_quiet_us, "a slow line would be given eight times"
+
+    play(test())
+
+
 def test_a_watch_that_only_gives_signs_of_life_is_opened_anew_before_it_is_left() -> None:
     """The list moved on elsewhere while a watch said nothing but that it was alive: nobody ever asked again."""
 
