Capacity page: what each role costs by count, against the budget

Need: whoever plans the machines has to see base, slope, command and mechanism of each cost at 720 controllers and 5,700 servers, and what runs out first.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -184,13 +184,20 @@
 
 
 def process(repeat: int) -> Iterator[Cost]:
-    """Memory of an interpreter with all that `lapispass run` imports, before it has read anything."""
-    code = "import lapispass.net.service; print(open('/proc/self/status').read())"
-    sizes = []
-    for _ in range(repeat):
-        said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
-        sizes.append(int(said.partition("VmRSS:")[2].split()[0]) / 1024)
-    yield Cost("controller", "memory of the process before its start", "MB", "-", [(0, min(sizes))])
+    """Memory of an interpreter with all that a program imports, before it has read anything."""
+    modules = {
+        "controller": "lapispass.net.service",
+        "gate": "lapispass.gate.service",
+        "xds": "lapispass.xds.host",
+        "shared": "lapispass.peers.host",
+    }
+    for role, module in modules.items():
+        code = f"import {module}; print(open('/proc/self/status').read())"
+        sizes = []
+        for _ in range(repeat):
+            done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+            sizes.append(int(done.stdout.partition("VmRSS:")[2].split()[0]) / 1024)
+        yield Cost(role, "memory of the process before its start", "MB", "-", [(0, min(sizes))])
 
 
 def start(repeat: int) -> Iterator[Cost]:
