--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -26,7 +26,8 @@
     at_once: int = 32  # taken at once, beyond those
     backlog: int = 1024  # wait to be taken, in the system's hands
     probes: int = 64  # under way at once; the others wait in line, at most as many as there are servers
-    events: int = 20_000  # gathered for one turn, sums among them; twice as many without. More where all that stands is more
+    # gathered for one turn, sums among them; twice as many without. More where all that stands is more
+    events: int = 20_000
     servers: int = 16_384  # in one list; the addresses of twice as many are kept
     unreadable: int = (
         20  # lines in a row, of a collector that has joined, before its stream counts as spoilt for good
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -20,11 +20,11 @@
 
 
 class Progress:
-    """Ends the reading of lists with a TimeoutError where the registry is silent, or too slow with one of them.
+    """Ends the reading of lists with a TimeoutError where the registry is silent, or too slow with one.
 
     Guards against bytes that dribble in and never make a line: only a whole one, or the first byte of a next
-    one, is a sign of life. Guards the list of a large fleet, too, which all controllers may ask for at once: one
-    that comes, but not whole in its time, gives the next one twice as long. Silence is given no longer.
+    one, is a sign of life. Guards the list of a large fleet, too, which all controllers may ask for at once:
+    one that comes, but not whole in its time, gives the next one twice as long. Silence is given no longer.
     """
 
     def __init__(self, registry: Registry, quiet_us: int) -> None:
