Sum over proxies only while a message is unanswered or a handover is under way

Change: proxies that have not answered the last message are counted as they answer; once none is left nothing waits, and the sum is not made. How far answers have come is asked for while slices move only. Also the last message no longer counts as waiting once every proxy has answered it.

--- a/lapispass/core/channel_state.py
+++ b/lapispass/core/channel_state.py
@@ -47,7 +47,7 @@
         now, proxy = self.turn.now, self.proxies.joined.get(event.proxy)
         if proxy is None:
             return
-        proxy.answered = max(proxy.answered, self.mark - (self.mark - event.mark) % MARKS)
+        self.proxies.answer(proxy, self.mark - (self.mark - event.mark) % MARKS, self.mark)
         while self.turns and self.turns[0][0] <= proxy.answered:
             self.left = self.turns.popleft()[1]
         self.slowest.add(now, max(0.0, event.took_us - self.slowest.read(now)))
@@ -62,7 +62,7 @@
         Guards a channel that stands still or runs far slower, which only the proxies' answers tell: messages
         leave one after the other, so whatever was written before one that has been answered is gone.
         """
-        if self.lines == self.left:
+        if not self.proxies.behind:  # each has answered the last message
             return 0.0
         return sum(self.lines - max(self.left, proxy.since) for proxy in self.proxies.joined.values())
 
@@ -71,6 +71,7 @@
         lines = len(orders) + 1 + self.head_lines
         self.waiting, self.at = self.backlog() + self.joined * lines, self.turn.now
         self.mark, self.unmarked = self.mark + 1, False
+        self.proxies.write()
         self.written.append(self.turn.now)
         self.turns.append((self.mark, self.lines))
         self.lines += lines
--- a/lapispass/core/messages.py
+++ b/lapispass/core/messages.py
@@ -23,12 +23,11 @@
 
 
 class Offer(NamedTuple):
-    """The channel offers a turn: so many lines, and how far the proxies' answers have come."""
+    """The channel offers a turn: so many lines."""
 
     lines: int
     ordinary: int  # of these, for what may wait: it must not fill the way of the next withdrawal
     mark: int  # the turn's own
-    cleared: int  # no proxy can write by a table older than this mark
     settle_us: int
     unmarked: bool  # some proxy has joined since the last mark
 
--- a/lapispass/core/proxies.py
+++ b/lapispass/core/proxies.py
@@ -19,6 +19,7 @@
     gone_at: int = 0
     since: float = 0.0  # lines written to each proxy until it joined
     took: int = -1  # the last mark answered on earlier streams of this life
+    behind: bool = False  # it has not answered the last message that was written to it
 
 
 class Proxies:
@@ -28,6 +29,7 @@
         """After a start nobody has joined: each may still act on an older table for one lease."""
         self.keep_us = keep_us
         self.joined: dict[int, Proxy] = {}
+        self.behind = 0  # how many of these have not answered the last message
         self.departed = {number: Proxy(gone_at=now) for number in numbers}
 
     def __len__(self) -> int:
@@ -35,14 +37,14 @@
 
     def join(self, number: int, first: bool, lines: float) -> Proxy:
         """A stream stands; `first`: the proxy holds nothing from an earlier one."""
-        old = self.joined.pop(number, None) or self.departed.pop(number, None) or Proxy()
+        old = self._left(number) or self.departed.pop(number, None) or Proxy()
         took = -1 if first else max(old.answered, old.took)
         self.joined[number] = proxy = Proxy(since=lines, took=took)
         return proxy
 
     def leave(self, number: int, now: int) -> None:
         """A stream has ended; whoever left longer ago than `keep_us` is forgotten."""
-        proxy = self.joined.pop(number, None) or self.departed.pop(number, None) or Proxy()
+        proxy = self._left(number) or self.departed.pop(number, None) or Proxy()
         proxy.gone_at = now
         self.departed[number] = proxy
         while (first := next(iter(self.departed))) != number:
@@ -50,6 +52,26 @@
                 break
             del self.departed[first]
 
+    def write(self) -> None:
+        """A message is written to all whose streams stand."""
+        for proxy in self.joined.values():
+            proxy.behind = True
+        self.behind = len(self.joined)
+
+    def answer(self, proxy: Proxy, answered: int, last: int) -> None:
+        """A proxy has applied everything up to a mark; `last` is that of the last message."""
+        proxy.answered = max(proxy.answered, answered)
+        if proxy.behind and proxy.answered >= last:
+            proxy.behind = False
+            self.behind -= 1
+
+    def _left(self, number: int) -> Proxy | None:
+        proxy = self.joined.pop(number, None)
+        if proxy is not None and proxy.behind:
+            proxy.behind = False
+            self.behind -= 1
+        return proxy
+
     def cleared(self, now: int, lease_us: int) -> int:
         """No proxy can write by what is older than its last answer, nor a lease after its stream."""
         recent = [proxy.answered for proxy in self.departed.values() if proxy.gone_at > now - lease_us]
--- a/lapispass/policy/channel.py
+++ b/lapispass/policy/channel.py
@@ -51,5 +51,4 @@
         idle = (lines + 1) // 2 if backlog < rules.queue_lines / 8 else 0  # where the queue is tight
         ordinary = max(idle, lines - int(rules.queue_lines / 4 / joined))
         may = left > rules.messages_most // 3
-        cleared = self.proxies.cleared(now, rules.lease_us)
-        return Offer(lines, may * ordinary, self.mark + 1, cleared, settle_us, self.unmarked)
+        return Offer(lines, may * ordinary, self.mark + 1, settle_us, self.unmarked)
--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -27,7 +27,7 @@
         common = (turn, rules, fleet, self.holdings, self.shut_out)
         self.placement, self.admission = Placement(*common), Admission(*common)
         self.withdrawals = Withdrawals(*common)
-        self.offer = Offer(0, 0, 0, -1, rules.lease_us, False)
+        self.offer = Offer(0, 0, 0, rules.lease_us, False)
 
     def act(self, offer: Offer) -> int:
         """One message to the proxies, where there is something to say; returns when something is due next."""
@@ -54,9 +54,10 @@
         moving = self.holdings.moving()
         given = [slice_ for slice_ in moving if slice_.mark == NEVER]
         room, spare = offer.lines - len(orders), offer.ordinary - len(orders)
+        cleared = self.channel.proxies.cleared(now, self.rules.lease_us) if moving else NEVER
         for slice_ in moving:
             slice_.mark = min(slice_.mark, offer.mark)  # none yet: given with an empty table
-            if room > 0 and (step := self.advance(slice_)):
+            if room > 0 and (step := self.advance(slice_, cleared)):
                 orders += step  # a cold owner's levels go with it, so their room is kept
                 cold = slice_.owner is not None and not self.fleet.servers[slice_.owner].warm
                 room -= len(step) + cold * len(self.rules.classes)
@@ -102,10 +103,10 @@
                 self.holdings.relief_at[slice_.owner] = now + self.rules.echo_us
         return others
 
-    def advance(self, slice_: Slice) -> list[face.Order]:
+    def advance(self, slice_: Slice, cleared: int) -> list[face.Order]:
         """The next step of a handover, when it is due."""
         now, rules = self.turn.now, self.rules
-        answered = self.offer.cleared >= slice_.mark
+        answered = cleared >= slice_.mark
         if answered and slice_.gate_at is None:
             slice_.gate_at = now
         clean = slice_.gate_at is not None and now >= slice_.gate_at + rules.linger_us
