lab scale: no controller outlives a run that was killed

A run that gets SIGKILL can end nobody: its stand-ins ended with their input, its controllers went on. The registry stand-in is told of each controller's configuration file before that starts, and ends the processes that have it once the run is gone. Tests end a run by SIGTERM and by SIGKILL.

--- a/lapispass/lab/scale/messages.py
+++ b/lapispass/lab/scale/messages.py
@@ -17,6 +17,12 @@
 # Commands
 
 
+class Guard(Message, frozen=True):
+    """End the controller that has this configuration file, should the run be gone; answered by `Done`."""
+
+    config: str
+
+
 class OpenServers(Message, frozen=True):
     """Listen for these servers, the first of which has the number `first`; answered by `Addresses`."""
 
@@ -122,7 +128,8 @@
 
 
 Command = (
-    OpenServers
+    Guard
+    | OpenServers
     | OpenRegistry
     | OpenRelay
     | OpenHollow
--- a/lapispass/lab/scale/rig.py
+++ b/lapispass/lab/scale/rig.py
@@ -168,6 +168,7 @@
         for number, name in enumerate(self.size.real_names):
             config = self.folder / f"{name}.json"
             config.write_text(settings.configuration(self.size, self.size.seed + number, self.relay_at[name]))
+            await self.registry.ask(say.Guard(str(config)), say.Done)
             started = await Controller.start(
                 name, free_address(number), self.registry_at[name], config, self.folder, self.command
             )
--- a/lapispass/lab/scale/stand_in.py
+++ b/lapispass/lab/scale/stand_in.py
@@ -1,15 +1,18 @@
 """A process of stand-ins: `python -m lapispass.lab.scale.stand_in KIND`, led over its standard streams.
 
-It ends when its standard input does, so that none outlives the run.
+It ends when its standard input does, and ends the controllers that it guards, so that none outlives the run.
 """
 
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import sys
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Protocol
 
 from lapispass.lab.scale import messages as say
@@ -20,6 +23,7 @@
 from lapispass.standins.servers import Servers
 
 LINE_BYTES = 64 << 20  # the longest command: a whole list with its addresses
+ORPHAN_LOOKS, ORPHAN_PAUSE_S = 2, 0.5  # one may just be starting when the run goes
 SIGN_OF_WATCH_S, SIGN_OF_NEWS_S = 2.0, 1.0
 
 
@@ -188,13 +192,33 @@
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader(limit=LINE_BYTES)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    guarded: list[say.Guard] = []
     while line := await reader.readline():
+        command = say.commands.decode(line)
         try:
-            answer = await stand_in.carry_out(say.commands.decode(line))
+            if isinstance(command, say.Guard):
+                guarded.append(command)
+                answer: say.Answer = say.Done()
+            else:
+                answer = await stand_in.carry_out(command)
         except OSError as error:
             answer = say.Failed(f"{type(error).__name__} {error}")
         sys.stdout.buffer.write(say.encode(answer) + b"\n")
         sys.stdout.buffer.flush()
+    for _ in range(ORPHAN_LOOKS if guarded else 0):
+        end_orphans(guarded)
+        await asyncio.sleep(ORPHAN_PAUSE_S)
+
+
+def end_orphans(guarded: list[say.Guard]) -> None:
+    """Ends controllers whose run is gone; no other process has their configuration file."""
+    wanted = {f"LB_CONFIG={controller.config}".encode() for controller in guarded}
+    for process in Path("/proc").iterdir():
+        try:
+            if process.name.isdigit() and wanted & set((process / "environ").read_bytes().split(b"\0")):
+                os.kill(int(process.name), signal.SIGTERM)
+        except OSError:
+            continue  # it has ended, or is another user's
 
 
 def main() -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,6 +5,7 @@
 import json
 import multiprocessing
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -60,6 +61,18 @@
     return Played(status, said, children() - before)
 
 
+def running(pids: set[str]) -> set[str]:
+    """Those of them that have not ended; one that nobody has waited for has."""
+
+    def state(pid: str) -> str:
+        try:
+            return (Path("/proc") / pid / "stat").read_text().rpartition(")")[2].split()[0]
+        except OSError:
+            return "Z"
+
+    return {pid for pid in pids if state(pid) != "Z"}
+
+
 class Plays(NamedTuple):
     """Two runs side by side; they take a while, and other tests go on meanwhile."""
 
@@ -97,7 +110,8 @@
     assert len(said) == 2 and children() == before
 
 
-def test_a_run_that_is_told_to_end_ends_every_process_first() -> None:
+@pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGKILL])
+def test_no_process_outlives_a_run(how: signal.Signals) -> None:
     command = [
         sys.executable,
         "-m",
@@ -116,10 +130,15 @@
         while len(started := children(process.pid)) < 4 and time.monotonic() - began < 20:
             time.sleep(0.05)
         assert len(started) >= 4  # registry, relay, servers and the controller
-        process.terminate()
+        process.send_signal(how)
         said, _ = process.communicate(timeout=20)
-    assert process.returncode == 1 and said.splitlines()[-1] == "RUN FAILED: ended by a signal"
-    assert not [pid for pid in started if (Path("/proc") / pid).exists()]
+    if how == signal.SIGTERM:
+        assert process.returncode == 1 and said.splitlines()[-1] == "RUN FAILED: ended by a signal"
+        assert not running(started)
+    began = time.monotonic()
+    while running(started) and time.monotonic() - began < 10:
+        time.sleep(0.05)
+    assert not running(started)
 
 
 def test_a_small_fleet_plays_all_phases_and_holds_wide_budgets(plays: Plays) -> None:
