Let the herd's fixed waits be fixed again

Cause: the decision module's waits for the registry moved to `Controller.registry`, and the benchmark went on setting `Controller.patience_us`, which nothing reads: both columns showed waits that grow. It reads the figure before it sets it now, so that a further move fails aloud.

--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -70,7 +70,7 @@
             if served[who] or (not news[who] and now < controller.woken_at):
                 continue
             if not grows:
-                controller.patience_us = SECOND
+                controller.registry.patience_us = min(SECOND, controller.registry.patience_us)
             orders, news[who] = controller.turn(now, news[who]), []
             if face.Follow() not in orders:
                 continue
