--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -8,6 +8,8 @@
 
 import typer
 
+from lapispass.cli.seeds import drawn
+
 app = typer.Typer(
     name="lapispass",
     no_args_is_help=True,
@@ -109,11 +111,32 @@
     raise typer.Exit(main(seed, seeds, Size(controllers, proxies, servers)))
 
 
-def drawn() -> int:
-    """A seed for whoever gives none."""
-    import secrets
+@lab.command("scale")
+def lab_scale(
+    servers: Annotated[int, typer.Option(help="In the registry's list.")] = 5700,
+    services: Annotated[int, typer.Option(help="That the servers belong to.")] = 120,
+    slices: Annotated[int, typer.Option(help="Of the whole fleet.")] = 2200,
+    held: Annotated[int, typer.Option(help="Slices that each controller holds.")] = 3,
+    zones: Annotated[int, typer.Option(help="One collector in each.")] = 16,
+    proxies: Annotated[int, typer.Option(help="Behind the relay.")] = 320,
+    real: Annotated[int, typer.Option(help="Controllers that are processes of their own.")] = 3,
+    hollow: Annotated[int, typer.Option(help="Controllers that only hold connections.")] = 717,
+    requests: Annotated[float, typer.Option(help="A second, of the whole fleet at its peak.")] = 140_000,
+    seconds: Annotated[float, typer.Option(help="Of each phase that lasts.")] = 60,
+    seed: Annotated[int, typer.Option(help="For all chance.")] = 1,
+    sweep: Annotated[
+        bool,
+        typer.Option("--sweep", help="Vary servers, controllers, proxies; fit base and slope of each cost."),
+    ] = False,
+    json: Annotated[Path | None, typer.Option(help="Write all figures to this file.")] = None,
+) -> None:
+    """Run real controllers at a fleet's size and judge what they cost; 1 where a budget is passed over."""
+    from lapispass.lab.scale.run import main
+    from lapispass.lab.scale.size import Size
+    from lapispass.lab.scale.sweep import Counts
 
-    return secrets.randbits(63) | 1
+    size = Size(servers, services, slices, held, zones, proxies, real, hollow, requests, seconds, seed)
+    raise typer.Exit(main(size, json, counts=Counts() if sweep else None))
 
 
 def main() -> None:
--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, quote_plus
@@ -27,6 +28,7 @@
 FIGURE_MOST = 1e9  # above any count or span in milliseconds that means something
 UNIX_MS_MOST = 1e13  # the same for a moment
 MARKS = 1 << 16
+RESERVED = re.compile(r"[,;\r\n]")  # what separates on the wire, and so no id holds
 SIZES = (1e-3, 1e3)  # of servers, one to the other
 
 
@@ -87,7 +89,7 @@
         self.classes = {kind.name for kind in told.classes}
 
     def _id(self, value: Any) -> str:
-        if not isinstance(value, str) or not 0 < len(value) <= self.id_bytes or set(value) & set(",;\r\n"):
+        if not isinstance(value, str) or not 0 < len(value) <= self.id_bytes or RESERVED.search(value):
             raise WireError(f"no id: {str(value)[:40]!r}")
         return value
 
@@ -102,7 +104,10 @@
         return value["locality"] if self.told.zones else value.get("locality") or ""
 
     def load(self, text: str, between: str) -> tuple[float | None, ...] | None:
-        """A load report in the order of the deployment's fields; what is missing is None, one odd figure spoils it."""
+        """A load report in the order of the deployment's fields.
+
+        What is missing is None; one figure that cannot be read makes the whole report None.
+        """
         pairs = (pair.strip().partition(between) for pair in text.split(","))
         found = {LOAD_WORDS.get(name, name): value for name, _, value in pairs}
         try:
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -201,10 +201,11 @@
         event = await self._next()
         return event.data if isinstance(event, h11.Data) else b""
 
-    async def body(self, most: int) -> bytes:
-        """The whole body; one that is longer counts as broken."""
+    async def body(self, most: int, came: Callable[[], None] = lambda: None) -> bytes:
+        """The whole body; one that is longer counts as broken. `came` is told of each piece."""
         whole = bytearray()
         while piece := await self.piece():
+            came()
             whole += piece
             if len(whole) > most:
                 raise EOFError(f"more than {most} bytes")
@@ -249,7 +250,9 @@
 
 
 class Place:
-    """Where a party is reached. After a move, the new place is tried until it stands; the old one serves meanwhile.
+    """Where a party is reached.
+
+    After a move, the new place is tried until it stands; the old one serves meanwhile.
 
     Guards against a move that happens while a connection to the old place is being made, or while the new one
     does not answer yet: the party's stream would stay at the old place while that one gives signs of life.
