Forget a server whose lines are taken out late, where there are no slices

Cause: one gone for longer than any rule looks back has no due time; if its lines could be taken out only later, since no proxy was there, nothing visited it again and it was kept for good (read, not seen on a bench). Change: a server whose line is taken out is visited once more. Result: the new test fails without the mend and passes with it.

--- a/lapispass/core/line_table.py
+++ b/lapispass/core/line_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Generic
 
 from lapispass import interface as face
@@ -32,6 +32,13 @@
         """A proxy's stream has ended."""
         self.joiners.pop(proxy, None)
 
+    def order(self, lines: Iterable[face.Own]) -> None:
+        """These lines are ordered; a server whose line was taken out may be forgotten now."""
+        for line in lines:
+            self.lines[line.table, line.backend] = line.weight
+            if not line.weight:
+                self.turn.touched.add(line.backend)
+
     def forget(self, number: face.BackendId) -> bool:
         """A server is gone for good; False while it stands in a table."""
         keys = self.keys(self.fleet.servers[number])
--- a/lapispass/policy/spread.py
+++ b/lapispass/policy/spread.py
@@ -26,7 +26,7 @@
         """One message, where a server has changed or a proxy has joined; returns when more is due."""
         changes = list(self.changes())
         orders: list[face.Order] = list(changes[: offer.lines])
-        self.lines.update({(line.table, line.backend): line.weight for line in changes[: offer.lines]})
+        self.order(changes[: offer.lines])
         for proxy, zone in self.joiners.items():
             near = self.rules.zone_tables.get(zone, 0)
             binds = ((0, self.rules.any_zone), (near, self.rules.own_zone))
--- a/tests/test_turn_cost.py
+++ b/tests/test_turn_cost.py
@@ -158,3 +158,24 @@
     assert proxies.cleared(now + SECOND + lease - 1, lease) == 7  # it may write until its lease is out
     assert proxies.cleared(now + SECOND + lease, lease) == NEVER
     assert proxies.join(5, False, 0.0).took == 7
+
+
+def test_without_slices_a_server_that_left_is_forgotten_once_its_lines_are_out() -> None:
+    """The lines of one that was gone for long were taken out late, and it was kept for good."""
+    told = deployment(slices=0, proxies=2)
+    now, controller = 100 * SECOND, Controller(told, 1, 100 * SECOND)
+    entries = tuple(face.Entry(name, "east", "ready", 1.0, None) for name in ("a", "b"))
+    news: list[face.Event] = [face.Listed("whole", entries), face.Joined(0, True, "east", 1.0)]
+    news += [face.Probed(name, 0, MS, None) for name in ("a", "b")]
+    controller.turn(now, news)
+    now += SECOND
+    controller.turn(now, [face.Left(0)])  # nobody is there to be told
+    controller.turn(now, [face.Listed("changes", (entries[0]._replace(state="gone"),))])
+    now += controller.rules.keep_us + SECOND
+    controller.turn(now, [])
+    assert "a" in controller.backends and controller.backends["a"].state == "past"
+    orders = controller.turn(now + SECOND, [face.Joined(0, False, "east", 1.0)])
+    for _ in range(20):
+        now += SECOND
+        orders += controller.turn(now, [])
+    assert face.Own(0, "a", 0.0) in orders and list(controller.backends) == ["b"]
