Read decaying sums each half report's time while no report comes

Change: half a report's time, the pause that ordinary levels keep anyway: what they go by is read as often as they may change.

--- a/lapispass/core/slice_table.py
+++ b/lapispass/core/slice_table.py
@@ -22,7 +22,7 @@
     ) -> None:
         super().__init__()
         self.turn, self.fleet, self.negligible = turn, fleet, negligible
-        self.lease_us, self.report_us, self.demand_us = times
+        self.lease_us, self.read_us, self.demand_us = times
         self.holdings, self.shut_out = Holdings(), ShutOut()
 
     def given(self, number: int, ours: bool) -> None:
@@ -63,7 +63,7 @@
 
     def read_rates(self) -> None:
         """Reads the visits a second of slices with news or whose time has come, and tells their owners."""
-        self.changed |= self.holdings.read_rates(self.turn.now, self.report_us, self.negligible)
+        self.changed |= self.holdings.read_rates(self.turn.now, self.read_us, self.negligible)
         for owner in self.holdings.take_changed():
             self.holdings.unsettled.add(owner)
             if server := self.fleet.servers.get(owner):
--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -21,7 +21,7 @@
     """All slices in this controller's charge. It looks at what has news or is due, and no further."""
 
     def __init__(self, turn: Turn, rules: Rules, fleet: FleetIndex[Backend], channel: Channel) -> None:
-        times = (rules.lease_us, rules.report_us, rules.demand_us)
+        times = (rules.lease_us, rules.pause_us, rules.demand_us)
         super().__init__(turn, fleet, times, NEGLIGIBLE)
         self.rules, self.channel = rules, channel
         common = (turn, rules, fleet, self.holdings, self.shut_out)
--- a/lapispass/policy/health.py
+++ b/lapispass/policy/health.py
@@ -77,14 +77,14 @@
         return max(self.turn.now + 1, self.next_visit())
 
     def read_traffic(self) -> None:
-        """Reads the decaying sums; again after a report's time, until nothing is left of them."""
+        """Reads the decaying sums; again half a report's time later, until nothing is left of them."""
         now, traffic = self.turn.now, self.traffic
         tries = traffic.tries.read(now) if traffic else 0.0
         if traffic is None or tries < NEGLIGIBLE:
             self.pace, self.fine, self.read_at = 0.0, False, NEVER
         else:
             self.pace, done = traffic.done.per_second(now), traffic.done.read(now)
-            self.fine, self.read_at = done > max(2, 0.5 * tries), now + self.rules.report_us
+            self.fine, self.read_at = done > max(2, 0.5 * tries), now + self.rules.pause_us
         self.reported = False
 
     def stands(self) -> str:
--- a/lapispass/policy/rules.py
+++ b/lapispass/policy/rules.py
@@ -34,8 +34,8 @@
         self.echo_us, self.quiet_us = told.report_every_us + SECOND, 2 * told.report_every_us + SECOND
         # A move bares a slice for the longest write and about 2 s: worth it where more is lost in 10 s.
         self.failing = min(0.9, max(0.4, (told.linger_us + 2 * SECOND) / (10 * SECOND)))
-        self.pause_us, self.report_us = told.report_every_us // 2, max(told.report_every_us, SECOND // 20)
         self.look_us = SECOND // 20  # between looks at news that can wait, and at what moves
+        self.pause_us = max(self.look_us, told.report_every_us // 2)  # between ordinary levels, and readings
         self.may_probe, self.gone_binds = told.may_probe, told.gone_binds or not told.may_probe
         self.demand_us = 4 * max(told.report_every_us, SECOND)
         self.lines_per_us, self.queue_lines = told.lines_per_s / SECOND, told.queue_lines
