lab scale: zones report at their own times; a change is told from its first write on

Cause: zones counted from their last report, so that a moment in which the relay stand-in stood still (hundreds of starts) set all 16 to report together from then on, one wake-up a second in place of 16. Reports keep to a grid now; the test shows gaps of 0 between zones without this.

A withdrawal after a drain was told came out at -1 ms with 720 watches: the change counted as told once the last watch was written. It counts from before the first one.

--- a/lapispass/lab/scale/messages.py
+++ b/lapispass/lab/scale/messages.py
@@ -167,7 +167,7 @@
 
 
 class Told(Message, frozen=True):
-    """A change was written to all who watch, at this time of the machine's monotonic clock."""
+    """A change was written to all who watch, from this time of the machine's monotonic clock on."""
 
     revision: int
     at_us: int
--- a/lapispass/lab/scale/stand_in.py
+++ b/lapispass/lab/scale/stand_in.py
@@ -46,8 +46,9 @@
                 registry.members = {member.id: member for member in members}
                 return say.Addresses({client: await registry.listen(client) for client in clients})
             case say.Change(members):
+                at_us = clock_us()  # before it is written: the first to hear may act before the last is told
                 registry.change(*members)
-                return say.Told(registry.revision, clock_us())
+                return say.Told(registry.revision, at_us)
             case say.Count():
                 return say.RegistryCounts(registry.traffic, len(registry.watches))
         return say.Failed(f"the registry knows no {type(command).__name__}")
--- a/lapispass/standins/collectors.py
+++ b/lapispass/standins/collectors.py
@@ -26,6 +26,7 @@
 
     requests: float
     classes: tuple[str, ...]
+    interval_s: float = INTERVAL_S  # between the reports of a zone
 
 
 class Collectors:
@@ -40,15 +41,20 @@
     def report_to(self, client: str, address: str) -> None:
         """Every zone's collector sends its reports to a controller from now on."""
         self.traffic[client] = Traffic()
+        begin_at = asyncio.get_running_loop().time()
         for place, zone in enumerate(self.relay.zones):
-            begin_s = INTERVAL_S * place / len(self.relay.zones)
-            self.lives.append(asyncio.create_task(self.collect(client, address, zone, begin_s)))
+            first_at = begin_at + self.load.interval_s * (1 + place / len(self.relay.zones))
+            self.lives.append(asyncio.create_task(self.collect(client, address, zone, first_at)))
 
-    async def collect(self, client: str, address: str, zone: str, begin_s: float) -> None:
-        """The life of a zone's collector towards a controller."""
+    async def collect(self, client: str, address: str, zone: str, next_at: float) -> None:
+        """The life of a zone's collector towards a controller.
+
+        Reports keep to their times: after a moment in which this process stood still, zones that count from
+        their last report would all report together, and cost the controller one wake-up in place of many.
+        """
         host, _, port = address.rpartition(":")
         traffic = self.traffic[client]
-        await asyncio.sleep(begin_s)
+        loop, interval_s = asyncio.get_running_loop(), self.load.interval_s
         while True:
             try:
                 _, writer = await asyncio.open_connection(host, int(port))
@@ -59,7 +65,8 @@
                 traffic.connections += 1
                 self.send(writer, traffic, [f"SOURCE locality={zone}"])
                 while not writer.is_closing():
-                    await asyncio.sleep(INTERVAL_S)
+                    await asyncio.sleep(max(0.0, next_at - loop.time()))
+                    next_at += interval_s * max(1, int((loop.time() - next_at) / interval_s) + 1)
                     if zone not in self.relay.away:
                         self.send(writer, traffic, self.lines(client, zone))
             finally:
@@ -84,7 +91,7 @@
                 if total:
                     lines.append(
                         f"SHARD shard={number} route={route} total={total} errors={errors}"
-                        f" interval={1000 * INTERVAL_S}"
+                        f" interval={1000 * self.load.interval_s}"
                     )
                 if owner is not None:
                     tries[owner] += total
@@ -93,14 +100,14 @@
                 errors = total if owner in self.lost_servers else 0
                 lines.append(
                     f"LOAD locality={zone} endpoint={owner} total={total} errors={errors}"
-                    f" rtt={SERVICE_MS} interval={1000 * INTERVAL_S}"
+                    f" rtt={SERVICE_MS} interval={1000 * self.load.interval_s}"
                 )
         return lines
 
     def drawn(self) -> int:
         """Requests of one class for one slice from one zone, in an interval."""
         parts = self.relay.slices * len(self.relay.zones) * len(self.load.classes)
-        mean = self.load.requests * INTERVAL_S / parts
+        mean = self.load.requests * self.load.interval_s / parts
         return int(mean + self.chance.random())
 
     def stop(self) -> None:
--- a/tests/test_scale_stand_ins.py
+++ b/tests/test_scale_stand_ins.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections import defaultdict
 from collections.abc import Coroutine
+from itertools import pairwise
+from statistics import median
 from typing import Any
 
-from lapispass.lab.scale.messages import WatchLeft
-from lapispass.lab.scale.stand_in import CountedRelay, RelayStandIn
+from lapispass.lab.scale.messages import Change, Told, WatchLeft
+from lapispass.lab.scale.stand_in import CountedRelay, RegistryStandIn, RelayStandIn
 from lapispass.standins.collectors import Collectors, Load
 from lapispass.standins.hollow import Herd, Pace, Places, request
+from lapispass.standins.nodes import clock_us
 from lapispass.standins.platform import Member, Registry, Relay
 from lapispass.standins.servers import Servers
 
@@ -151,6 +156,37 @@
     assert 150 < seen <= 200
 
 
+def test_zones_report_at_their_own_times_also_after_the_process_stood_still() -> None:
+    async def test() -> None:
+        writers: list[asyncio.StreamWriter] = []
+        taken = await asyncio.start_server(lambda reader, writer: writers.append(writer), "127.0.0.1", 0)
+        relay = Relay(4, zones=tuple("abcd"))
+        relay.charges["one"] = [0]
+        collectors = Collectors(relay, Load(800.0, ("look",), interval_s=0.2), 1)
+        loop, sent = asyncio.get_running_loop(), defaultdict(list)
+
+        def lines(client: str, zone: str) -> list[str]:
+            sent[zone].append(loop.time() % 0.2)
+            return []
+
+        collectors.lines = lines  # type: ignore[method-assign]
+        collectors.report_to("one", "{}:{}".format(*taken.sockets[0].getsockname()))
+        await asyncio.sleep(0.3)
+        time.sleep(0.5)  # noqa: ASYNC251
+        sent.clear()
+        await until(lambda: len(sent) == 4 and min(map(len, sent.values())) >= 5)
+        collectors.stop()
+        await asyncio.gather(*collectors.lives, return_exceptions=True)
+        taken.close()
+        for writer in writers:
+            writer.transport.abort()
+        phases = sorted(median(times) for times in sent.values())
+        gaps = [after - before for before, after in pairwise([*phases, phases[0] + 0.2])]
+        assert min(gaps) > 0.02, phases  # 0.05 each where nothing is late; 0 where all report together
+
+    play(test())
+
+
 def test_hollow_controllers_hold_watch_and_news_and_keep_their_pace() -> None:
     async def test() -> None:
         registry, relay, servers = Registry(), Relay(4, proxies=2), Servers()
@@ -190,3 +226,14 @@
         herd.pace = Pace(calls=100.0, marks=0.5, orders=1.5)
     first, second = ([herd.orders() for _ in range(20)] for herd in herds)
     assert first == second
+
+
+def test_a_change_counts_as_told_before_its_first_watch_is_written() -> None:
+    async def test() -> None:
+        stand_in = RegistryStandIn()
+        stand_in.registry.change = lambda *members: time.sleep(0.02)  # type: ignore[method-assign]
+        before_us = clock_us()
+        told = await stand_in.carry_out(Change([]))
+        assert isinstance(told, Told) and before_us <= told.at_us < clock_us() - 15_000
+
+    play(test())
