--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -111,7 +111,7 @@
 
 
 @pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGKILL])
-def test_no_process_outlives_a_run(how: signal.Signals) -> None:
+def test_no_process_outlives_a_run(how: signal.Signals, tmp_path: Path) -> None:
     command = [
         sys.executable,
         "-m",
@@ -125,7 +125,10 @@
         "--hollow",
         "0",
     ]
-    with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True) as process:
+    folder = {**os.environ, "TMPDIR": str(tmp_path)}  # a run that was killed leaves its own there
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True, env=folder
+    ) as process:
         began = time.monotonic()
         while len(started := children(process.pid)) < 4 and time.monotonic() - began < 20:
             time.sleep(0.05)
