--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -33,7 +33,7 @@
 import tracemalloc
 from collections.abc import Callable, Iterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from multiprocessing.connection import Connection
 from pathlib import Path
@@ -62,8 +62,9 @@
 from lapispass.net.relay import Calls, News
 from lapispass.operator import read as operator
 from lapispass.peers.host import SharedHost
+from lapispass.standins import fleet
 from lapispass.standins.coordination import Coordination
-from lapispass.standins.platform import answer, asked
+from lapispass.standins.party import answer, asked
 from lapispass.xds import codec
 
 SERVERS = (200, 1000, 2850, 5700)
@@ -125,7 +126,9 @@
 
 
 def deployment(slices: int = 2200, proxies: int = 320) -> face.Deployment:
-    return face.Deployment(
+    """The stand-in fleet's settings, with two classes, the target's zones and reports that tell of load."""
+    return replace(
+        fleet.deployment(fleet.Size()),
         classes=(
             face.VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),
             face.VisitClass("pay", 1_500_000, 5_000_000, 2.0, True, False),
@@ -133,23 +136,6 @@
         zones=ZONES,
         proxies=proxies,
         slices=slices,
-        lease_us=SECOND,
-        linger_us=SECOND,
-        bare_us=10 * SECOND,
-        lines_per_s=1e4,
-        head_lines=12,
-        queue_lines=2e4,
-        messages_most=0,
-        messages_over_us=0,
-        report_every_us=SECOND,
-        usual_retry=1,
-        asks_for_list=True,
-        may_probe=True,
-        gone_binds=True,
-        admits="share",
-        cold_us=SECOND,
-        cold_share=0.2,
-        fall_multiple=2.5,
         load_fields=("held", "busy"),
     )
 
--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -10,40 +10,20 @@
 from __future__ import annotations
 
 import argparse
+from dataclasses import replace
 from pathlib import Path
 
 from lapispass import interface as face
 from lapispass.controller import Controller
 from lapispass.core.units import SECOND
+from lapispass.standins.fleet import Size, deployment
 
 MS = 1000
 
 
-def told() -> face.Deployment:
-    return face.Deployment(
-        classes=(face.VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),),
-        zones=(),
-        proxies=1,
-        slices=1,
-        lease_us=SECOND,
-        linger_us=SECOND,
-        bare_us=10 * SECOND,
-        lines_per_s=1e4,
-        head_lines=12,
-        queue_lines=2e4,
-        messages_most=0,
-        messages_over_us=0,
-        report_every_us=SECOND,
-        usual_retry=1,
-        asks_for_list=True,
-        may_probe=False,
-        gone_binds=True,
-        admits="share",
-        cold_us=SECOND,
-        cold_share=0.2,
-        fall_multiple=2.5,
-        load_fields=(),
-    )
+def settings() -> face.Deployment:
+    """The stand-in fleet's settings; servers are not probed, since only calls to the registry are counted."""
+    return replace(deployment(Size(controllers=1, proxies=1, servers=1, slices_each=1)), may_probe=False)
 
 
 def play(
@@ -53,7 +33,7 @@
     now = 100 * SECOND
     begin, up_at = now, now + int(down_s * SECOND)
     cost = all_s * SECOND / count  # of a call, in us of the registry's time
-    controllers = [Controller(told(), seed + n, now) for n in range(count)]
+    controllers = [Controller(settings(), seed + n, now) for n in range(count)]
     news: list[list[face.Event]] = [[face.Listed("lost", ())] for _ in controllers]
     for controller in controllers:
         controller.turn(now, [])
