--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -33,6 +33,11 @@
         20  # lines in a row, of a collector that has joined, before its stream counts as spoilt for good
     )
 
+    # attempts that failed in a row, each of which doubles the time for the next, up to so many
+    picture_doublings: int = 2  # at what stands at the relay; calls wait meanwhile
+    list_doublings: int = 3  # lists that came, but too slowly
+    spoilt_pictures: int = 3  # that hold what can't be read, before one is taken as it is
+
     # times
     join_us: int = 1_000_000  # from connecting, or from the last PING, until a collector joins
     connect_us: int = 1_000_000  # a first attempt to connect; the next one gets twice as long ...
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -16,7 +16,6 @@
 from lapispass.net.log import Part
 
 TARGET = "/registry/instances"
-PATIENCE = 3  # lists in a row that came too slowly, each of which doubles the time for the next
 
 
 class Progress:
@@ -36,7 +35,8 @@
         """A piece has come: whether it ended a line, and whether it has begun another."""
         now = self.loop.time()
         if whole or not self.begun:
-            self.until = now + (self.quiet_us << min(self.registry.slow, PATIENCE)) / 1e6
+            doublings = min(self.registry.slow, self.registry.limits.list_doublings)
+            self.until = now + (self.quiet_us << doublings) / 1e6
         self.begun = begun
         self.quiet.hear(min(self.quiet_us, max(0, int((self.until - now) * 1e6))))
 
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -15,8 +15,6 @@
 from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
 
-PATIENCE = 2  # attempts at a picture, each of which doubles the time for the next; calls wait meanwhile
-SPOILT = 3  # pictures that hold what can't be read, before one is taken as it is
 FORM = (("Content-Type", "application/x-www-form-urlencoded"),)
 
 
@@ -221,7 +219,7 @@
             self.picture = []
             # Guards against a relay that needs longer than usual, which would never come to an end: each
             # attempt that fails gives the next one twice as long. Only what is spent waiting for it counts.
-            patience_us = self.limits.told_us << min(self.failed, PATIENCE)
+            patience_us = self.limits.told_us << min(self.failed, self.limits.picture_doublings)
             left_us = 2 * patience_us
             if (status := await within(patience_us, self.ask(link), self.limits.late_us)) != 200:
                 raise EOFError(f"status {status}")
@@ -307,7 +305,7 @@
             # Guards what is decided on a picture: a proxy or a slice that can't be read would count as gone.
             # It is asked for again; where it can't be read however often, that is what stands.
             self.spoilt += 1
-            if self.spoilt <= SPOILT:
+            if self.spoilt <= self.limits.spoilt_pictures:
                 raise
             return
         self.counters[f"news.{kind}" if event else "news.unknown_kind"] += 1
