Work out once what a server is able to where an owner is chosen

Need: a choice goes over all servers, and for each of them its warmth and speed were worked out twice, for its own work and for its load. Change: what it is able to is handed on; no decision changes. Repeats.add takes its servers without a copy.

--- a/lapispass/core/repeats.py
+++ b/lapispass/core/repeats.py
@@ -17,8 +17,8 @@
         self._said: set[BackendId] = set()  # ... these, said since
 
     def add(self, numbers: Iterable[BackendId]) -> None:
-        numbers = set(numbers)
-        self._some |= numbers
+        """Servers by their ids."""
+        self._some.update(numbers)
 
     def add_all(self, last_place: int) -> None:
         """All servers known so far, by the place of the last one."""
--- a/lapispass/policy/placement.py
+++ b/lapispass/policy/placement.py
@@ -51,18 +51,18 @@
         speed = (self.part == 1 and server.speed) or self.usual
         return server.weight * max(1e-3, server.warmth()) * speed
 
-    def others(self, server: Backend) -> float:
-        """What a server does beside the slices here, in visits a second."""
+    def others(self, server: Backend, able: float) -> float:
+        """What a server that is able to so much does beside the slices here, in visits a second."""
         # Held connections are such work; where busy shares tell of all that is not ours, they are part of it.
-        return max(server.held, (self.part < 1) * (server.busy * self.able(server) - server.pace))
+        return max(server.held, (self.part < 1) * (server.busy * able - server.pace))
 
     def weigh(self, number: BackendId) -> tuple[float, float]:
         """What a server does beside the slices here, and the work by which its load is measured."""
         server = self.fleet.servers[number]
-        # Guards a server just started: until reports can tell what comes there, it counts by the part that it
-        # is let in.
+        able = self.able(server)
+        # Guards a server just started: until reports can tell its load, it counts by the part let in there.
         fresh = self.turn.now < server.born + self.rules.echo_us and server.warmth() < 1
-        return self.others(server), (self.rules.cold_part if fresh else 1.0) * self.able(server)
+        return self.others(server, able), (self.rules.cold_part if fresh else 1.0) * able
 
     def load_with(self, number: BackendId, slice_: Slice) -> float:
         """A server's load per weight with this slice."""
@@ -84,8 +84,8 @@
 
     def excess(self, server: Backend) -> float:
         """Visits a second that an owner does not let in, or beyond nine tenths of its work."""
-        load = self.loads.get(server.number, 0.0)
-        over = load + self.others(server) - 0.9 * self.able(server) if server.speed else -NEVER
+        load, able = self.loads.get(server.number, 0.0), self.able(server)
+        over = load + self.others(server, able) - 0.9 * able if server.speed else -NEVER
         return max(load * (1 - server.fit), over)
 
     def to_relieve(self) -> list[Slice]:
@@ -111,9 +111,9 @@
         target = self.choose(slice_)
         if target is None or target == owner.number:
             return False
-        full = self.able(owner) if owner.speed else NEVER
-        load = self.loads.get(owner.number, 0.0) + self.others(owner)
-        level = min(load, full) / self.able(owner)
+        able = self.able(owner)
+        load = self.loads.get(owner.number, 0.0) + self.others(owner, able)
+        level = (min(load, able) if owner.speed else load) / able
         return self.fleet.servers[target].fit >= 1 and self.load_with(target, slice_) < 0.75 * level
 
     def next_relief(self) -> int:
