--- /dev/null
+++ b/tests/faulty_process.py
@@ -0,0 +1,174 @@
+"""A real controller process whose system calls fail on demand, with stand-ins for relay and registry.
+
+The faults are those of `fault_shim.c`, which is compiled once for a test run and loaded into the process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import mmap
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from enum import IntEnum
+from functools import cache
+from pathlib import Path
+from tempfile import mkdtemp
+
+from parties import Book, Relay
+
+SHIM = Path(__file__).with_name("fault_shim.c")
+SHORT = 10000  # a transfer of one byte, in place of an errno
+RECORD = struct.Struct("=4i")
+ALWAYS = 1000  # thousandths
+SETTINGS = {
+    "grades": [{"name": "pay", "target-us": 10, "hard-limit-us": 20, "worth": 2.0}],
+    "extra": {"key-ranges": 2, "data-plane-size": 3},
+}
+
+
+class Call(IntEnum):
+    """The system calls that can be made to fail, in the order of `fault_shim.c`."""
+
+    ACCEPT = 0
+    SOCKET = 1
+    CONNECT = 2
+    SEND = 3
+    RECEIVE = 4
+    WAIT = 5
+    WRITE = 6
+    SYNC = 7
+    BIND = 8
+    OPEN = 9
+    CLOCK = 10
+
+
+@cache
+def shim() -> Path:
+    """The compiled library."""
+    library = Path(mkdtemp(prefix="lapispass-shim-")) / "shim.so"
+    subprocess.run(["cc", "-shared", "-fPIC", "-O1", "-o", library, SHIM, "-ldl"], check=True)
+    return library
+
+
+class Faults:
+    """The records that a process reads, in a file of their own."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        path.write_bytes(bytes(RECORD.size * len(Call)))
+        with path.open("r+b") as file:
+            self.records = mmap.mmap(file.fileno(), 0)
+
+    def set(self, call: Call, error: int, times: int = -1, thousandths: int = ALWAYS) -> None:
+        """The next `times` calls fail (-1: until `clear`), each by this chance."""
+        injected = self.injected(call)
+        RECORD.pack_into(self.records, call * RECORD.size, times, thousandths, error, injected)
+
+    def clear(self, call: Call) -> None:
+        self.set(call, 0, times=0)
+
+    def step_clock(self, seconds: int) -> None:
+        """The wall clock is ahead by so many seconds from now on."""
+        self.set(Call.CLOCK, seconds, times=0)
+
+    def injected(self, call: Call) -> int:
+        """How many calls have failed so far."""
+        return RECORD.unpack_from(self.records, call * RECORD.size)[3]
+
+
+class Controller:
+    """A running controller process."""
+
+    def __init__(self, process: asyncio.subprocess.Process, faults: Faults, address: tuple[str, int]) -> None:
+        self.process, self.faults, self.address = process, faults, address
+        self.lines: list[str] = []
+
+    async def says(self, words: str, after: int = 0, limit_s: float = 10) -> str:
+        """The first line of the log, from this one on, that holds the words."""
+        async with asyncio.timeout(limit_s):
+            while True:
+                for line in self.lines[after:]:
+                    if words in line:
+                        return line
+                after = len(self.lines)
+                line = await self.process.stderr.readline()
+                assert line, "\n".join(["the process has ended:", *self.lines])
+                self.lines.append(line.decode().rstrip("\n"))
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*self.address)
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    async def counters(self) -> dict[str, int]:
+        after = len(self.lines)
+        self.signal(signal.SIGUSR1)
+        line = await self.says("event=counters", after)
+        words = (word.partition("=") for word in line.split())
+        return {name: int(value) for name, _, value in words if "." in name}
+
+    async def ended(self) -> int:
+        """Its status, once it has ended."""
+        self.lines += (await self.process.stderr.read()).decode().splitlines()
+        return await asyncio.wait_for(self.process.wait(), 10)
+
+
+@asynccontextmanager
+async def controller(
+    folder: Path,
+    *,
+    faults: Faults | None = None,
+    settings: Mapping[str, object] = SETTINGS,
+    members: Sequence[object] = (),
+    book: Book | None = None,
+    environment: Mapping[str, str] | None = None,
+) -> AsyncIterator[Controller]:
+    """A controller that listens, with its stand-ins; it is killed at the end if it still runs."""
+    faults = faults or Faults(folder / "faults")
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = free.getsockname()
+    async with Relay() as relay, book or Book() as registry:
+        config = {
+            "name": "n",
+            "listen": "{}:{}".format(*address),
+            "discovery": registry.address,
+            "seed": "1",
+            "settings": settings,
+            "store": {"address": relay.address},
+            "known": {"revision": 1, "complete": True, "members": list(members)},
+        }
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-B", "-m", "lapispass"),
+            env={
+                **os.environ,
+                "LB_CONFIG": str(path),
+                "LD_PRELOAD": str(shim()),
+                "LAPISPASS_FAULTS": str(faults.path),
+                **(environment or {}),
+            },
+            stderr=subprocess.PIPE,
+        )
+        running = Controller(process, faults, address)
+        try:
+            await running.says("event=listening")
+            yield running
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.communicate()
+
+
+def names(error: int) -> str:
+    """An errno's name, for the text of an assertion."""
+    return errno.errorcode.get(error, str(error))
