Answer each request that was read before its connection is closed

Cause: the timer of the idle second was handled in the round in which a PING had been read, and won (the task was cancelled with the data in hand); connections were aborted with answers unsent; asyncio accepts nothing for a second after ENFILE, EMFILE, ENOBUFS or ENOMEM; ETIMEDOUT of a connection passed for the idle time; a PING did not count as use where room is made.

--- /dev/null
+++ b/lapispass/net/acceptor.py
@@ -0,0 +1,114 @@
+"""Accepts connections at a listening socket, whatever `accept` fails with."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+
+from lapispass.net.counters import Counters
+from lapispass.net.log import Part
+from lapispass.net.streams import Reader
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+# accept(2): the process, the system or its memory is at a limit; the connection stays in the queue.
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+
+class Acceptor:
+    """Hands each connection to `serve` in a task of its own.
+
+    asyncio's own server accepts nothing for a second where descriptors or memory have run out for a moment,
+    and answers on new connections come that late. Here the next attempt follows after `pause_us`. Any other
+    error of `accept` is that of one connection, which the system has dropped already (accept(2) asks to
+    treat such errors like EAGAIN).
+    """
+
+    def __init__(
+        self,
+        listener: socket.socket,
+        serve: Serve,
+        *,
+        name: str,
+        at_once: int,
+        read_bytes: int,
+        pause_us: int,
+        log: Part,
+        counters: Counters,
+        exhausted: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`name` begins the names of the counters; `exhausted` may free what descriptors it can."""
+        listener.setblocking(False)
+        self.listener, self.serve, self.name = listener, serve, name
+        self.at_once, self.read_bytes, self.pause_us = at_once, read_bytes, pause_us
+        self.log, self.counters, self.exhausted = log, counters, exhausted
+        self.loop = asyncio.get_running_loop()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.pause: asyncio.TimerHandle | None = None
+        self.closed = False
+        self.loop.add_reader(listener.fileno(), self._ready)
+
+    @property
+    def sockets(self) -> tuple[socket.socket, ...]:
+        """As `asyncio.Server.sockets`."""
+        return () if self.closed else (self.listener,)
+
+    def close(self) -> None:
+        """Stops listening; connections that stand go on."""
+        if self.closed:
+            return
+        self.closed = True
+        if self.pause is not None:
+            self.pause.cancel()
+        self.loop.remove_reader(self.listener.fileno())
+        self.listener.close()
+
+    def _ready(self) -> None:
+        """Connections wait in the queue: takes so many of them, that other work has its turn."""
+        failed = 0
+        for _ in range(self.at_once):
+            try:
+                connection, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                failed += 1
+                self._failed(error)
+                if error.errno in EXHAUSTED:
+                    self._pause()
+                    return
+                continue
+            task = self.loop.create_task(self._run(connection))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        if failed == self.at_once:  # an error that stays must not take the whole processor
+            self._pause()
+
+    def _failed(self, error: OSError) -> None:
+        self.counters[f"{self.name}.accept_failed"] += 1
+        name = errno.errorcode.get(error.errno or 0, str(error.errno))
+        self.log.seldom("accept failed", why=name, pause_us=self.pause_us)
+        if error.errno in EXHAUSTED:
+            self.exhausted()
+
+    def _pause(self) -> None:
+        self.loop.remove_reader(self.listener.fileno())
+        self.pause = self.loop.call_later(self.pause_us / 1e6, self._resume)
+
+    def _resume(self) -> None:
+        self.pause = None
+        self.loop.add_reader(self.listener.fileno(), self._ready)
+
+    async def _run(self, connection: socket.socket) -> None:
+        """The task of one connection."""
+        reader = Reader(limit=self.read_bytes, loop=self.loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=self.loop)
+        try:
+            transport, _ = await self.loop.connect_accepted_socket(lambda: protocol, connection)
+        except OSError as error:  # it is gone already
+            connection.close()
+            self._failed(error)
+            return
+        await self.serve(reader, asyncio.StreamWriter(transport, protocol, reader, self.loop))
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -10,6 +10,7 @@
 import h11
 
 from lapispass.net.limits import Limits
+from lapispass.net.streams import Reader
 
 
 class Overfull(EOFError):
@@ -119,21 +120,6 @@
     return host.strip("[]"), int(port)
 
 
-class Reader(asyncio.StreamReader):
-    """A stream that can tell whether something waits to be read."""
-
-    unread = 0
-
-    def feed_data(self, data: bytes) -> None:
-        self.unread += len(data)
-        super().feed_data(data)
-
-    async def read(self, n: int = -1) -> bytes:
-        piece = await super().read(n)
-        self.unread -= len(piece)
-        return piece
-
-
 class Link:
     """A connection to one party; calls go one after the other."""
 
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -19,7 +19,7 @@
     config_bytes: int = 16 << 20  # the configuration: a whole list, and as much again for the settings
     call_bytes: int = 60_000  # orders in one relay call
     id_bytes: int = 256
-    unsent_bytes: int = 16 << 10  # answers to pings that nobody reads
+    unsent_bytes: int = 16 << 10  # answers to pings; while more wait to be read, no further ping is read
 
     # counts
     connections: int = 128  # at the listening address, of the 256 descriptors that a start is sure of
@@ -39,7 +39,12 @@
     spoilt_pictures: int = 3  # that hold what can't be read, before one is taken as it is
 
     # times
-    join_us: int = 1_000_000  # from connecting, or from the last PING, until a collector joins
+    join_us: int = 1_000_000  # from connecting until a client has joined or asked, and between pieces
+    message_us: int = 2_000_000  # for a message that comes in pieces: a rejection is owed within 3 s
+    idle_client_us: int = 15_000_000  # from its last PING until a client that has not joined is closed
+    unread_us: int = 2_000_000  # for a client to read the answers that wait for it
+    flush_us: int = 250_000  # for what is unsent when a connection ends
+    linger_us: int = 200_000  # from a rejection until the close, for the client to read it
     connect_us: int = 1_000_000  # a first attempt to connect; the next one gets twice as long ...
     connect_most_us: int = 2_000_000  # ... up to this, once attempts run out of time
     answer_us: int = 200_000  # a relay answers within 50 ms or never; the rest is for a late wake-up here
--- /dev/null
+++ b/lapispass/net/streams.py
@@ -0,0 +1,53 @@
+"""What asyncio's streams leave out: what is still unread, and an end that loses no answer."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+
+
+class Reader(asyncio.StreamReader):
+    """A stream that can tell whether something waits to be read."""
+
+    unread = 0
+
+    def feed_data(self, data: bytes) -> None:
+        self.unread += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        piece = await super().read(n)
+        self.unread -= len(piece)
+        return piece
+
+
+def has_input(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Whether bytes have come that were not read yet, in the stream or in the system's buffer.
+
+    The peer's end counts as input too, until the stream has seen it.
+    """
+    if isinstance(reader, Reader) and reader.unread:
+        return True
+    if reader.at_eof() or reader.exception() or writer.is_closing():
+        return False
+    connection = writer.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+async def flush(writer: asyncio.StreamWriter, wait_us: int) -> int:
+    """Waits until all that was written is in the system's hands; how many bytes are not, after that time.
+
+    Never raises for a peer that is gone.
+    """
+    transport = writer.transport
+    transport.set_write_buffer_limits(high=0)
+    try:
+        async with asyncio.timeout(wait_us / 1e6):
+            await writer.drain()
+    except OSError:  # a TimeoutError is one, too
+        pass
+    return transport.get_write_buffer_size()
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -41,6 +41,10 @@
     late_us=50 * MS,
     unasked_us=100 * MS,
     join_us=100 * MS,
+    message_us=200 * MS,
+    idle_client_us=100 * MS,
+    unread_us=200 * MS,
+    linger_us=50 * MS,
     bind_us=60 * MS,
 )
 TOLD = deployment(
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -17,6 +17,7 @@
 from lapispass.net.counters import Counters
 from lapispass.net.registry import Registry
 from lapispass.net.relay import Calls, News
+from lapispass.net.streams import Reader
 
 drawn = drawing(derandomize=True, database=None, deadline=None, max_examples=60)
 
@@ -147,6 +148,9 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
     def abort(self) -> None:
         self.aborted = True
 
@@ -161,6 +165,12 @@
     def write(self, data: bytes) -> None:
         self.transport.said += data
 
+    async def drain(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self.transport.aborted
+
 
 REPORTS = b"PING\r\n" + JOIN + LINE + b"PING\r\n" + LINE * 2 + b"LATER kind=odd\r\n" + LINE
 
@@ -173,7 +183,7 @@
     async def test() -> None:
         heard: list[face.Event] = []
         collectors = Collectors(heard.append, CODEC, QUICK, Counters())
-        reader, writer = asyncio.StreamReader(), Writer()
+        reader, writer = Reader(), Writer()
         life = asyncio.create_task(collectors.serve(reader, writer))  # type: ignore[arg-type]
         said = REPORTS[:until]
         for piece in cut(said, places) if said else []:
