--- a/tests/fault_shim.c
+++ b/tests/fault_shim.c
@@ -23,7 +23,7 @@
 
 #define SHORT 10000
 
-enum call { ACCEPT, SOCKET, CONNECT, SEND, RECEIVE, WAIT, WRITE, SYNC, BIND, OPEN, CLOCK, CALLS };
+enum call { ACCEPT, SOCKET, CONNECT, SEND, RECEIVE, WAIT, WRITE, SYNC, BIND, OPEN, CLOCK, PIPE, CALLS };
 
 struct fault {
     int32_t left;
@@ -133,7 +133,7 @@
 
 ssize_t write(int descriptor, const void *bytes, size_t size) {
     NEXT(write);
-    int error = size > 1 ? fails(WRITE) : 0;
+    int error = size > 1 ? fails(is_file(descriptor) ? WRITE : PIPE) : 0;
     if (error && error != SHORT) {
         errno = error;
         return -1;
--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -48,6 +48,7 @@
     BIND = 8
     OPEN = 9
     CLOCK = 10
+    PIPE = 11
 
 
 @cache
@@ -122,6 +123,41 @@
         return await asyncio.wait_for(self.process.wait(), 10)
 
 
+@asynccontextmanager
+async def process(
+    arguments: Sequence[str],
+    faults: Faults,
+    address: tuple[str, int],
+    ready: str,
+    environment: Mapping[str, str],
+) -> AsyncIterator[Controller]:
+    """`python -m lapispass` with these arguments, once its log holds `ready`; killed if it still runs."""
+    child = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-B", "-m", "lapispass", *arguments),
+        env={
+            **os.environ,
+            "LD_PRELOAD": str(shim()),
+            "LAPISPASS_FAULTS": str(faults.path),
+            **environment,
+        },
+        stderr=subprocess.PIPE,
+    )
+    running = Controller(child, faults, address)
+    try:
+        await running.says(ready)
+        yield running
+    finally:
+        if child.returncode is None:
+            child.kill()
+        await child.communicate()
+
+
+def free_address() -> tuple[str, int]:
+    """An address of this machine that nobody listens at."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()
+
+
 @asynccontextmanager
 async def controller(
     folder: Path,
@@ -132,10 +168,9 @@
     book: Book | None = None,
     environment: Mapping[str, str] | None = None,
 ) -> AsyncIterator[Controller]:
-    """A controller that listens, with its stand-ins; it is killed at the end if it still runs."""
+    """The platform's controller, with its stand-ins."""
     faults = faults or Faults(folder / "faults")
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        address = free.getsockname()
+    address = free_address()
     async with Relay() as relay, book or Book() as registry:
         config = {
             "name": "n",
@@ -148,25 +183,9 @@
         }
         path = folder / "config.json"
         path.write_text(json.dumps(config))
-        process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-B", "-m", "lapispass"),
-            env={
-                **os.environ,
-                "LB_CONFIG": str(path),
-                "LD_PRELOAD": str(shim()),
-                "LAPISPASS_FAULTS": str(faults.path),
-                **(environment or {}),
-            },
-            stderr=subprocess.PIPE,
-        )
-        running = Controller(process, faults, address)
-        try:
-            await running.says("event=listening")
+        told = {"LB_CONFIG": str(path), **(environment or {})}
+        async with process((), faults, address, "event=listening", told) as running:
             yield running
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.communicate()
 
 
 def names(error: int) -> str:
--- /dev/null
+++ b/tests/test_momentary_errors.py
@@ -0,0 +1,75 @@
+"""A call of ours that fails for a moment says nothing of the server it was meant for."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from typing import Any
+
+import h11
+import pytest
+from parties import CODEC, QUICK, Party, answered, play, request, until
+
+from lapispass import interface as face
+from lapispass.net.counters import Counters
+from lapispass.net.probes import ANSWERED, LATE, Probes
+
+LOCAL = [errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENFILE, errno.EMFILE, errno.ENOMEM, errno.EAGAIN]
+ROUTE = [errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ENETDOWN]
+
+
+class Dials:
+    """Makes the next dials fail."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.left, self.error, self.failed = 0, 0, 0
+        self.connect = socket.socket.connect
+        monkeypatch.setattr(socket.socket, "connect", lambda *words: self.dial(*words))
+
+    def dial(self, connection: socket.socket, address: Any) -> None:
+        if self.left:
+            self.left -= 1
+            self.failed += 1
+            raise OSError(self.error, "injected")
+        self.connect(connection, address)
+
+
+async def healthy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    state = h11.Connection(h11.SERVER)
+    await request(reader, state)
+    writer.write(answered(state, 200, b""))
+
+
+async def probe(address: str) -> list[face.Probed]:
+    heard: list[face.Probed] = []
+    probes = Probes(heard.append, CODEC, QUICK, Counters())
+    probes.start("s-1", address)
+    await until(lambda: not probes.under_way)
+    return heard
+
+
+def test_a_dial_that_fails_for_a_moment_is_no_refusal_of_the_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # One probe that found no free port passed for a refused connection, which ends a server that drains.
+    async def test() -> None:
+        dials, found = Dials(monkeypatch), {}
+        async with Party(healthy) as server:
+            for error in (*LOCAL, *ROUTE):
+                dials.left, dials.error = 2, error
+                found[errno.errorcode[error], "for a moment"] = [
+                    told.reason for told in await probe(server.address)
+                ]
+                dials.left = 1_000_000
+                found[errno.errorcode[error], "for good"] = [
+                    told.reason for told in await probe(server.address)
+                ]
+                dials.left = 0
+        expected = {}
+        for error in (*LOCAL, *ROUTE):
+            expected[errno.errorcode[error], "for a moment"] = [ANSWERED]
+            expected[errno.errorcode[error], "for good"] = [] if error in LOCAL else [LATE]
+        assert found == expected and dials.failed > 2 * len(expected)
+
+    play(test())
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,53 @@
+"""A server that has just started is cold, however far the wall clocks of the machines are apart."""
+
+from __future__ import annotations
+
+from fleet import SECOND, deployment
+
+from lapispass import interface as face
+from lapispass.controller import Controller
+
+TOLD = deployment(cold_us=12 * SECOND, cold_share=0.2, may_probe=False)
+BEGUN = 1_000_000 * SECOND
+HOUR = 3600 * SECOND
+
+
+def entry(name: str, born_us: int | None) -> face.Entry:
+    return face.Entry(name, "east", "ready", 1.0, born_us)
+
+
+def told_live(apart_us: int, old: int | None = None) -> tuple[Controller, int]:
+    """A controller that follows the list, and is told of a start 2 s ago on a clock that is apart."""
+    controller, now = Controller(TOLD, 1, BEGUN), BEGUN
+    controller.turn(now, [face.Listed("whole", (entry("s-1", None), entry("s-2", old)))])
+    now += 60 * SECOND
+    started = now - 2 * SECOND + apart_us
+    controller.turn(now, [face.Listed("changes", (entry("s-2", started),))])
+    return controller, now
+
+
+def warmth(controller: Controller, now: int) -> float:
+    controller.turn(now, [])
+    return controller.backends["s-2"].warmth()
+
+
+def test_a_start_that_is_told_live_is_cold_and_warms_in_its_time() -> None:
+    # A controller whose machine's clock was an hour ahead took each server that had just started for warm;
+    # with the clock behind, servers stayed cold for an hour.
+    wrong = {}
+    for apart_us in (-HOUR, -20 * SECOND, 0, 20 * SECOND, HOUR):
+        for old in (None, BEGUN - 2 * HOUR):
+            controller, now = told_live(apart_us, old)
+            first, later = warmth(controller, now), warmth(controller, now + 13 * SECOND)
+            if first > 0.2 + 0.8 * 6 / 12 or later < 1:  # told 6 s after it happened at most
+                wrong[apart_us, old] = first, later
+    assert not wrong
+
+
+def test_what_was_missed_while_the_list_was_lost_may_be_long_ago() -> None:
+    controller, now = Controller(TOLD, 1, BEGUN), BEGUN
+    controller.turn(now, [face.Listed("whole", (entry("s-1", None),))])
+    controller.turn(now + SECOND, [face.Listed("lost", ())])
+    now += 60 * SECOND
+    controller.turn(now, [face.Listed("changes", (entry("s-2", now - 30 * SECOND),))])
+    assert warmth(controller, now) == 1.0
