A server's start and a dial are judged by what is known without the fault

Cause: a server's age was our clock less the registry's, which a stepped wall clock puts an hour apart (policy/health.py): cold servers passed for warm. A dial was tried once, and any error of socket or connect told the module that the server refused (probes.py): one such ends a server that drains. Change: core/start_times.py bounds a reported start by when it was reported, and, where the list is followed without a gap, by the 6 s within which it is told; gates that stand alone go by it too. Link.open tries again within its time where socket or connect fail for a moment; what stays a failure of ours is told to nobody, no route is silence. A connect that never began (EAGAIN) is seen.

--- a/lapispass/controller.py
+++ b/lapispass/controller.py
@@ -40,6 +40,7 @@
         self.table: Ledger | Spread = kind(self.current, self.rules, self.fleet, self.channel)
         self.registry = RegistryRetry(self.current, now if told.asks_for_list else NEVER)
         self.woken_at, self.looked_at = -1, now - self.rules.look_us
+        self.follows_list = False  # without a gap since it last told something
 
     def turn(self, now: int, events: Sequence[face.Event]) -> list[face.Order]:
         """Takes in the events; the orders that follow. Times in microseconds."""
@@ -131,12 +132,14 @@
 
     def take_list(self, news: face.Listed) -> None:
         """What the registry tells; where it was lost, it is asked again."""
+        live = self.follows_list and news.kind == "changes"
         if news.kind == "lost":
             self.registry.lost()
         elif news.kind != "remembered":
             self.registry.answered()
+        self.follows_list = news.kind not in ("lost", "remembered")
         for entry in news.entries:
-            self.list_entry(entry, news.kind == "remembered")
+            self.list_entry(entry, news.kind == "remembered", live)
         if news.kind in ("whole", "remembered"):  # what is left out is gone
             named = {entry.backend for entry in news.entries}
             missing = [server for number, server in self.backends.items() if number not in named]
@@ -144,7 +147,7 @@
                 entry = face.Entry(server.number, server.zone, "gone", server.weight, None)
                 self.list_entry(entry, False)
 
-    def list_entry(self, entry: face.Entry, remembered: bool) -> None:
+    def list_entry(self, entry: face.Entry, remembered: bool, live: bool = False) -> None:
         """One server of the list; one told as before costs nothing."""
         if (server := self.backends.get(entry.backend)) is None:
             server = Backend(self.current, entry.backend, self.fleet.next_place(), self.rules)
@@ -153,5 +156,5 @@
                 server.spread_first_probe()
         elif entry == server.entry:
             return
-        server.list_entry(entry)
+        server.list_entry(entry, live)
         self.current.touched.add(entry.backend)
--- a/lapispass/core/server_state.py
+++ b/lapispass/core/server_state.py
@@ -13,7 +13,20 @@
     """One server as the list, reports and probes have told it. Times in microseconds."""
 
     __slots__ = (
-        *("alive", "away_us", "born", "busy", "entry", "fine", "fit", "fit_at", "gone_at", "good_at", "held"),
+        *(
+            "alive",
+            "away_us",
+            "born",
+            "born_reported",
+            "busy",
+            "entry",
+            "fine",
+            "fit",
+            "fit_at",
+            "gone_at",
+            "good_at",
+            "held",
+        ),
         *("listed", "misses", "mode", "number", "pace", "place", "probe_at", "rate", "read_at", "reported"),
         *("since", "speed", "state", "traffic", "turn", "waiting", "warm", "weight", "zone"),
     )
@@ -21,6 +34,7 @@
     def __init__(self, turn: Turn, number: face.BackendId, place: int) -> None:
         self.turn, self.number, self.place = turn, number, place
         self.entry: face.Entry | None = None  # as last told
+        self.born_reported = 0  # by the registry's clock; `born` is by ours
         self.listed, self.zone, self.weight, self.born, self.gone_at = "gone", "", 1.0, 0, NEVER
         self.alive = False  # as probes have it
         self.mode, self.since, self.away_us = "well", turn.now, 0
--- a/lapispass/gate/lone.py
+++ b/lapispass/gate/lone.py
@@ -7,6 +7,7 @@
 from lapispass.core.facts import NodeView
 from lapispass.core.keeper import Counted, Keeper
 from lapispass.core.plans import NONE
+from lapispass.core.start_times import local_start
 from lapispass.gate.host import TableHost
 from lapispass.operator import read as operator
 from lapispass.operator.operator_pb2 import Node
@@ -25,6 +26,7 @@
         self.keeper = Keeper(operator.classes(told), operator.bounds(told), operator.drain_terms(told), now)
         self.keeper.joined(now, gate.told.name, gate.told.zone, NONE, {})
         self.views: list[NodeView] = []
+        self.starts: dict[str, tuple[int, int]] = {}  # node: as the file says, and by our clock
         self.serial, self.reported = 0, 0
         self.follow(source)
 
@@ -47,6 +49,7 @@
                 wanted.owners[number] = owner
             elif ready:
                 wanted.owners[number] = ready[number % len(ready)]
+        self.starts = {node.id: self.starts[node.id] for node in told.node if node.id in self.starts}
         gate.carry_out(list(wanted.differences(gate.steering.tables)))
         self.views = [
             NodeView(
@@ -54,12 +57,21 @@
                 node.zone,
                 STATES[node.state],
                 node.weight if node.HasField("weight") else 1.0,
-                node.started_unix_ms * 1000,
+                self.started(node),
             )
             for node in told.node
         ]
         self.tick(gate.clock.now())
 
+    def started(self, node: Node) -> int:
+        """When it started, by our clock, in microseconds; 0 for long ago."""
+        reported_us = node.started_unix_ms * 1000
+        known = self.starts.get(node.id)
+        if known is None or known[0] != reported_us:
+            known = reported_us, local_start(reported_us, self.gate.clock.now(), live=False, notice_us=0)
+            self.starts[node.id] = known
+        return known[1]
+
     def tick(self, now: int) -> None:
         """Reports to its own keeper, and follows what that plans."""
         gate, name = self.gate, self.gate.told.name
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, TypeVar
@@ -12,6 +13,22 @@
 from lapispass.net.limits import Limits
 from lapispass.net.streams import Reader
 
+# Why socket(2) or connect(2) may fail for a moment on this machine; it tells nothing of the peer.
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+# No way to the peer for a moment: it has refused nothing.
+ROUTE_ERRORS = frozenset({errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENETDOWN, errno.ENETUNREACH})
+
 
 class Overfull(EOFError):
     """More was told than is taken in: the connection ends, and the next begins with all that stands."""
@@ -130,17 +147,32 @@
 
     @classmethod
     async def open(cls, address: str, limits: Limits, wait_us: int | None = None) -> Link:
-        dial = cls._dial(address, limits)
-        return await within(wait_us or limits.connect_us, dial, limits.late_us, cls.close)
+        """A connection to `address`, within `wait_us` (`Limits.connect_us`).
+
+        Attempts that fail for a moment are made again within that time. Raises TimeoutError where the peer
+        does not answer, and the last error where no attempt could be made.
+        """
+        dial = Dial(address, limits)
+        try:
+            return await within(wait_us or limits.connect_us, dial.run(), limits.late_us, cls.close)
+        except TimeoutError:
+            if dial.error is not None:
+                raise dial.error from None
+            raise
 
     @classmethod
     async def _dial(cls, address: str, limits: Limits) -> Link:
+        """One attempt."""
         loop = asyncio.get_running_loop()
         reader = Reader(limit=limits.read_bytes, loop=loop)
         transport, protocol = await loop.create_connection(
             lambda: asyncio.StreamReaderProtocol(reader, loop=loop), *split(address)
         )
-        return cls(reader, asyncio.StreamWriter(transport, protocol, reader, loop), address, limits)
+        link = cls(reader, asyncio.StreamWriter(transport, protocol, reader, loop), address, limits)
+        if transport.get_extra_info("peername") is None:  # connect gave EAGAIN or EINTR, and never began
+            link.close()
+            raise BlockingIOError(errno.EAGAIN, f"connect to {address} did not begin")
+        return link
 
     @property
     def usable(self) -> bool:
@@ -210,6 +242,27 @@
         self.writer.transport.abort()
 
 
+class Dial:
+    """One connection to be made. `error` is why the last attempt could not be made, if it could not."""
+
+    def __init__(self, address: str, limits: Limits) -> None:
+        self.address, self.limits = address, limits
+        self.error: OSError | None = None
+
+    async def run(self) -> Link:
+        """Tries until the connection stands, or the peer is not to be had."""
+        again = Backoff(self.limits)
+        while True:
+            try:
+                self.error = None
+                return await Link._dial(self.address, self.limits)
+            except OSError as error:
+                if error.errno not in LOCAL_ERRORS | ROUTE_ERRORS:
+                    raise
+                self.error = error
+            await again.wait()
+
+
 class Dialer:
     """Opens connections to one party; an attempt that runs out of time gives the next one twice as long.
 
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -9,7 +9,7 @@
 from lapispass import interface as face
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
-from lapispass.net.http import BROKEN, Link, within
+from lapispass.net.http import BROKEN, LOCAL_ERRORS, ROUTE_ERRORS, Link, within
 from lapispass.net.limits import Limits
 from lapispass.net.log import Part
 
@@ -67,7 +67,7 @@
 
     async def probe(self, backend: face.BackendId, address: str) -> None:
         """The life of a probe."""
-        began, load, link = time.monotonic_ns(), None, None
+        began, load, link, made = time.monotonic_ns(), None, None, True
         reason = UNREACHABLE  # until the connection stands
         try:
             link = await Link.open(address, self.limits)
@@ -80,8 +80,10 @@
             self.counters["probes.unreadable"] += 1
         except TimeoutError:
             reason = LATE  # also where the dial took too long: nothing was refused
-        except (*BROKEN, ValueError):  # ValueError: the list gave no address
-            pass
+        except (*BROKEN, ValueError) as error:  # ValueError: the list gave no address
+            if link is None and isinstance(error, OSError):
+                made = error.errno not in LOCAL_ERRORS
+                reason = LATE if error.errno in ROUTE_ERRORS else UNREACHABLE
         except Exception:
             self.log.failed("probe failed", server=backend)
         finally:
@@ -89,6 +91,10 @@
                 link.close()
             self.under_way.pop(backend, None)
             self.go_on()
+        if not made:  # it tells nothing of the server; the module asks again
+            self.counters["probes.not_made"] += 1
+            self.log.seldom("probe not made", server=backend, address=address)
+            return
         self.counters[f"probes.reason_{reason}"] += 1
         took_us = (time.monotonic_ns() - began) // 1000
         self.tell(face.Probed(backend, reason, took_us, load))
--- a/lapispass/policy/health.py
+++ b/lapispass/policy/health.py
@@ -6,6 +6,7 @@
 from lapispass.core.decay import Traffic
 from lapispass.core.messages import LISTED
 from lapispass.core.server_state import ServerState
+from lapispass.core.start_times import local_start
 from lapispass.core.turn import Turn
 from lapispass.core.units import NEVER, SECOND
 from lapispass.policy.rules import Rules
@@ -27,17 +28,21 @@
         """Guards servers: all controllers that start at once probe them all."""
         self.probe_at += int(self.turn.random.draw() * self.rules.lease_us)
 
-    def list_entry(self, entry: face.Entry) -> None:
-        """What the list says of it."""
-        self.entry, now, born = entry, self.turn.now, entry.born_us
-        if born and born != self.born and self.born:
+    def list_entry(self, entry: face.Entry, live: bool = False) -> None:
+        """What the list says of it; `live` where the list is followed without a gap."""
+        self.entry, now, reported = entry, self.turn.now, entry.born_us
+        started_anew = bool(reported) and reported != self.born_reported
+        if started_anew and self.born_reported:
             self.turn_to("well", "started anew")
             self.fit, self.waiting = 1.0, None
             self.traffic, self.reported = None, True
         if entry.state != "gone" or self.listed != "draining":  # one that drained stays shut out
             self.listed = entry.state
         self.gone_at = min(self.gone_at, now) if entry.state == "gone" else NEVER
-        self.zone, self.weight, self.born = entry.zone, entry.weight or 1.0, born or self.born
+        self.zone, self.weight = entry.zone, entry.weight or 1.0
+        if reported and started_anew:
+            self.born_reported = reported
+            self.born = local_start(reported, now, live, self.rules.notice_us)
 
     def met(self, report: face.Met) -> None:
         """What the proxies of a zone met there."""
--- a/lapispass/policy/rules.py
+++ b/lapispass/policy/rules.py
@@ -5,6 +5,8 @@
 from lapispass import interface as face
 from lapispass.core.units import SECOND
 
+# PROTOCOL, "Figures": what discovery has to tell counts as told no later than 6 s on.
+NOTICE_US = 6 * SECOND
 PROMPT = face.Listed | face.Given | face.Held  # acted on in the turn that brings them
 
 
@@ -34,6 +36,7 @@
         self.echo_us, self.quiet_us = told.report_every_us + SECOND, 2 * told.report_every_us + SECOND
         # A move bares a slice for the longest write and about 2 s: worth it where more is lost in 10 s.
         self.failing = min(0.9, max(0.4, (told.linger_us + 2 * SECOND) / (10 * SECOND)))
+        self.notice_us = NOTICE_US
         self.look_us = SECOND // 20  # between looks at news that can wait, and at what moves
         self.pause_us = max(self.look_us, told.report_every_us // 2)  # between ordinary levels, and readings
         self.may_probe, self.gone_binds = told.may_probe, told.gone_binds or not told.may_probe
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -51,3 +51,12 @@
     now += 60 * SECOND
     controller.turn(now, [face.Listed("changes", (entry("s-2", now - 30 * SECOND),))])
     assert warmth(controller, now) == 1.0
+
+
+def test_a_start_that_is_told_again_does_not_begin_anew() -> None:
+    controller, now = told_live(HOUR)
+    again = controller.backends["s-2"].entry
+    for _ in range(4):
+        now += 3 * SECOND
+        controller.turn(now, [face.Listed("changes", (again._replace(weight=1.0 + now % 7),))])
+    assert warmth(controller, now + SECOND) == 1.0
