--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -156,7 +156,7 @@
         try:
             return await within(wait_us or limits.connect_us, dial.run(), limits.late_us, cls.close)
         except TimeoutError:
-            if dial.error is not None:
+            if dial.error is not None and not dial.waits_for_peer():
                 raise dial.error from None
             raise
 
@@ -243,23 +243,29 @@
 
 
 class Dial:
-    """One connection to be made. `error` is why the last attempt could not be made, if it could not."""
+    """One connection to be made. `error` is why the last attempt that ended could not be made."""
 
     def __init__(self, address: str, limits: Limits) -> None:
-        self.address, self.limits = address, limits
+        self.address, self.limits, self.loop = address, limits, asyncio.get_running_loop()
         self.error: OSError | None = None
+        self.begun_at: float | None = None  # the attempt that is under way
+
+    def waits_for_peer(self) -> bool:
+        """Whether an attempt is under way for so long that the peer's silence is the reason."""
+        least_s = self.limits.again_most_us / 1e6
+        return self.begun_at is not None and self.loop.time() - self.begun_at > least_s
 
     async def run(self) -> Link:
         """Tries until the connection stands, or the peer is not to be had."""
         again = Backoff(self.limits)
         while True:
+            self.begun_at = self.loop.time()
             try:
-                self.error = None
                 return await Link._dial(self.address, self.limits)
             except OSError as error:
                 if error.errno not in LOCAL_ERRORS | ROUTE_ERRORS:
                     raise
-                self.error = error
+                self.error, self.begun_at = error, None
             await again.wait()
 
 
