A store on a disk that fails for a while keeps what was decided until it is written

Cause: an error of SQLite in a commit (ENOSPC, EIO) ended the turns, and with them the process (xds/host.py); one while opening was taken for a corrupt file. Change: the store tells errors that may pass (NotWritten) from a corrupt file; a turn's orders are written again until the disk takes them, nobody is told before, and no turn goes before them. A compaction that fails is left for the next; a store is opened again for 5 s.

--- a/lapispass/store/assignments.py
+++ b/lapispass/store/assignments.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from contextlib import suppress
 from pathlib import Path
 
 import apsw
@@ -22,6 +23,23 @@
     """The file can't be believed; the text says why in one line."""
 
 
+class NotWritten(Exception):
+    """The disk fails for now: nothing of the transaction stands, and it may be tried again."""
+
+
+# What may pass: a full disk, an error of input or output, a lock, memory. A file that is corrupt stays so.
+MOMENTARY = (
+    apsw.BusyError,
+    apsw.CantOpenError,
+    apsw.FullError,
+    apsw.IOError,
+    apsw.InterruptError,
+    apsw.LockedError,
+    apsw.NoMemError,
+    apsw.ReadOnlyError,
+)
+
+
 def check_of(*words: object) -> int:
     """Over a row's words; SQLite holds signed numbers."""
     return xxhash.xxh3_64_intdigest("\0".join(str(word) for word in words).encode()) >> 1
@@ -34,6 +52,10 @@
         self.path, self.slices = str(path), slices
         try:
             self.file = apsw.Connection(self.path)
+        except apsw.Error as error:
+            kind = NotWritten if isinstance(error, MOMENTARY) else Spoilt
+            raise kind(f"{self.path}: {type(error).__name__}: {error}") from None
+        try:
             self.file.set_busy_timeout(1000)
             # An exclusive lock: a second controller on the same file is refused, not mixed in.
             for line in (
@@ -44,6 +66,9 @@
                 self.file.execute(line).fetchall()
             self.file.execute("BEGIN IMMEDIATE; COMMIT")
             self._open()
+        except MOMENTARY as error:
+            self.close()
+            raise NotWritten(f"{self.path}: {type(error).__name__}: {error}") from None
         except apsw.Error as error:
             raise Spoilt(f"{self.path}: {type(error).__name__}: {error}") from None
         self.turn = self._read_turn()
@@ -100,7 +125,7 @@
 
     def commit(self, orders: Iterable[face.Order]) -> bool:
         """The lines that a turn sets, in one transaction; False where it sets none. On return they are on
-        the disk."""
+        the disk. Raises `NotWritten` where the disk fails for now."""
         lines: dict[int, str | None] = {}
         for order in orders:
             match order:
@@ -113,6 +138,15 @@
         if not lines:
             return False
         turn = self.turn + 1
+        try:
+            self._write(lines, turn)
+        except MOMENTARY as error:
+            self._roll_back()
+            raise NotWritten(f"{self.path}: {type(error).__name__}: {error}") from None
+        self.turn = turn
+        return True
+
+    def _write(self, lines: dict[int, str | None], turn: int) -> None:
         with self.file:
             for number, owner in lines.items():
                 self.file.execute(
@@ -120,8 +154,12 @@
                     (number, owner, turn, check_of(number, owner, turn)),
                 )
             self._fact("turn", turn)
-        self.turn = turn
-        return True
+
+    def _roll_back(self) -> None:
+        """Ends a transaction that an error has left open."""
+        with suppress(apsw.Error):
+            if self.file.in_transaction:
+                self.file.execute("ROLLBACK")
 
     def snapshot(self, path: str | Path) -> None:
         """A copy that is whole, while this one is in use."""
@@ -131,8 +169,14 @@
         target.close()
 
     def compact(self) -> None:
-        """Folds the write-ahead log in, so that it does not grow."""
-        self.file.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_TRUNCATE)
+        """Folds the write-ahead log in, so that it does not grow. Raises `NotWritten` where that fails for
+        now; nothing is lost by it."""
+        try:
+            self.file.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_TRUNCATE)
+        except MOMENTARY as error:
+            raise NotWritten(f"{self.path}: {type(error).__name__}: {error}") from None
 
     def close(self) -> None:
-        self.file.close()
+        """Closes the file; what was committed is on the disk, whatever this meets."""
+        with suppress(apsw.Error):
+            self.file.close()
--- a/lapispass/xds/host.py
+++ b/lapispass/xds/host.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Coroutine, Sequence
 from pathlib import Path
 from typing import Any
@@ -19,18 +20,21 @@
 from lapispass.net.clock import Clock
 from lapispass.net.codec import Codec
 from lapispass.net.counters import Counters
+from lapispass.net.http import Backoff
 from lapispass.net.limits import Limits
 from lapispass.net.log import Part
 from lapispass.net.probes import Probes
 from lapispass.operator import read as operator
 from lapispass.operator.operator_pb2 import Node
 from lapispass.operator.read import BadFile, Source
-from lapispass.store.assignments import Assignments, Spoilt
+from lapispass.store.assignments import Assignments, NotWritten, Spoilt
 from lapispass.xds.desk import desk_for, load_keys, tls_of
 
 STATES = {Node.READY: "ready", Node.DRAINING: "draining", Node.GONE: "gone"}
 STORE = 0  # the number of the store as a proxy
 COMPACT_EVERY = 1000  # turns
+OPEN_WAIT_S = 5.0  # for a store on a disk that fails
+OPEN_AGAIN_S = 0.05
 
 
 class Host:
@@ -44,7 +48,7 @@
         self.source, self.clock, self.counters = source, Clock(), Counters()
         self.log = Part("host", 1_000_000)
         self.told = operator.alone(source.told)
-        limits = Limits()
+        self.limits = limits = Limits()
         self.inbox: list[face.Event] = []
         self.wakes: dict[int, int] = {}
         self.news, self.ended = asyncio.Event(), asyncio.Event()
@@ -59,13 +63,23 @@
         self.inbox.append(face.Joined(STORE, True, "", None))
 
     def open_store(self, source: Source) -> None:
-        """The store's table is kept; the module starts no handover there for one lease."""
-        try:
-            self.store = Assignments(
-                Path(source.path).parent / source.told.alone.store_file, self.told.slices
-            )
-        except Spoilt as error:
-            raise BadFile([source.at("alone.store_file", str(error))]) from None
+        """The store's table is kept; the module starts no handover there for one lease.
+
+        A disk that fails for a moment is tried again for `OPEN_WAIT_S`.
+        """
+        path = Path(source.path).parent / source.told.alone.store_file
+        until = time.monotonic() + OPEN_WAIT_S
+        while True:
+            try:
+                self.store = Assignments(path, self.told.slices)
+                break
+            except Spoilt as error:
+                raise BadFile([source.at("alone.store_file", str(error))]) from None
+            except NotWritten as error:
+                if time.monotonic() >= until:
+                    raise BadFile([source.at("alone.store_file", str(error))]) from None
+                self.log.seldom("store not opened", why=error)
+                time.sleep(OPEN_AGAIN_S)
         owners = self.store.owners()
         for number in range(self.told.slices):
             self.inbox.append(face.Given(number, True))
@@ -142,7 +156,7 @@
         """One turn after the other."""
         while True:
             await self.due()
-            self.turn()
+            await self.turn()
 
     async def due(self) -> None:
         """Until there is news, or a wake-up has come."""
@@ -166,16 +180,33 @@
         self.counters["host.turns"] += 1
         return events, self.controller.turn(now, events)
 
-    def turn(self) -> None:
+    async def turn(self) -> None:
         """The module's lines are on the disk before anyone is told."""
         events, orders = self.decide()
-        if self.store.commit(orders):
-            self.counters["host.commits"] += 1
-            if self.store.turn % COMPACT_EVERY == 0:
-                self.store.compact()
+        await self.commit(orders)
         self.carry_out(orders)
         self.desk.turned(events, orders)
 
+    async def commit(self, orders: Sequence[face.Order]) -> None:
+        """Writes until the disk takes it: what the module has decided is owed, and no turn goes before it."""
+        again = Backoff(self.limits)
+        while True:
+            try:
+                if not self.store.commit(orders):
+                    return
+                self.counters["host.commits"] += 1
+                break
+            except NotWritten as error:
+                self.counters["host.commits_failed"] += 1
+                self.log.seldom("store not written", why=error)
+            await again.wait()
+        if self.store.turn % COMPACT_EVERY == 0:
+            try:
+                self.store.compact()
+            except NotWritten as error:
+                self.counters["host.compactions_failed"] += 1
+                self.log.seldom("store not compacted", why=error)
+
     def carry_out(self, orders: Sequence[face.Order]) -> None:
         """What is not for clients."""
         for order in orders:
