--- a/lapispass/store/assignments.py
+++ b/lapispass/store/assignments.py
@@ -27,14 +27,13 @@
     """The disk fails for now: nothing of the transaction stands, and it may be tried again."""
 
 
-# What may pass: a full disk, an error of input or output, a lock, memory. A file that is corrupt stays so.
+# What may pass: a full disk, an error of input or output, memory. A file that is corrupt stays so, and one
+# that is locked is another controller's.
 MOMENTARY = (
-    apsw.BusyError,
     apsw.CantOpenError,
     apsw.FullError,
     apsw.IOError,
     apsw.InterruptError,
-    apsw.LockedError,
     apsw.NoMemError,
     apsw.ReadOnlyError,
 )
--- /dev/null
+++ b/tests/test_process_faults.py
@@ -0,0 +1,89 @@
+"""Starts, reloads and ends of a real controller process while its system calls fail for a moment."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import signal
+from pathlib import Path
+
+from faulty_process import Call, Faults, controller, names
+from parties import play
+
+PING, PONG = b"PING\r\n", b"PONG\r\n"
+LOCAL_ERRORS = (errno.EADDRNOTAVAIL, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+async def pong(address: tuple[str, int]) -> bytes:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(PING)
+    try:
+        return await asyncio.wait_for(reader.readexactly(len(PONG)), 1)
+    finally:
+        writer.close()
+
+
+def test_a_start_goes_on_where_calls_fail_for_a_moment(tmp_path: Path) -> None:
+    # Any error but an address in use was a refusal to start.
+    async def test() -> None:
+        wrong = {}
+        cases = [(Call.BIND, error) for error in LOCAL_ERRORS]
+        cases += [(Call.SOCKET, error) for error in LOCAL_ERRORS[1:]]
+        cases += [(Call.OPEN, error) for error in (errno.EIO, errno.ENFILE, errno.EMFILE, errno.ENOMEM)]
+        for call, error in cases:
+            folder = tmp_path / f"{call.name}-{error}"
+            folder.mkdir()
+            faults = Faults(folder / "faults")
+            faults.set(call, error, times=3)
+            environment = {"LAPISPASS_FAULTS_OPEN": str(folder / "config.json")}
+            try:
+                async with controller(folder, faults=faults, environment=environment) as running:
+                    if await pong(running.address) != PONG or faults.injected(call) < 3:
+                        wrong[call.name, names(error)] = faults.injected(call)
+            except AssertionError as failure:
+                wrong[call.name, names(error)] = str(failure)
+        assert not wrong
+
+    play(test(), 60)
+
+
+def test_a_reload_goes_on_where_the_file_cannot_be_read_for_a_moment(tmp_path: Path) -> None:
+    # The signal came once, and the new place was never followed.
+    async def test() -> None:
+        environment = {"LAPISPASS_FAULTS_OPEN": str(tmp_path / "config.json")}
+        async with controller(tmp_path, environment=environment) as running:
+            for error in (errno.EIO, errno.ENFILE):
+                running.faults.set(Call.OPEN, error, times=3)
+                after = len(running.lines)
+                running.signal(signal.SIGHUP)
+                await running.says("configuration read again", after, limit_s=3)
+                assert running.faults.injected(Call.OPEN)
+
+    play(test())
+
+
+def test_a_process_that_is_told_to_end_answers_what_has_come(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with controller(tmp_path) as running:
+            clients = [await running.connect() for _ in range(8)]
+            for reader, writer in clients[4:]:
+                writer.write(PING)
+                assert await reader.readexactly(len(PONG)) == PONG
+            await asyncio.sleep(0.2)
+            running.signal(signal.SIGSTOP)
+            for _, writer in clients:
+                writer.write(PING)
+            await asyncio.sleep(0.1)
+            running.signal(signal.SIGTERM)
+            running.signal(signal.SIGCONT)
+            said = []
+            for reader, writer in clients:
+                try:
+                    said.append(await asyncio.wait_for(reader.read(), 2))
+                except OSError as failure:
+                    said.append(repr(failure).encode())
+                writer.close()
+            assert said == [PONG] * len(clients)
+            assert await running.ended() == 0
+
+    play(test())
