A start and a reload go on where system calls fail for a moment

Cause: Service.listen waited for an address in use only, Launch.read read the file once, and the event loop's own descriptors were asked for once. Change: listening is tried again for 3 s after any error of LOCAL_ERRORS; a configuration that cannot be read (EIO, ENFILE, ...) is read again for 3 s, at the start and after SIGHUP; so is the loop made.

--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -13,9 +15,30 @@
 from lapispass.net.http import split
 from lapispass.net.limits import Limits
 
+# Why reading a file may fail for a moment: the system, its memory or its disk, not the file.
+MOMENTARY_ERRORS = frozenset(
+    {
+        errno.EAGAIN,
+        errno.EBUSY,
+        errno.EINTR,
+        errno.EIO,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOMEM,
+        errno.ESTALE,
+    }
+)
+
 
 class BadStart(Exception):
-    """Something at the start is missing or wrong; the text names it in one line."""
+    """Something at the start is missing or wrong; the text names it in one line.
+
+    `may_pass` where it is a call that failed, and may not the next time.
+    """
+
+    def __init__(self, text: str, may_pass: bool = False) -> None:
+        super().__init__(text)
+        self.may_pass = may_pass
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +54,19 @@
     told: Deployment
     limits: Limits
 
+    @classmethod
+    async def read_again(cls, environment: Mapping[str, str]) -> Launch:
+        """As `read`, which is tried again for `Limits.bind_us` while the file cannot be read."""
+        limits, loop = Limits(), asyncio.get_running_loop()
+        until = loop.time() + limits.bind_us / 1e6
+        while True:
+            try:
+                return cls.read(environment)
+            except BadStart as error:
+                if not error.may_pass or loop.time() >= until:
+                    raise
+            await asyncio.sleep(limits.again_least_us / 1e6)
+
     @classmethod
     def read(cls, environment: Mapping[str, str]) -> Launch:
         """From `LB_CONFIG` and the variables beside it.
@@ -47,7 +83,8 @@
         except KeyError as error:
             raise BadStart(f"variable {error.args[0]} is not set") from None
         except (OSError, ValueError, RecursionError) as error:
-            raise BadStart(f"LB_CONFIG {where!r}: {type(error).__name__} {error}") from None
+            may_pass = isinstance(error, OSError) and error.errno in MOMENTARY_ERRORS
+            raise BadStart(f"LB_CONFIG {where!r}: {type(error).__name__} {error}", may_pass) from None
         if not isinstance(given, dict):
             raise BadStart(f"LB_CONFIG {where!r}: no object")
 
--- a/lapispass/net/process.py
+++ b/lapispass/net/process.py
@@ -6,12 +6,17 @@
 import logging
 import signal
 import sys
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from lapispass.net import log, signals
+from lapispass.net.http import LOCAL_ERRORS
 from lapispass.net.log import Part
 
+LOOP_WAIT_S = 3.0
+LOOP_AGAIN_S = 0.05
+
 
 def on_signals(
     stop: Callable[[], None], print_counters: Callable[[], None], read_again: Callable[[], None]
@@ -38,8 +43,20 @@
         finally:
             signals.hold()
 
-    with signals.kept():
-        asyncio.run(whole())
+    with signals.kept(), asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(whole())
+
+
+def new_loop() -> asyncio.AbstractEventLoop:
+    """An event loop. Its descriptors may not be had for a moment; a start must not fail for that."""
+    until = time.monotonic() + LOOP_WAIT_S
+    while True:
+        try:
+            return asyncio.new_event_loop()
+        except OSError as error:
+            if error.errno not in LOCAL_ERRORS or time.monotonic() >= until:
+                raise
+        time.sleep(LOOP_AGAIN_S)
 
 
 def status(
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import os
 import signal
 import sys
@@ -18,7 +17,7 @@
 from lapispass.net.codec import MARKS, Codec
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
-from lapispass.net.http import Overfull
+from lapispass.net.http import LOCAL_ERRORS, Overfull
 from lapispass.net.launch import BadStart, Launch
 from lapispass.net.log import Part, lost
 from lapispass.net.probes import Probes
@@ -112,7 +111,8 @@
     async def listen(self) -> bool:
         """Takes the listening address; False where it was stopped before it had that.
 
-        Guards against a restart while the process before still holds the address: its end is waited for.
+        Guards against a restart while the process before still holds the address: its end is waited for. So
+        is the end of what fails for a moment (descriptors, memory, an address that is not up yet).
         """
         loop = asyncio.get_running_loop()
         until = loop.time() + self.limits.bind_us / 1e6
@@ -121,7 +121,7 @@
                 await self.collectors.listen(self.launch.listen)
                 return True
             except (OSError, ValueError) as error:
-                if getattr(error, "errno", None) != errno.EADDRINUSE or loop.time() >= until:
+                if getattr(error, "errno", None) not in LOCAL_ERRORS or loop.time() >= until:
                     raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
             try:
                 async with asyncio.timeout(self.limits.again_least_us / 1e6):
@@ -226,7 +226,7 @@
     loop.add_signal_handler(
         signal.SIGHUP, replaced.set
     )  # first: a file replaced while it is read is read again
-    service = Service(joined(Launch.read(environment)))
+    service = Service(joined(await Launch.read_again(environment)))
     attach(service)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.stop)
@@ -248,7 +248,7 @@
     while await replaced.wait():
         replaced.clear()
         try:
-            await service.follow(joined(Launch.read(environment)))
+            await service.follow(joined(await Launch.read_again(environment)))
         except BadStart as error:
             service.counters["service.reloads_refused"] += 1
             service.log.warn("configuration refused", why=error)
