--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -16,6 +16,8 @@
 # accept(2): the process, the system or its memory is at a limit; the connection stays in the queue.
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
+PATIENT_ATTEMPTS = 10  # without a descriptor, before `exhausted` is called
+
 
 class Acceptor:
     """Hands each connection to `serve` in a task of its own.
@@ -39,7 +41,8 @@
         counters: Counters,
         exhausted: Callable[[], None] = lambda: None,
     ) -> None:
-        """`name` begins the names of the counters; `exhausted` may free what descriptors it can."""
+        """`name` begins the names of the counters; `exhausted` may free a descriptor of this process, once it
+        has had none for a while."""
         listener.setblocking(False)
         self.listener, self.serve, self.name = listener, serve, name
         self.at_once, self.read_bytes, self.pause_us = at_once, read_bytes, pause_us
@@ -47,6 +50,7 @@
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.pause: asyncio.TimerHandle | None = None
+        self.without_descriptor = 0  # attempts in a row
         self.closed = False
         self.loop.add_reader(listener.fileno(), self._ready)
 
@@ -80,6 +84,7 @@
                     self._pause()
                     return
                 continue
+            self.without_descriptor = 0
             task = self.loop.create_task(self._run(connection))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -90,7 +95,9 @@
         self.counters[f"{self.name}.accept_failed"] += 1
         name = errno.errorcode.get(error.errno or 0, str(error.errno))
         self.log.seldom("accept failed", why=name, pause_us=self.pause_us)
-        if error.errno in EXHAUSTED:
+        # A shortage that passes must not cost other clients their connections.
+        self.without_descriptor = self.without_descriptor + 1 if error.errno == errno.EMFILE else 0
+        if self.without_descriptor > PATIENT_ATTEMPTS:
             self.exhausted()
 
     def _pause(self) -> None:
