Log lines are whole after short writes, and tell clock steps, slow turns and the time since the start

Change: up= on each line, by the monotonic clock; wall clock stepped by_us=, turn slow took_us=; what is left of a line goes before the next. Tests in tests/test_log.py.

--- a/lapispass/net/clock.py
+++ b/lapispass/net/clock.py
@@ -9,7 +9,14 @@
     """Unix time in microseconds, taken once; from there on it runs evenly, whatever the system's does."""
 
     def __init__(self) -> None:
-        self.ahead_ns = time.time_ns() - time.monotonic_ns()
+        self.ahead_ns = self.wall_ahead_ns = time.time_ns() - time.monotonic_ns()
+
+    def wall_step_us(self) -> int:
+        """By how much the system's wall clock was stepped since the last call; for the log alone."""
+        ahead_ns = time.time_ns() - time.monotonic_ns()
+        step_us = (ahead_ns - self.wall_ahead_ns) // 1000
+        self.wall_ahead_ns = ahead_ns
+        return step_us
 
     def now(self) -> int:
         return (self.ahead_ns + time.monotonic_ns()) // 1000
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -69,6 +69,7 @@
     again_most_us: int = 500_000  # ... up to this
     lasted_us: int = 5_000_000  # a stream of news that lasted so long was a good one
     late_us: int = 100_000  # a process later than this stood still, and reads what waits first
+    clock_step_us: int = 100_000  # of the wall clock, from which on it is logged
     log_every_us: int = 1_000_000  # for lines that a peer can cause
     bind_us: int = 3_000_000  # for a process that still holds the listening address to end
     stop_us: int = 300_000  # for connections to close at the end
--- a/lapispass/net/log.py
+++ b/lapispass/net/log.py
@@ -19,8 +19,13 @@
     return text if PLAIN.match(text) else json.dumps(text)
 
 
+STARTED_NS = time.monotonic_ns()
+
+
 class KeyValue(logging.Formatter):
-    """`time= level= part= event=` and the fields of the record."""
+    """`time= level= part= event=`, the fields of the record, and `up=`: seconds since the process began, by a
+    clock that nobody steps.
+    """
 
     def format(self, record: logging.LogRecord) -> str:
         stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
@@ -33,27 +38,37 @@
         }
         if record.exc_info:
             fields["trace"] = self.formatException(record.exc_info)
+        fields["up"] = f"{(time.monotonic_ns() - STARTED_NS) / 1e9:.3f}"
         return " ".join(f"{key}={word(value)}" for key, value in fields.items())
 
 
 class Steady(logging.Handler):
-    """Writes a line only if that can be done at once: a stopped log reader must not stop the controller."""
+    """Writes a line only if that can be done at once: a stopped log reader must not stop the controller.
+
+    What is left of a line after a short write goes before the next one; at most one line waits.
+    """
 
     def __init__(self, descriptor: int) -> None:
         super().__init__()
-        self.descriptor, self.lost = descriptor, 0
+        self.descriptor, self.lost, self.unwritten = descriptor, 0, b""
         self.poll = select.poll()
         self.poll.register(descriptor, select.POLLOUT)
 
     def emit(self, record: logging.LogRecord) -> None:
-        line = self.format(record).encode(errors="replace")[:LINE_MOST] + b"\n"
+        self._write()
+        if self.unwritten:
+            self.lost += 1
+            return
+        self.unwritten = self.format(record).encode(errors="replace")[:LINE_MOST] + b"\n"
+        self._write()
+
+    def _write(self) -> None:
         try:
-            if self.poll.poll(0):
-                os.write(self.descriptor, line)
-                return
+            while self.unwritten and self.poll.poll(0):
+                written = os.write(self.descriptor, self.unwritten)
+                self.unwritten = self.unwritten[written:]
         except OSError:
-            pass
-        self.lost += 1
+            pass  # the next line tries again
 
 
 def start(descriptor: int = 2, level: int = logging.INFO) -> Steady:
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -166,12 +166,23 @@
                 del self.wakes[token]
                 events.append(face.Woken(token))
             orders = self.controller.turn(now, events)
+            self.note_time(now)
             self.counters["service.turns"] += 1
             self.counters["service.events"] += len(events)
             for front in self.beside:
                 front.turned(events, orders)
             await self.carry_out(orders)
 
+    def note_time(self, began: int) -> None:
+        """Logs what a reader of the log must know of time: a turn that took long, a wall clock that was
+        stepped. Nothing is decided by it."""
+        if (took_us := self.clock.now() - began) > self.limits.late_us:
+            self.counters["service.slow_turns"] += 1
+            self.log.seldom("turn slow", took_us=took_us)
+        if abs(step_us := self.clock.wall_step_us()) > self.limits.clock_step_us:
+            self.counters["service.clock_steps"] += 1
+            self.log.warn("wall clock stepped", by_us=step_us)
+
     async def due(self, earliest: int) -> None:
         """Until there is news or a wake-up is due, but no sooner than the shortest interval between turns."""
         entered, wake = self.clock.now(), min(self.wakes.values(), default=None)
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,58 @@
+"""Log lines come whole and in order, or not at all, and never wait."""
+
+from __future__ import annotations
+
+import logging
+import os
+
+import pytest
+
+from lapispass.net.log import KeyValue, Steady
+
+
+def record(text: str) -> logging.LogRecord:
+    return logging.LogRecord("lapispass.part", logging.INFO, "", 0, text, None, None)
+
+
+def test_a_line_that_is_written_in_parts_is_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    # After a short write the next line went on in the middle of the one before.
+    reader, writer = os.pipe()
+    whole, left = os.write, [3, 0, 5]
+
+    def write(descriptor: int, line: bytes) -> int:
+        if not left:
+            return whole(descriptor, line)
+        if (size := left.pop(0)) == 0:
+            raise BlockingIOError
+        return whole(descriptor, line[:size])
+
+    handler = Steady(writer)
+    monkeypatch.setattr(os, "write", write)
+    for number in range(4):
+        handler.emit(record(f"event {number}"))
+    monkeypatch.undo()
+    assert os.read(reader, 1000) == b"event 0\nevent 1\nevent 2\nevent 3\n" and handler.lost == 0
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_for_which_there_is_no_room_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    reader, writer = os.pipe()
+    handler = Steady(writer)
+
+    def full(descriptor: int, line: bytes) -> int:
+        raise BlockingIOError
+
+    monkeypatch.setattr(os, "write", full)
+    for number in range(4):
+        handler.emit(record(f"event {number}"))
+    monkeypatch.undo()
+    handler.emit(record("later"))
+    assert os.read(reader, 1000) == b"event 0\nlater\n" and handler.lost == 3
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_line_tells_the_time_since_the_start_beside_the_wall_clock() -> None:
+    line = KeyValue().format(record("event"))
+    assert line.startswith("time=") and float(line.rpartition(" up=")[2]) >= 0
