Gates accept as the controller does; one acceptor gives each connection its protocol

Cause: the same class of fault stood in gate/service.py and gate/desk.py: asyncio accepts nothing for a second after ENFILE, ENOBUFS or ENOMEM. Change: Acceptor takes a factory of protocols; gates, their controller's desk and collectors use it.

--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -18,6 +18,7 @@
 from lapispass.core.picture import Picture
 from lapispass.core.plans import Plan, Version
 from lapispass.gate import wire
+from lapispass.net.acceptor import Acceptor, streams
 from lapispass.net.http import split
 from lapispass.net.log import Part
 from lapispass.net.service import Service
@@ -32,6 +33,8 @@
     line_bytes: int = 4 << 20
     unsent_bytes: int = 8 << 20  # to a gate that does not read; it is cut, and joins anew with what stands
     connections: int = 256
+    at_once: int = 32  # accepted at once
+    again_us: int = 50_000  # until the next attempt, where accept fails for a moment
     join_us: int = 2_000_000
     quiet_us: int = 1_500_000  # a gate beats every 0.3 s
     look_us: int = 100_000
@@ -110,9 +113,19 @@
         """Listens, and looks after plans."""
         host, port = split(self.told.listen)
         listener = socket.create_server(
-            (host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET
+            (host, port),
+            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+            backlog=self.limits.connections,
+        )
+        server = Acceptor(
+            listener,
+            streams(self.serve, self.limits.line_bytes),
+            name="gates",
+            at_once=self.limits.at_once,
+            pause_us=self.limits.again_us,
+            log=self.log,
+            counters=self.counters,
         )
-        server = await asyncio.start_server(self.serve, sock=listener, limit=self.limits.line_bytes)
         self.address = "{}:{}".format(*listener.getsockname()[:2])
         self.log.say("listening for gates", address=self.address, gates=",".join(self.numbers))
         try:
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -18,6 +18,7 @@
 from lapispass.gate.tunnel import Tunnel
 from lapispass.gate.uplink import Uplink
 from lapispass.net import log, process
+from lapispass.net.acceptor import Acceptor
 from lapispass.net.clock import Clock
 from lapispass.net.counters import Counters
 from lapispass.net.http import split
@@ -54,7 +55,7 @@
         )
         self.tunnels: dict[int, Tunnel] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        self.server: asyncio.Server | None = None
+        self.server: Acceptor | None = None
         self.ended = asyncio.Event()
         self.address = ""
         secret = operator.secret(told.gate.secret_file, source, "gate.secret_file")
@@ -109,10 +110,19 @@
         host, port = split(self.told.listen)
         loop = asyncio.get_running_loop()
         listener = socket.create_server(
-            (host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET
+            (host, port),
+            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+            backlog=self.limits.backlog,
+        )
+        self.server = Acceptor(
+            listener,
+            self.take,
+            name="screens",
+            at_once=self.limits.at_once,
+            pause_us=self.limits.again_least_us,
+            log=self.log,
+            counters=self.counters,
         )
-        self.server = await loop.create_server(self.take, sock=listener, backlog=self.limits.at_once)
-        listener.listen(self.limits.backlog)
         self.address = "{}:{}".format(*listener.getsockname()[:2])
         lives = [
             loop.create_task(life)
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import ssl
 from collections.abc import Awaitable, Callable
 
 from lapispass.net.counters import Counters
@@ -12,6 +13,7 @@
 from lapispass.net.streams import Reader
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
 # accept(2): the process, the system or its memory is at a limit; the connection stays in the queue.
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
@@ -19,8 +21,18 @@
 PATIENT_ATTEMPTS = 10  # without a descriptor, before `exhausted` is called
 
 
+def streams(serve: Serve, read_bytes: int) -> ProtocolFactory:
+    """A factory of protocols that serve each connection by its streams, in a task of its own."""
+
+    def protocol() -> asyncio.StreamReaderProtocol:
+        loop = asyncio.get_running_loop()
+        return asyncio.StreamReaderProtocol(Reader(limit=read_bytes, loop=loop), serve, loop=loop)
+
+    return protocol
+
+
 class Acceptor:
-    """Hands each connection to `serve` in a task of its own.
+    """Gives each connection a protocol.
 
     asyncio's own server accepts nothing for a second where descriptors or memory have run out for a moment,
     and answers on new connections come that late. Here the next attempt follows after `pause_us`. Any other
@@ -31,21 +43,21 @@
     def __init__(
         self,
         listener: socket.socket,
-        serve: Serve,
+        protocol: ProtocolFactory,
         *,
         name: str,
         at_once: int,
-        read_bytes: int,
         pause_us: int,
         log: Part,
         counters: Counters,
         exhausted: Callable[[], None] = lambda: None,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         """`name` begins the names of the counters; `exhausted` may free a descriptor of this process, once it
         has had none for a while."""
         listener.setblocking(False)
-        self.listener, self.serve, self.name = listener, serve, name
-        self.at_once, self.read_bytes, self.pause_us = at_once, read_bytes, pause_us
+        self.listener, self.protocol, self.name, self.tls = listener, protocol, name, tls
+        self.at_once, self.pause_us = at_once, pause_us
         self.log, self.counters, self.exhausted = log, counters, exhausted
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -109,13 +121,9 @@
         self.loop.add_reader(self.listener.fileno(), self._ready)
 
     async def _run(self, connection: socket.socket) -> None:
-        """The task of one connection."""
-        reader = Reader(limit=self.read_bytes, loop=self.loop)
-        protocol = asyncio.StreamReaderProtocol(reader, loop=self.loop)
+        """Sets up one connection; its protocol has it from there."""
         try:
-            transport, _ = await self.loop.connect_accepted_socket(lambda: protocol, connection)
-        except OSError as error:  # it is gone already
+            await self.loop.connect_accepted_socket(self.protocol, connection, ssl=self.tls)
+        except OSError as error:  # it is gone already, or its TLS handshake failed
             connection.close()
             self._failed(error)
-            return
-        await self.serve(reader, asyncio.StreamWriter(transport, protocol, reader, self.loop))
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 
 from lapispass import interface as face
-from lapispass.net.acceptor import Acceptor
+from lapispass.net.acceptor import Acceptor, streams
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
 from lapispass.net.http import split
@@ -149,10 +149,9 @@
         listener = socket.create_server((host, port), family=family, backlog=self.limits.backlog)
         self.server = Acceptor(
             listener,
-            self.serve,
+            streams(self.serve, self.limits.read_bytes),
             name="collectors",
             at_once=self.limits.at_once,
-            read_bytes=self.limits.read_bytes,
             pause_us=self.limits.again_least_us,
             log=self.log,
             counters=self.counters,
