xDS controllers accept as the other listeners do

Cause: grpclib listens by asyncio's server, with the same second of rest after a shortage. Change: ClosingServer.listen hands the listening socket to Acceptor; its end waits for connections that were accepted in the same round, in place of one round of the loop. The test of a server's end goes by listen.

--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -71,14 +71,18 @@
         """As `asyncio.Server.sockets`."""
         return () if self.closed else (self.listener,)
 
-    def close(self) -> None:
-        """Stops listening; connections that stand go on."""
+    def stop(self) -> None:
+        """Accepts no more; the listening socket stays open."""
         if self.closed:
             return
         self.closed = True
         if self.pause is not None:
             self.pause.cancel()
         self.loop.remove_reader(self.listener.fileno())
+
+    def close(self) -> None:
+        """Stops listening; connections that stand go on."""
+        self.stop()
         self.listener.close()
 
     def _ready(self) -> None:
--- a/lapispass/xds/desk.py
+++ b/lapispass/xds/desk.py
@@ -23,7 +23,6 @@
 from lapispass.core.picture import Picture
 from lapispass.core.versions import Shelf, Update
 from lapispass.net.counters import Counters
-from lapispass.net.http import split
 from lapispass.net.log import Part
 from lapispass.operator.read import BadFile, Source
 from lapispass.xds import codec
@@ -147,7 +146,6 @@
 
     async def run(self) -> None:
         """Listens until it is cancelled."""
-        host, port = split(self.listen)
         # Guards against connections that say nothing: whoever answers no ping is closed.
         pings = Configuration(
             _keepalive_time=self.keepalive_s,
@@ -156,9 +154,7 @@
             _http2_max_pings_without_data=0,
         )
         server = ClosingServer([self], config=pings)
-        await server.start(host, port, ssl=self.tls)
-        bound = server._server.sockets[0].getsockname()  # type: ignore[union-attr]
-        self.address = f"{bound[0]}:{bound[1]}"
+        self.address = await server.listen(self.listen, self.tls, self.log, self.counters)
         self.log.say("listening for xDS clients", address=self.address, tls=self.tls is not None)
         ticking = asyncio.get_running_loop().create_task(self.ticks())
         try:
--- a/lapispass/xds/server.py
+++ b/lapispass/xds/server.py
@@ -1,13 +1,16 @@
-"""grpclib's server, whose end closes its connections.
+"""grpclib's server, whose end closes its connections, and which accepts as the other listeners do.
 
 `grpclib.server.Server.close` stops listening and cancels the calls under way, but leaves every connection
 open: a client would find out by a ping that is not answered. Here they are closed, those that come meanwhile
-too.
+too. It listens by asyncio's server, which accepts nothing for a second where descriptors run out for a
+moment; here `Acceptor` accepts in its place.
 """
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import ssl
 from collections.abc import Collection
 from typing import TYPE_CHECKING
 
@@ -15,9 +18,19 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
+from lapispass.net.acceptor import Acceptor
+from lapispass.net.counters import Counters
+from lapispass.net.http import split
+from lapispass.net.log import Part
+
 if TYPE_CHECKING:
     from grpclib._typing import IServable
 
+BACKLOG = 1024
+AT_ONCE = 128
+PAUSE_US = 50_000  # until the next attempt, where accept fails for a moment
+SETTLE_S = 1.0  # for connections that were accepted just before the end
+
 
 class ClosingServer(Server):
     """A server that closes its connections in `close`."""
@@ -26,6 +39,7 @@
         super().__init__(handlers, config=config)
         self.connections: set[asyncio.Transport] = set()
         self.is_closing = False
+        self.acceptor: Acceptor | None = None
 
     def _protocol_factory(self) -> H2Protocol:
         return TrackedProtocol(super()._protocol_factory(), self)
@@ -36,18 +50,32 @@
         if self.is_closing:
             transport.abort()
 
+    async def listen(self, address: str, tls: ssl.SSLContext | None, log: Part, counters: Counters) -> str:
+        """Listens at `host:port`; the address that it has got."""
+        host, port = split(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        await self.start(sock=listener, ssl=tls)
+        asyncio.get_running_loop().remove_reader(listener.fileno())
+        self.acceptor = Acceptor(
+            listener,
+            self._protocol_factory,
+            name="xds",
+            at_once=AT_ONCE,
+            pause_us=PAUSE_US,
+            log=log,
+            counters=counters,
+            tls=tls,
+        )
+        return "{}:{}".format(*listener.getsockname()[:2])
+
     async def end(self) -> None:
-        """Ends as `close` does, once each connection that was accepted stands.
-
-        Guards against Python 3.11, where a connection that is accepted in the round in which its server
-        closes is lost: it is neither served nor closed.
-        """
-        assert isinstance(self._server, asyncio.Server)
-        loop = asyncio.get_running_loop()
-        for listening in self._server.sockets:
-            loop.remove_reader(listening.fileno())
+        """Ends as `close` does, once each connection that was accepted stands."""
         try:
-            await asyncio.sleep(0)
+            if self.acceptor is not None:
+                self.acceptor.stop()
+                if self.acceptor.tasks:
+                    await asyncio.wait(self.acceptor.tasks, timeout=SETTLE_S)
         finally:
             self.close()
 
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -19,6 +19,8 @@
 from lapispass import interface as face
 from lapispass.core.tables import slice_of
 from lapispass.lab import drops
+from lapispass.net.counters import Counters
+from lapispass.net.log import Part
 from lapispass.operator import read as operator
 from lapispass.operator.read import BadFile
 from lapispass.rules.held import Breach
@@ -158,9 +160,9 @@
 
     async def test() -> None:
         server = ClosingServer([], config=Configuration())
-        await server.start("127.0.0.1", 0)
-        assert isinstance(server._server, asyncio.Server)
-        with socket.create_connection(server._server.sockets[0].getsockname()) as client:
+        address = await server.listen("127.0.0.1:0", None, Part("xds"), Counters())
+        host, _, port = address.rpartition(":")
+        with socket.create_connection((host, int(port))) as client:
             for _ in range(rounds):
                 await asyncio.sleep(0)
             await server.end()
