--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -18,6 +18,7 @@
 # accept(2): the process, the system or its memory is at a limit; the connection stays in the queue.
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
+FIRST_PAUSE_US = 5_000
 PATIENT_ATTEMPTS = 10  # without a descriptor, before `exhausted` is called
 
 
@@ -35,9 +36,9 @@
     """Gives each connection a protocol.
 
     asyncio's own server accepts nothing for a second where descriptors or memory have run out for a moment,
-    and answers on new connections come that late. Here the next attempt follows after `pause_us`. Any other
-    error of `accept` is that of one connection, which the system has dropped already (accept(2) asks to
-    treat such errors like EAGAIN).
+    and answers on new connections come that late. Here the next attempt follows after `FIRST_PAUSE_US`, later
+    ones after twice the pause each, up to `pause_us`. Any other error of `accept` is that of one connection,
+    which the system has dropped already (accept(2) asks to treat such errors like EAGAIN).
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.pause: asyncio.TimerHandle | None = None
+        self.pauses = 0  # in a row
         self.without_descriptor = 0  # attempts in a row
         self.closed = False
         self.loop.add_reader(listener.fileno(), self._ready)
@@ -100,7 +102,7 @@
                     self._pause()
                     return
                 continue
-            self.without_descriptor = 0
+            self.pauses = self.without_descriptor = 0
             task = self.loop.create_task(self._run(connection))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -110,7 +112,7 @@
     def _failed(self, error: OSError) -> None:
         self.counters[f"{self.name}.accept_failed"] += 1
         name = errno.errorcode.get(error.errno or 0, str(error.errno))
-        self.log.seldom("accept failed", why=name, pause_us=self.pause_us)
+        self.log.seldom("accept failed", why=name)
         # A shortage that passes must not cost other clients their connections.
         self.without_descriptor = self.without_descriptor + 1 if error.errno == errno.EMFILE else 0
         if self.without_descriptor > PATIENT_ATTEMPTS:
@@ -118,7 +120,9 @@
 
     def _pause(self) -> None:
         self.loop.remove_reader(self.listener.fileno())
-        self.pause = self.loop.call_later(self.pause_us / 1e6, self._resume)
+        pause_us = min(self.pause_us, FIRST_PAUSE_US << min(self.pauses, 10))
+        self.pauses += 1
+        self.pause = self.loop.call_later(pause_us / 1e6, self._resume)
 
     def _resume(self) -> None:
         self.pause = None
