A gate answers each upgrade that it has read before it closes the connection

Cause: Gate.leave waited three seconds and cancelled upgrades under way without a word; refuse aborted as soon as the client's end was read, with the answer unsent; beyond Limits.shaking a connection was reset. Change: upgrades under way are refused with 503 and when to come back at the end; refuse flushes; who is crowded out is refused too, as long as not as many again are being refused.

--- a/lapispass/gate/limits.py
+++ b/lapispass/gate/limits.py
@@ -40,6 +40,7 @@
     idle_us: int = 0  # without any message; 0: never ended for that
     stuck_us: int = 20_000_000  # a peer that has not read for so long is ended
     close_us: int = 2_000_000  # for a close handshake
+    flush_us: int = 500_000  # for what is unsent when a connection ends
     fence_us: int = 1_500_000  # until a node must have shown that it has read all
     quiet_us: int = 200_000  # without a message of the old node, before a move ends it
     tick_us: int = 100_000
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -55,6 +55,7 @@
         )
         self.tunnels: dict[int, Tunnel] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.upgrading: set[asyncio.Task[None]] = set()  # of these, until their tunnel stands
         self.server: Acceptor | None = None
         self.ended = asyncio.Event()
         self.address = ""
@@ -64,7 +65,12 @@
 
     # what tunnels call
 
+    def answered(self) -> None:
+        if (task := asyncio.current_task()) is not None:
+            self.upgrading.discard(task)
+
     def stands(self, tunnel: Tunnel) -> None:
+        self.answered()
         self.tunnels[tunnel.held.number] = tunnel
         self.counters["screens.standing"] += 1
 
@@ -145,8 +151,11 @@
         self.ended.set()
 
     async def leave(self) -> None:
-        """Its own end: each screen gets a close frame with when to come back, and so does its node."""
+        """Its own end: each screen gets a close frame with when to come back, and so does its node. Upgrades
+        under way are refused."""
         now = self.clock.now()
+        for task in self.upgrading:
+            task.cancel()
         for tunnel in list(self.tunnels.values()):
             tunnel.how = "gate ended"
             tunnel.close_for_later(1001, now)
@@ -167,20 +176,26 @@
         task = asyncio.current_task()
         assert task is not None and isinstance(reader, Ear)
         self.counters["screens.came"] += 1
-        if (
-            len(self.tasks) - len(self.tunnels) >= self.limits.shaking
-        ):  # Guards against never-ending handshakes.
-            self.counters["screens.crowded_out"] += 1
-            writer.transport.abort()
-            return
         self.tasks.add(task)
+        tunnel = Tunnel(self, reader, writer)
         try:
-            await Tunnel(self, reader, writer).run()
+            if len(self.upgrading) >= self.limits.shaking:  # Guards against never-ending handshakes.
+                self.counters["screens.crowded_out"] += 1
+                if len(self.tasks) - len(self.tunnels) < 2 * self.limits.shaking:
+                    await tunnel.crowded_out()
+                else:  # Guards descriptors: so many are being refused already.
+                    writer.transport.abort()
+                return
+            self.upgrading.add(task)
+            await tunnel.run()
+        except asyncio.CancelledError:
+            writer.transport.abort()  # in order: the gate ends, and whoever has asked is answered
         except Exception:  # a fault of our own costs this connection, not the gate
             self.counters["screens.faults"] += 1
             self.log.failed("connection failed")
             writer.transport.abort()
         finally:
+            self.upgrading.discard(task)
             self.tasks.discard(task)
 
     async def ticks(self) -> None:
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -19,6 +19,7 @@
 from lapispass.gate.frames import Side
 from lapispass.gate.host import GateHost
 from lapispass.gate.upgrade import BadUpgrade, Opening, Towards
+from lapispass.net.streams import flush
 
 EVENTS_MOST = 64  # passed on from one side before the other one has its turn
 GOING = (1001, 1012, 1013)  # codes by which a node says that it leaves, restarts or is too busy
@@ -67,6 +68,9 @@
 
     key_parameter: str
 
+    def answered(self) -> None:
+        """The task's upgrade has its final answer."""
+
     def stands(self, tunnel: Tunnel) -> None:
         """The connection has its node."""
 
@@ -141,6 +145,9 @@
             gate.log.seldom("no upgrade", peer=self.peer, why=error)
             await self.refuse(state, BadUpgrade(400, "unreadable"))
             return
+        except asyncio.CancelledError:  # the gate ends; who has asked is answered first
+            await self.refuse(state, Refusal(503, "the gate ends", self.return_us()))
+            raise
         if (
             self.ear.over or self.writer.transport.is_closing()
         ):  # the screen has gone while its node was opened
@@ -260,6 +267,7 @@
 
     async def refuse(self, state: h11.Connection, error: Refusal | BadUpgrade) -> None:
         """Answered at once, with when to come back where that is of use."""
+        self.gate.answered()
         self.gate.counters[f"screens.refused_{error.status}"] += 1
         headers = error.headers if isinstance(error, BadUpgrade) else ()
         wait = error.retry_after_us if isinstance(error, Refusal) else 0
@@ -274,8 +282,19 @@
                         break
         except (h11.LocalProtocolError, OSError):
             pass  # what came was no HTTP, or it is gone: nothing can be answered to it
+        await flush(self.writer, self.limits.flush_us)
         self.writer.transport.abort()
 
+    async def crowded_out(self) -> None:
+        """Refuses it before it is read: too many upgrades are under way."""
+        await self.refuse(
+            h11.Connection(h11.SERVER), Refusal(503, "too many upgrades at once", self.return_us())
+        )
+
+    def return_us(self) -> int:
+        """When it may come back, counted from now: others are given other times."""
+        return self.gate.steering.returns.delay_us(self.clock.now())
+
     # passing on
 
     async def hear_screen(self, now: int) -> None:
@@ -628,7 +647,7 @@
 
     def close_for_later(self, code: int, now: int) -> None:
         """With when to come back: screens that are closed together are given different times."""
-        wait_us = self.gate.steering.returns.delay_us(now)
+        wait_us = self.return_us()
         self.close(code, f"come-back-ms={wait_us // 1000}", now)
 
     # waiting, and the end
