--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -181,7 +181,7 @@
         try:
             if len(self.upgrading) >= self.limits.shaking:  # Guards against never-ending handshakes.
                 self.counters["screens.crowded_out"] += 1
-                if len(self.tasks) - len(self.tunnels) < 2 * self.limits.shaking:
+                if len(self.tasks) - len(self.tunnels) <= 2 * self.limits.shaking:
                     await tunnel.crowded_out()
                 else:  # Guards descriptors: so many are being refused already.
                     writer.transport.abort()
