--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -102,7 +102,7 @@
         transport = gate.writer.transport
         if transport.get_write_buffer_size() > self.limits.unsent_bytes:
             self.counters["gates.cut"] += 1
-            self.log.seldom("gate does not read", gate=gate.name)
+            self.log.rate_limited("gate does not read", gate=gate.name)
             transport.abort()
         elif not transport.is_closing():
             gate.writer.write(message)
@@ -196,7 +196,7 @@
             why = f"{type(error).__name__} {error}"[:200]
             if gate is None:
                 self.counters["gates.turned_away"] += 1
-                self.log.seldom("stranger turned away", peer=writer.get_extra_info("peername"), why=why)
+                self.log.rate_limited("stranger turned away", peer=writer.get_extra_info("peername"), why=why)
         except asyncio.CancelledError:
             why = "the controller ends"  # in order; asyncio would log a trace of a task that was cancelled
         except Exception:  # a fault of our own costs this stream, not the controller
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -142,7 +142,7 @@
             return
         except (OSError, EOFError, h11.RemoteProtocolError) as error:
             gate.counters["screens.unfit"] += 1
-            gate.log.seldom("no upgrade", peer=self.peer, why=error)
+            gate.log.rate_limited("no upgrade", peer=self.peer, why=error)
             await self.refuse(state, BadUpgrade(400, "unreadable"))
             return
         except asyncio.CancelledError:  # the gate ends; who has asked is answered first
@@ -223,7 +223,7 @@
             except NoNode as error:
                 steering.fail(choice.node)
                 self.gate.counters["nodes.refused"] += 1
-                self.gate.log.seldom("node took no upgrade", node=choice.node, why=error)
+                self.gate.log.rate_limited("node took no upgrade", node=choice.node, why=error)
                 now = self.clock.now()
                 if error.final:
                     raise Refusal(error.status, str(error)) from None
@@ -461,7 +461,7 @@
             self.begin_move(now)
         if self.move is None or cut_short:
             self.drop_move()
-            gate.log.seldom("node lost", node=held.node, why=why)
+            gate.log.rate_limited("node lost", node=held.node, why=why)
             self.how = "node lost"
             self.close_for_later(1012, now)
 
@@ -538,7 +538,7 @@
             self.proven(self.proof_written)
         elif now >= self.proof_until:
             self.gate.counters["fences.cut"] += 1
-            self.gate.log.seldom("node has not read in time", node=self.held.node)
+            self.gate.log.rate_limited("node has not read in time", node=self.held.node)
             self.node_lost("has not read in time", now)
 
     def proven(self, written: int | None = None) -> None:
@@ -601,7 +601,7 @@
         away."""
         assert self.move is not None
         self.gate.counters["moves.failed"] += 1
-        self.gate.log.seldom("move failed", node=self.move.go.node, why=why)
+        self.gate.log.rate_limited("move failed", node=self.move.go.node, why=why)
         self.drop_move()
         self.held.moves_failed += 1
         if self.node is None:
--- a/lapispass/gate/uplink.py
+++ b/lapispass/gate/uplink.py
@@ -40,7 +40,9 @@
                 asyncio.IncompleteReadError,
             ) as error:
                 gate.counters["uplink.lost"] += 1
-                gate.log.seldom("no controller", address=self.address, why=f"{type(error).__name__} {error}")
+                gate.log.rate_limited(
+                    "no controller", address=self.address, why=f"{type(error).__name__} {error}"
+                )
             finally:
                 if self.writer is not None:
                     self.writer.transport.abort()
@@ -130,7 +132,7 @@
                     plan = wire.plan(message, now)
                 except ValueError as error:
                     gate.counters["uplink.plans_refused"] += 1
-                    gate.log.seldom("plan refused", version=message.version, why=error)
+                    gate.log.rate_limited("plan refused", version=message.version, why=error)
                     return
                 if not gate.follow(plan):
                     gate.counters["uplink.plans_old"] += 1
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -112,7 +112,7 @@
     def _failed(self, error: OSError) -> None:
         self.counters[f"{self.name}.accept_failed"] += 1
         name = errno.errorcode.get(error.errno or 0, str(error.errno))
-        self.log.seldom("accept failed", why=name)
+        self.log.rate_limited("accept failed", why=name)
         # A shortage that passes must not cost other clients their connections.
         self.without_descriptor = self.without_descriptor + 1 if error.errno == errno.EMFILE else 0
         if self.without_descriptor > PATIENT_ATTEMPTS:
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -214,7 +214,7 @@
             self.counters["collectors.unsent_bytes"] += unsent
         if why or unsent:
             self.counters[f"collectors.ended.{why.partition(':')[0].replace(' ', '_')[:40]}"] += 1
-            self.log.seldom(
+            self.log.rate_limited(
                 "connection ended", why=why or "ended by the peer", unsent=unsent, **connection.fields()
             )
         if lingers_us:
@@ -274,7 +274,7 @@
             kind, told = self.codec.report(line, connection.zone is not None)
         except WireError as error:
             self.counters["collectors.unreadable"] += 1
-            self.log.seldom("line unreadable", why=error, **connection.fields())
+            self.log.rate_limited("line unreadable", why=error, **connection.fields())
             connection.unreadable += 1
             if connection.zone is None or connection.unreadable > self.limits.unreadable:
                 raise Rejected(str(error)) from None
@@ -304,6 +304,6 @@
         if quiet is None:
             return
         self.counters["collectors.crowded_out"] += 1
-        self.log.seldom("connection crowded out", most=self.limits.connections, **quiet.fields())
+        self.log.rate_limited("connection crowded out", most=self.limits.connections, **quiet.fields())
         del self.open[quiet]
         quiet.end_soon("crowded out")
--- a/lapispass/net/log.py
+++ b/lapispass/net/log.py
@@ -86,7 +86,7 @@
 
 
 class Part:
-    """The log of one part; `seldom` bounds the lines that a peer can cause."""
+    """The log of one part; `rate_limited` bounds the lines that a peer can cause."""
 
     def __init__(self, name: str, every_us: int = 0) -> None:
         self.logger = logging.getLogger(f"lapispass.{name}")
@@ -99,7 +99,7 @@
     def warn(self, event: str, **fields: object) -> None:
         self.say(event, logging.WARNING, **fields)
 
-    def seldom(self, event: str, **fields: object) -> None:
+    def rate_limited(self, event: str, **fields: object) -> None:
         """At most one such line in a while; the next one tells how many were left out."""
         at, left_out = self.last.get(event, (0, 0))
         now = time.monotonic_ns()
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -40,7 +40,9 @@
             or (len(self.line) >= self.limits.servers)
         ):
             self.counters["probes.left_out"] += 1  # the module asks again
-            self.log.seldom("probe left out", server=backend, address=address, under_way=len(self.under_way))
+            self.log.rate_limited(
+                "probe left out", server=backend, address=address, under_way=len(self.under_way)
+            )
             return
         self.line[backend] = address
         self.go_on()
@@ -93,7 +95,7 @@
             self.go_on()
         if not made:  # it tells nothing of the server; the module asks again
             self.counters["probes.not_made"] += 1
-            self.log.seldom("probe not made", server=backend, address=address)
+            self.log.rate_limited("probe not made", server=backend, address=address)
             return
         self.counters[f"probes.reason_{reason}"] += 1
         took_us = (time.monotonic_ns() - began) // 1000
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -207,7 +207,7 @@
             self.open.clear()
             if link:
                 link.close()
-        self.log.seldom("watch lost", version=self.version, why=why)
+        self.log.rate_limited("watch lost", version=self.version, why=why)
 
     @staticmethod
     async def call(link: Link, target: str) -> int:
@@ -233,11 +233,11 @@
         self.counters["registry.messages"] += 1
         if listing.unreadable:
             self.counters["registry.unreadable"] += listing.unreadable
-            self.log.seldom("entries unreadable", count=listing.unreadable, version=listing.version)
+            self.log.rate_limited("entries unreadable", count=listing.unreadable, version=listing.version)
         entries = listing.entries[: self.limits.servers]
         if unknown := len(listing.entries) - len(entries):
             self.counters["registry.too_many"] += unknown
-            self.log.seldom("too many servers", left_out=unknown, most=self.limits.servers)
+            self.log.rate_limited("too many servers", left_out=unknown, most=self.limits.servers)
         behind = self.version is not None and listing.version < self.version
         if link:
             if behind and link.since is not None and link.since <= listing.version:
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -88,7 +88,7 @@
                     raise WireError(f"{count} of {len(part)} orders taken")
             except Refused as error:
                 self.counters[f"relay.{error}"] += 1
-                self.log.seldom("call turned back", why=error, orders=len(part))
+                self.log.rate_limited("call turned back", why=error, orders=len(part))
                 if str(error) == "invalid":
                     if len(part) == 1:
                         self.leave_out(part[0], "invalid")
@@ -99,7 +99,9 @@
                 await again.wait()
             except (*BROKEN, WireError) as error:
                 self.counters["relay.unknown"] += 1
-                self.log.seldom("call unsettled", why=f"{type(error).__name__} {error}", orders=len(part))
+                self.log.rate_limited(
+                    "call unsettled", why=f"{type(error).__name__} {error}", orders=len(part)
+                )
                 await again.wait()
             except Exception:  # a fault of our own costs this connection, not the controller
                 self.counters["relay.unknown"] += 1
@@ -124,7 +126,7 @@
 
     def leave_out(self, item: Written, why: str) -> None:
         self.counters["relay.orders_left_out"] += 1
-        self.log.seldom("order left out", order=item.text, why=why)
+        self.log.rate_limited("order left out", order=item.text, why=why)
         if item.slice is not None:
             self.doubt()  # the module takes it for done
 
@@ -137,7 +139,7 @@
             # Guards against an answer that came twice: the second may have passed for that to the next call,
             # which would count as carried out though nobody knows. What stands is compared.
             self.counters["relay.answers_unasked"] += 1
-            self.log.seldom("answer unasked")
+            self.log.rate_limited("answer unasked")
             self.doubt()
         if link and (not link.usable or idle or link.unasked or link.address != self.address):
             link.close()  # guards against one that the relay is about to close, as idle or since it has moved
@@ -267,7 +269,7 @@
                 self.failed += 1
                 self.calls.quiet.release()
         self.counters["news.lost"] += 1
-        self.log.seldom("news lost", why=why)
+        self.log.rate_limited("news lost", why=why)
 
     async def told(self, link: Link, patience_us: int) -> bytes | bytearray | None:
         """A further piece of what stands; None where news pause: the end is not told, so that was all."""
@@ -299,7 +301,7 @@
             event = self.codec.news(kind, data)
         except WireError as error:
             self.counters["news.unreadable"] += 1
-            self.log.seldom("event unreadable", kind=kind[:40], why=error)
+            self.log.rate_limited("event unreadable", kind=kind[:40], why=error)
             if self.picture is None:
                 raise  # something has changed unheard: what stands must be told afresh
             # Guards what is decided on a picture: a proxy or a slice that can't be read would count as gone.
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -64,7 +64,7 @@
         waiting = len(self.inbox)
         if waiting >= self.limits.events and isinstance(event, face.Met | face.Came | face.Probed):
             self.counters["service.events_left_out"] += 1
-            self.log.seldom("sums left out", waiting=waiting)
+            self.log.rate_limited("sums left out", waiting=waiting)
             return
         if waiting >= 2 * self.limits.events and event != face.Listed("lost", ()):
             raise Overfull(f"{waiting} events wait")
@@ -178,7 +178,7 @@
         stepped. Nothing is decided by it."""
         if (took_us := self.clock.now() - began) > self.limits.late_us:
             self.counters["service.slow_turns"] += 1
-            self.log.seldom("turn slow", took_us=took_us)
+            self.log.rate_limited("turn slow", took_us=took_us)
         if abs(step_us := self.clock.wall_step_us()) > self.limits.clock_step_us:
             self.counters["service.clock_steps"] += 1
             self.log.warn("wall clock stepped", by_us=step_us)
@@ -199,7 +199,7 @@
         # Guards against acting on old news when the process stood still: what waits is read first.
         if self.clock.now() - expected > self.limits.late_us:
             self.counters["service.late_turns"] += 1
-            self.log.seldom("turn late", late_us=self.clock.now() - expected)
+            self.log.rate_limited("turn late", late_us=self.clock.now() - expected)
             await asyncio.sleep(self.launch.told.turn_every_us / 1e6)
 
     async def carry_out(self, orders: list[face.Order]) -> None:
@@ -217,7 +217,7 @@
                     self.registry.follow()
                 case face.Bind():
                     self.counters["service.orders_unknown"] += 1
-                    self.log.seldom("order unknown", order=order)
+                    self.log.rate_limited("order unknown", order=order)
                 case _:
                     for_proxies.append(order)
         if for_proxies:
--- a/lapispass/peers/host.py
+++ b/lapispass/peers/host.py
@@ -126,7 +126,7 @@
                         self.end_session("the service knows it no more")
             except (Unknown, Refused) as error:
                 self.counters["peers.calls_failed"] += 1
-                self.log.seldom("service not reached", why=error)
+                self.log.rate_limited("service not reached", why=error)
                 if self.session.lease and self.clock.now() >= self.session.until:
                     self.end_session("it could not be renewed")
             wait = self.ttl_s / 5 if self.session.lease else self.ttl_s / 10
@@ -171,10 +171,10 @@
                         self.take(changes, max(change.at for change in changes))
             except Compacted as error:
                 self.counters["peers.compacted"] += 1
-                self.log.seldom("watch compacted", at=error)
+                self.log.rate_limited("watch compacted", at=error)
             except (Unknown, Refused) as error:
                 self.counters["peers.watches_lost"] += 1
-                self.log.seldom("watch lost", why=error)
+                self.log.rate_limited("watch lost", why=error)
             await asyncio.sleep(0.05 + 0.1 * self.desk.doorway.returns.draw())
 
     def take(self, changes: Sequence[Change], revision: int, whole: bool = False) -> None:
@@ -430,7 +430,7 @@
                 self.under_way = set()
                 if written is None:
                     self.counters["peers.turns_lost"] += 1
-                    self.log.seldom("turn not carried out", slices=len(records))
+                    self.log.rate_limited("turn not carried out", slices=len(records))
                     await self.take_back(records)
                     continue
                 revision = written
--- a/lapispass/xds/desk.py
+++ b/lapispass/xds/desk.py
@@ -118,7 +118,7 @@
         gap, self.awake_at = now - self.awake_at, now
         if gap > STILL_US:
             self.counters["xds.stood_still"] += 1
-            self.log.seldom("stood still", for_us=gap)
+            self.log.rate_limited("stood still", for_us=gap)
             for client, _ in self.clients.values():
                 client.stood_still(gap)
         return now
@@ -199,7 +199,7 @@
         )
         self.clients[name] = client, wake
         self.counters["xds.joined"] += 1
-        self.log.seldom(
+        self.log.rate_limited(
             "client joined", client=name, whole=whole, writes="reads only" if not has_ttl else "by lease"
         )
         sending = asyncio.get_running_loop().create_task(self.send(stream, client, wake))
@@ -269,7 +269,7 @@
         """A client's news for the module."""
         if step.note:
             self.counters["xds.lapsed"] += 1
-            self.log.seldom("client may not write", client=client.name, why=step.note)
+            self.log.rate_limited("client may not write", client=client.name, why=step.note)
         if step.left is not None:
             until = self.now() + step.left_after_us + self.terms.lease_us
             self.parted.append((until, step.left_proved))
@@ -295,7 +295,7 @@
             heard = watch.answered(message.response_nonce, refused, self.awake())
             self.counters[f"xds.{heard.what}"] += 1
             if refused and heard.what == "refused":
-                self.log.seldom(
+                self.log.rate_limited(
                     "client turns a version down",
                     client=client.name,
                     kind=kind,
--- a/lapispass/xds/host.py
+++ b/lapispass/xds/host.py
@@ -78,7 +78,7 @@
             except NotWritten as error:
                 if time.monotonic() >= until:
                     raise BadFile([source.at("alone.store_file", str(error))]) from None
-                self.log.seldom("store not opened", why=error)
+                self.log.rate_limited("store not opened", why=error)
                 time.sleep(OPEN_AGAIN_S)
         owners = self.store.owners()
         for number in range(self.told.slices):
@@ -198,14 +198,14 @@
                 break
             except NotWritten as error:
                 self.counters["host.commits_failed"] += 1
-                self.log.seldom("store not written", why=error)
+                self.log.rate_limited("store not written", why=error)
             await again.wait()
         if self.store.turn % COMPACT_EVERY == 0:
             try:
                 self.store.compact()
             except NotWritten as error:
                 self.counters["host.compactions_failed"] += 1
-                self.log.seldom("store not compacted", why=error)
+                self.log.rate_limited("store not compacted", why=error)
 
     def carry_out(self, orders: Sequence[face.Order]) -> None:
         """What is not for clients."""
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -640,8 +640,8 @@
 def test_lines_that_a_peer_can_cause_are_few(caplog: pytest.LogCaptureFixture) -> None:
     part = log.Part("some", 3_600_000_000)
     for _ in range(50):
-        part.seldom("odd", why=1)
-    part.seldom("other")
+        part.rate_limited("odd", why=1)
+    part.rate_limited("other")
     assert [record.getMessage() for record in caplog.records] == ["odd", "other"] and part.last["odd"][
         1
     ] == 49
