--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -7,7 +7,7 @@
 import signal
 from pathlib import Path
 
-from faulty_process import Call, Faults, controller, names
+from faulty_process import Call, Faults, controller, free_address, names, process
 from parties import play
 
 PING, PONG = b"PING\r\n", b"PONG\r\n"
@@ -87,3 +87,30 @@
             assert await running.ended() == 0
 
     play(test())
+
+
+GATE_FILE = """
+connection_class {{ name: "board" path_prefix: "/board" }}
+gate {{ name: "g0" listen: "{listen}" slices: 2 }}
+node {{ id: "n0" address: "127.0.0.1:1" zone: "east" state: {state} }}
+"""
+
+
+def test_an_operator_file_that_cannot_be_read_for_a_moment_is_read_again(tmp_path: Path) -> None:
+    # A gate did not start, or went on by the older file for good.
+    async def test() -> None:
+        faults, address = Faults(tmp_path / "faults"), free_address()
+        file, listen = tmp_path / "operator.textproto", "{}:{}".format(*address)
+        file.write_text(GATE_FILE.format(listen=listen, state="READY"))
+        faults.set(Call.OPEN, errno.EIO, times=3)
+        watched = {"LAPISPASS_FAULTS_OPEN": str(file)}
+        async with process(("gate", "-o", str(file)), faults, address, "event=listening", watched) as gate:
+            assert faults.injected(Call.OPEN) == 3
+            faults.set(Call.OPEN, errno.ENFILE, times=3)
+            file.write_text("nothing of use")
+            gate.signal(signal.SIGHUP)
+            await gate.says("operator file refused", limit_s=3)
+            assert faults.injected(Call.OPEN) == 6
+            assert (await gate.counters())["gate.reloads_refused"] == 1
+
+    play(test())
