Errors of system calls that may pass stand in one module; operator files are read again

Cause: the lists of errors stood in three files; an operator file was read once, at the start and after SIGHUP. Change: core/momentary.py; read_at_start and SIGHUP try for 3 s.

--- a/lapispass/cli/fronts.py
+++ b/lapispass/cli/fronts.py
@@ -11,7 +11,7 @@
 from lapispass.net.launch import BadStart, Launch
 from lapispass.net.service import Service
 from lapispass.net.service import main as serve
-from lapispass.operator.read import BadFile, Source, read
+from lapispass.operator.read import BadFile, Source, read_at_start
 
 
 def joined(source: Source) -> Callable[[Launch], Launch]:
@@ -42,7 +42,7 @@
 def main(path: Path) -> int:
     """The process's status."""
     try:
-        source = read(path)
+        source = read_at_start(path)
     except BadFile as error:
         print(error, file=sys.stderr)
         return 2
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -226,7 +226,7 @@
     def print_counters(self) -> None:
         self.log.say("counters", held=len(self.tunnels), **self.counters.fields(), **{"log.lost": log.lost()})
 
-    def read_again(self) -> None:
+    def read_again(self) -> bool:
         """SIGHUP: a gate that stands alone takes its nodes and lines anew; a bad file changes nothing."""
         self.counters["gate.reloads"] += 1
         try:
@@ -234,14 +234,17 @@
             if self.lone is not None:
                 self.lone.follow(source)
         except BadFile as error:
+            if error.may_pass:
+                return False
             self.counters["gate.reloads_refused"] += 1
             for finding in error.findings:
                 self.log.warn("operator file refused", why=finding)
+        return True
 
 
 async def serve(path: str | Path, seed: int) -> None:
     """A whole process: signals, the operator file and the gate."""
-    gate = Gate(operator.read(path), seed)
+    gate = Gate(operator.read_at_start(path), seed)
     process.on_signals(gate.stop, gate.print_counters, gate.read_again)
     await gate.run()
 
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -8,6 +8,7 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
+from lapispass.core import momentary
 from lapispass.net.counters import Counters
 from lapispass.net.log import Part
 from lapispass.net.streams import Reader
@@ -15,9 +16,6 @@
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
-# accept(2): the process, the system or its memory is at a limit; the connection stays in the queue.
-EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-
 FIRST_PAUSE_US = 5_000
 PATIENT_ATTEMPTS = 10  # without a descriptor, before `exhausted` is called
 
@@ -98,7 +96,7 @@
             except OSError as error:
                 failed += 1
                 self._failed(error)
-                if error.errno in EXHAUSTED:
+                if error.errno in momentary.EXHAUSTED:
                     self._pause()
                     return
                 continue
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -10,25 +10,10 @@
 
 import h11
 
+from lapispass.core import momentary
 from lapispass.net.limits import Limits
 from lapispass.net.streams import Reader
 
-# Why socket(2) or connect(2) may fail for a moment on this machine; it tells nothing of the peer.
-LOCAL_ERRORS = frozenset(
-    {
-        errno.EADDRINUSE,
-        errno.EADDRNOTAVAIL,
-        errno.EAGAIN,
-        errno.EINTR,
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-    }
-)
-# No way to the peer for a moment: it has refused nothing.
-ROUTE_ERRORS = frozenset({errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENETDOWN, errno.ENETUNREACH})
-
 
 class Overfull(EOFError):
     """More was told than is taken in: the connection ends, and the next begins with all that stands."""
@@ -263,7 +248,7 @@
             try:
                 return await Link._dial(self.address, self.limits)
             except OSError as error:
-                if error.errno not in LOCAL_ERRORS | ROUTE_ERRORS:
+                if error.errno not in momentary.LOCAL | momentary.ROUTE:
                     raise
                 self.error, self.begun_at = error, None
             await again.wait()
--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -3,32 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 
 from lapispass import deployment
+from lapispass.core import momentary
 from lapispass.interface import Deployment
 from lapispass.net.codec import Codec, Listing, WireError
 from lapispass.net.http import split
 from lapispass.net.limits import Limits
 
-# Why reading a file may fail for a moment: the system, its memory or its disk, not the file.
-MOMENTARY_ERRORS = frozenset(
-    {
-        errno.EAGAIN,
-        errno.EBUSY,
-        errno.EINTR,
-        errno.EIO,
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOMEM,
-        errno.ESTALE,
-    }
-)
-
 
 class BadStart(Exception):
     """Something at the start is missing or wrong; the text names it in one line.
@@ -83,7 +69,7 @@
         except KeyError as error:
             raise BadStart(f"variable {error.args[0]} is not set") from None
         except (OSError, ValueError, RecursionError) as error:
-            may_pass = isinstance(error, OSError) and error.errno in MOMENTARY_ERRORS
+            may_pass = isinstance(error, OSError) and error.errno in momentary.FILE
             raise BadStart(f"LB_CONFIG {where!r}: {type(error).__name__} {error}", may_pass) from None
         if not isinstance(given, dict):
             raise BadStart(f"LB_CONFIG {where!r}: no object")
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable
 
 from lapispass import interface as face
+from lapispass.core import momentary
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
-from lapispass.net.http import BROKEN, LOCAL_ERRORS, ROUTE_ERRORS, Link, within
+from lapispass.net.http import BROKEN, Link, within
 from lapispass.net.limits import Limits
 from lapispass.net.log import Part
 
@@ -84,8 +85,8 @@
             reason = LATE  # also where the dial took too long: nothing was refused
         except (*BROKEN, ValueError) as error:  # ValueError: the list gave no address
             if link is None and isinstance(error, OSError):
-                made = error.errno not in LOCAL_ERRORS
-                reason = LATE if error.errno in ROUTE_ERRORS else UNREACHABLE
+                made = error.errno not in momentary.LOCAL
+                reason = LATE if error.errno in momentary.ROUTE else UNREACHABLE
         except Exception:
             self.log.failed("probe failed", server=backend)
         finally:
--- a/lapispass/net/process.py
+++ b/lapispass/net/process.py
@@ -10,23 +10,33 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from lapispass.core import momentary
 from lapispass.net import log, signals
-from lapispass.net.http import LOCAL_ERRORS
 from lapispass.net.log import Part
 
 LOOP_WAIT_S = 3.0
 LOOP_AGAIN_S = 0.05
+REREAD_ATTEMPTS = 60
+REREAD_AFTER_S = 0.05
 
 
 def on_signals(
-    stop: Callable[[], None], print_counters: Callable[[], None], read_again: Callable[[], None]
+    stop: Callable[[], None], print_counters: Callable[[], None], read_again: Callable[[], bool]
 ) -> None:
-    """SIGTERM and SIGINT end it, SIGUSR1 prints counters, SIGHUP has it read its file again."""
+    """SIGTERM and SIGINT end it, SIGUSR1 prints counters, SIGHUP has it read its file again.
+
+    `read_again` returns False where the file cannot be read for a moment: it is called again for a while.
+    """
     loop = asyncio.get_running_loop()
+
+    def reread(attempts: int = REREAD_ATTEMPTS) -> None:
+        if not read_again() and attempts > 1:
+            loop.call_later(REREAD_AFTER_S, reread, attempts - 1)
+
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
     loop.add_signal_handler(signal.SIGUSR1, print_counters)
-    loop.add_signal_handler(signal.SIGHUP, read_again)
+    loop.add_signal_handler(signal.SIGHUP, reread)
 
 
 def to_the_end(life: Coroutine[Any, Any, None]) -> None:
@@ -54,7 +64,7 @@
         try:
             return asyncio.new_event_loop()
         except OSError as error:
-            if error.errno not in LOCAL_ERRORS or time.monotonic() >= until:
+            if error.errno not in momentary.LOCAL or time.monotonic() >= until:
                 raise
         time.sleep(LOOP_AGAIN_S)
 
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -12,12 +12,13 @@
 
 from lapispass import interface as face
 from lapispass.controller import Controller
+from lapispass.core import momentary
 from lapispass.net import log
 from lapispass.net.clock import Clock
 from lapispass.net.codec import MARKS, Codec
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
-from lapispass.net.http import LOCAL_ERRORS, Overfull
+from lapispass.net.http import Overfull
 from lapispass.net.launch import BadStart, Launch
 from lapispass.net.log import Part, lost
 from lapispass.net.probes import Probes
@@ -121,7 +122,7 @@
                 await self.collectors.listen(self.launch.listen)
                 return True
             except (OSError, ValueError) as error:
-                if getattr(error, "errno", None) not in LOCAL_ERRORS or loop.time() >= until:
+                if getattr(error, "errno", None) not in momentary.LOCAL or loop.time() >= until:
                     raise BadStart(f"LB_LISTEN {self.launch.listen!r}: {error}") from None
             try:
                 async with asyncio.timeout(self.limits.again_least_us / 1e6):
--- a/lapispass/operator/read.py
+++ b/lapispass/operator/read.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import re
+import time
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
 from google.protobuf import text_format
 
+from lapispass.core import momentary
 from lapispass.core.facts import Bounds, ConnectionClass, DrainTerms
 from lapispass.interface import Deployment, VisitClass
 from lapispass.operator.operator_pb2 import Gate, Node, Operator
@@ -18,13 +20,18 @@
 ADDRESS = re.compile(r"(?:\[[0-9a-fA-F:]+\]|[\w.-]+):(\d{1,5})\Z")
 NAME = re.compile(r"[\w.:-]{1,64}\Z")
 MS = 1000
+START_WAIT_S = 3.0
+START_AGAIN_S = 0.05
 
 
 class BadFile(Exception):
-    """The operator file can't be used; the text has all findings, one a line, as `file:line: field: why`."""
+    """The operator file can't be used; the text has all findings, one a line, as `file:line: field: why`.
 
-    def __init__(self, findings: Iterable[str]) -> None:
-        self.findings = tuple(findings)
+    `may_pass` where it could not be read just now.
+    """
+
+    def __init__(self, findings: Iterable[str], may_pass: bool = False) -> None:
+        self.findings, self.may_pass = tuple(findings), may_pass
         super().__init__("\n".join(self.findings))
 
 
@@ -44,6 +51,18 @@
         return f"{self.path}:{self.lines.get(inner, 1)}: {field}: {why}"
 
 
+def read_at_start(path: str | Path) -> Source:
+    """As `read`, which is tried again for `START_WAIT_S` while the file cannot be read."""
+    until = time.monotonic() + START_WAIT_S
+    while True:
+        try:
+            return read(path)
+        except BadFile as error:
+            if not error.may_pass or time.monotonic() >= until:
+                raise
+        time.sleep(START_AGAIN_S)
+
+
 def read(path: str | Path) -> Source:
     """The file as its schema has it, checked field by field; a `BadFile` otherwise."""
     where = str(path)
@@ -52,7 +71,7 @@
             raise BadFile([f"{where}:1: file: over {FILE_BYTES} bytes"])
         text = Path(path).read_bytes().decode("utf-8")
     except OSError as error:
-        raise BadFile([f"{where}:1: file: {error.strerror}"]) from None
+        raise BadFile([f"{where}:1: file: {error.strerror}"], error.errno in momentary.FILE) from None
     except UnicodeDecodeError as error:
         raise BadFile([f"{where}:1: file: byte {error.start} is no UTF-8"]) from None
     told = Operator()
@@ -316,4 +335,16 @@
     return key
 
 
-__all__ = ["BadFile", "Gate", "Node", "Source", "alone", "bounds", "classes", "drain_terms", "read", "secret"]
+__all__ = [
+    "BadFile",
+    "Gate",
+    "Node",
+    "Source",
+    "alone",
+    "bounds",
+    "classes",
+    "drain_terms",
+    "read",
+    "read_at_start",
+    "secret",
+]
--- a/lapispass/xds/host.py
+++ b/lapispass/xds/host.py
@@ -114,7 +114,7 @@
             "counters", clients=len(self.desk.clients), **self.counters.fields(), **{"log.lost": log.lost()}
         )
 
-    def read_again(self) -> None:
+    def read_again(self) -> bool:
         """SIGHUP: nodes and keys anew, streams stay; a bad file changes nothing."""
         self.counters["host.reloads"] += 1
         try:
@@ -127,9 +127,12 @@
             self.list_nodes(source)
             self.log.say("operator file read again", nodes=len(self.nodes))
         except BadFile as error:
+            if error.may_pass:
+                return False
             self.counters["host.reloads_refused"] += 1
             for finding in error.findings:
                 self.log.warn("operator file refused", why=finding)
+        return True
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -226,7 +229,7 @@
 
 async def serve(path: Path, seed: int, kind: type[Host]) -> None:
     """A whole process."""
-    host = kind(operator.read(path), seed)
+    host = kind(operator.read_at_start(path), seed)
     process.on_signals(host.stop, host.print_counters, host.read_again)
     await host.run()
 
