--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from tempfile import mkdtemp
 
-from parties import Book, Relay
+from parties import Book, Party, Relay
 
 SHIM = Path(__file__).with_name("fault_shim.c")
 SHORT = 10000  # a transfer of one byte, in place of an errno
@@ -165,20 +165,21 @@
     faults: Faults | None = None,
     settings: Mapping[str, object] = SETTINGS,
     members: Sequence[object] = (),
-    book: Book | None = None,
+    relay: Relay | None = None,
+    book: Party | None = None,
     environment: Mapping[str, str] | None = None,
 ) -> AsyncIterator[Controller]:
     """The platform's controller, with its stand-ins."""
     faults = faults or Faults(folder / "faults")
     address = free_address()
-    async with Relay() as relay, book or Book() as registry:
+    async with relay or Relay() as store, book or Book() as registry:
         config = {
             "name": "n",
             "listen": "{}:{}".format(*address),
             "discovery": registry.address,
             "seed": "1",
             "settings": settings,
-            "store": {"address": relay.address},
+            "store": {"address": store.address},
             "known": {"revision": 1, "complete": True, "members": list(members)},
         }
         path = folder / "config.json"
--- /dev/null
+++ b/tests/test_fault_rules.py
@@ -0,0 +1,117 @@
+"""Rule 2 on a real controller process whose system calls fail, whose clock is stepped and which is paused."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import random
+import signal
+from pathlib import Path
+
+import pytest
+from faulty_process import SHORT, Call, Controller, controller
+from parties import MEMBER, TOLD, play, until
+from rule_world import Roll, World
+
+SLICES, PROXIES = 8, 4
+DAY_S = 8.0
+SETTINGS = {
+    "discovery": "subscribe",
+    "period-us": 5000,
+    "zones": ["a", "b"],
+    "grades": [
+        {"name": "look", "target-us": 1_500_000, "hard-limit-us": 5_000_000, "worth": 1.0},
+        {"name": "pay", "target-us": 2_000_000, "hard-limit-us": 4_000_000, "worth": 3.0},
+    ],
+    "extra": {
+        "data-plane-size": PROXIES,
+        "key-ranges": SLICES,
+        "one-owner": True,
+        "class-writes": [False, True],
+        "admit": "fraction",
+        "lease-us": TOLD.lease_us,
+        "lingers-us": TOLD.linger_us,
+        "blackhole-us": 14_000_000,
+        "lines-per-s": 9000.0,
+        "fixed-cost": 12.0,
+        "queue-cap": 14000.0,
+        "pushes-allowed": 1000,
+        "update-window-us": 10_000_000,
+        "report-every-us": 1_000_000,
+        "usual-how": 1,
+    },
+    "limits": {"probes": False},
+    "rules": {"cold-us": 1, "start-capacity": 0.2, "fall-multiple": 2.5},
+}
+BROKEN = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET)
+MENU = (
+    *((Call.SOCKET, error) for error in (errno.ENFILE, errno.ENOBUFS)),
+    *((Call.CONNECT, error) for error in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EINTR, errno.EAGAIN)),
+    *((Call.SEND, error) for error in (SHORT, errno.EINTR, errno.EAGAIN, errno.EPIPE, *BROKEN)),
+    *((Call.RECEIVE, error) for error in (SHORT, errno.EINTR, errno.EAGAIN, *BROKEN)),
+    (Call.WAIT, errno.EINTR),
+)
+RELAY_FAULTS = ("reset before", "reset after", "silent after", "unreadable", "close", "throttled")
+
+
+async def trouble(running: Controller, world: World, roll: Roll, chance: random.Random) -> None:
+    """One thing that goes wrong."""
+    match chance.randrange(10):
+        case 0 | 1:
+            world.leave(chance.randrange(PROXIES))
+        case 2 | 3:
+            world.join(chance.randrange(PROXIES))
+        case 4:
+            world.faults.append(chance.choice(RELAY_FAULTS))
+        case 5:
+            running.faults.step_clock(chance.choice((0, 5, -5, 3600, -3600)))
+        case 6 if chance.random() < 0.3:
+            running.signal(signal.SIGSTOP)
+            await asyncio.sleep(chance.uniform(0.05, 0.3))
+            running.signal(signal.SIGCONT)
+        case 7:
+            call, error = chance.choice(MENU)
+            running.faults.set(
+                call, error, times=chance.randint(1, 30), thousandths=chance.choice((100, 500))
+            )
+        case _:
+            roll.change(chance)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_rule_2_holds_on_a_process_whose_calls_fail(tmp_path: Path, seed: int) -> None:
+    async def test() -> None:
+        world, roll = World(seed, SLICES, PROXIES), Roll()
+        for number in range(3):
+            roll.put(f"s-{number}", "Ready")
+        members = [{**MEMBER, "id": f"s-{number}"} for number in range(3)]
+        told = {"settings": SETTINGS, "members": members, "relay": world, "book": roll}
+        async with controller(tmp_path, **told) as running:
+            begun = world.loop.time()
+            # On a slow machine until slices have moved: the count below needs no fast one.
+            while not world.broken and (
+                (elapsed := world.loop.time() - begun) < DAY_S or (world.moves <= 3 and elapsed < 60)
+            ):
+                await trouble(running, world, roll, world.chance)
+                await asyncio.sleep(world.chance.uniform(0.01, 0.08))
+                world.look()
+            assert not world.broken, (world.broken, running.lines)
+            assert world.moves > 3, running.lines
+            world.faults.clear()
+            for call in Call:
+                running.faults.clear(call)
+            for node in range(PROXIES):
+                world.join(node)
+            ready = {name for name, member in roll.members.items() if member["phase"] == "Ready"}
+            await until(
+                lambda: (
+                    {owner for owner, _ in world.store.values()} <= ready
+                    and all(proxy.tables == world.store for proxy in world.proxies)
+                )
+            )
+            assert not world.broken, (world.broken, running.lines)
+            running.signal(signal.SIGTERM)
+            assert await running.ended() == 0
+            assert not [line for line in running.lines if "trace=" in line]
+
+    play(test(), limit_s=100)
