--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -41,7 +41,7 @@
 
 import h11
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import Client, Terms
 from lapispass.core.facts import Bounds, ConnectionClass, DrainTerms, NodeView
@@ -125,13 +125,13 @@
     return found.stdout.strip() or "unknown"
 
 
-def deployment(slices: int = 2200, proxies: int = 320) -> face.Deployment:
+def deployment(slices: int = 2200, proxies: int = 320) -> interface.Deployment:
     """The stand-in fleet's settings, with two classes, the target's zones and reports that tell of load."""
     return replace(
         fleet.deployment(fleet.Size()),
         classes=(
-            face.VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),
-            face.VisitClass("pay", 1_500_000, 5_000_000, 2.0, True, False),
+            interface.VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),
+            interface.VisitClass("pay", 1_500_000, 5_000_000, 2.0, True, False),
         ),
         zones=ZONES,
         proxies=proxies,
@@ -307,7 +307,7 @@
     """What a collector's lines cost from the read buffer to the inbox."""
 
     async def reading(told: dict[int, bytes]) -> list[tuple[int, float]]:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         collectors = Collectors(heard.append, CODEC, LIMITS, Counters())
         guest = Guest(None, 0.0)  # type: ignore[arg-type]  # nothing is written to it
         guest.zone = ZONES[0]
@@ -344,7 +344,7 @@
     """What the relay's news cost from the read buffer to the inbox, and their bytes."""
 
     async def reading(told: dict[int, bytes]) -> list[tuple[int, float]]:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         calls = Calls("127.0.0.1:1", CODEC, LIMITS, Counters())
         stream = News("127.0.0.1:1", calls, heard.append, CODEC, LIMITS, Counters())
 
@@ -374,7 +374,9 @@
 
     def write(count: int) -> list[bytes]:
         calls = Calls("127.0.0.1:1", CODEC, LIMITS, Counters())
-        lines: list[face.Order] = [face.Own(number, f"s-{number:08x}", 1.0) for number in range(count)]
+        lines: list[interface.Order] = [
+            interface.Own(number, f"s-{number:08x}", 1.0) for number in range(count)
+        ]
         return [words.call(item.text for item in part) for part in calls.parts(lines)]
 
     yield Cost("relay", "bytes of the calls that set a line for each slice, escaped", "B", "slices",
@@ -421,14 +423,16 @@
     counts, cost, wall = (200, 1000, 2850), [], []
 
     async def all_of(count: int) -> tuple[float, float]:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         running = Probes(heard.append, CODEC, LIMITS, Counters())
         began, began_wall = time.process_time(), time.perf_counter()
         for number in range(count):
             running.start(f"s-{number}", address)
         while len(heard) < count:
             await asyncio.sleep(0.005)
-        assert all(isinstance(event, face.Probed) and event.reason == 0 for event in heard), "a probe failed"
+        assert all(isinstance(event, interface.Probed) and event.reason == 0 for event in heard), (
+            "a probe failed"
+        )
         return time.process_time() - began, time.perf_counter() - began_wall
 
     total = 0
--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -13,7 +13,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core.units import SECOND
 from lapispass.standins.fleet import Size, deployment
@@ -21,7 +21,7 @@
 MS = 1000
 
 
-def settings() -> face.Deployment:
+def settings() -> interface.Deployment:
     """The stand-in fleet's settings; servers are not probed, since only calls to the registry are counted."""
     return replace(deployment(Size(controllers=1, proxies=1, servers=1, slices_each=1)), may_probe=False)
 
@@ -34,11 +34,11 @@
     begin, up_at = now, now + int(down_s * SECOND)
     cost = all_s * SECOND / count  # of a call, in us of the registry's time
     controllers = [Controller(settings(), seed + n, now) for n in range(count)]
-    news: list[list[face.Event]] = [[face.Listed("lost", ())] for _ in controllers]
+    news: list[list[interface.Event]] = [[interface.Listed("lost", ())] for _ in controllers]
     for controller in controllers:
         controller.turn(now, [])
     busy_until, calls, served = float(now), [0] * 120, [0] * count
-    later: list[tuple[float, int, face.Listed]] = []
+    later: list[tuple[float, int, interface.Listed]] = []
     while min(served) == 0 and now < begin + 119 * SECOND:
         now += 10 * MS
         for _, who, event in [one for one in later if one[0] <= now]:
@@ -52,18 +52,18 @@
             if not grows:
                 controller.registry.patience_us = min(SECOND, controller.registry.patience_us)
             orders, news[who] = controller.turn(now, news[who]), []
-            if face.Follow() not in orders:
+            if interface.Follow() not in orders:
                 continue
             calls[(now - begin) // SECOND] += 1
             busy_until = max(busy_until, float(now))
             if now < up_at:
-                later.append((now + 5 * MS, who, face.Listed("lost", ())))
+                later.append((now + 5 * MS, who, interface.Listed("lost", ())))
             elif busy_until - now > SECOND:
                 busy_until += turned_away * cost
-                later.append((now + SECOND, who, face.Listed("lost", ())))
+                later.append((now + SECOND, who, interface.Listed("lost", ())))
             else:
                 busy_until += cost
-                later.append((busy_until, who, face.Listed("changes", ())))
+                later.append((busy_until, who, interface.Listed("changes", ())))
     return calls, (max(served) - begin) / SECOND if min(served) else float("inf")
 
 
--- a/benchmarks/xds_streams.py
+++ b/benchmarks/xds_streams.py
@@ -29,7 +29,7 @@
 from collections import deque
 from pathlib import Path
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import Client, Numbers, Terms
 from lapispass.core.versions import KINDS, Shelf
@@ -41,14 +41,14 @@
 
 WRITER = """
 import sys
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.store.assignments import Assignments
 store = Assignments(sys.argv[1], 64)
 turn = store.turn
 print("open", turn, flush=True)
 while True:
     turn += 1
-    store.commit([face.Own(number, f"t{turn}", 1.0) for number in range(64)])
+    store.commit([interface.Own(number, f"t{turn}", 1.0) for number in range(64)])
     print(turn, flush=True)
 """
 
@@ -77,7 +77,7 @@
     file = folder / "operator.textproto"
     file.write_text(file_of(told.slices, ""))
     store = Assignments(folder / "store", told.slices)
-    store.commit([face.Own(number, f"n{number % 10}", 1.0) for number in range(told.slices)])
+    store.commit([interface.Own(number, f"n{number % 10}", 1.0) for number in range(told.slices)])
     store.close()
     host = Host(operator.read(file), told.seed)
     running = asyncio.create_task(host.run())
--- a/lapispass/controller.py
+++ b/lapispass/controller.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Sequence
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.agenda import Agenda
 from lapispass.core.fleet_index import FleetIndex
 from lapispass.core.messages import Standing
@@ -30,11 +30,11 @@
 class Controller:
     """One instance: tells its parts the events, looks at what is due, hands back the orders."""
 
-    def __init__(self, told: face.Deployment, seed: int, now: int) -> None:
+    def __init__(self, told: interface.Deployment, seed: int, now: int) -> None:
         self.current, self.rules = Turn(now, RandomSource(seed), now), Rules(told)
         self.fleet: FleetIndex[Backend] = FleetIndex()
         self.backends = self.fleet.servers
-        self.agenda: Agenda[face.BackendId] = Agenda()
+        self.agenda: Agenda[interface.BackendId] = Agenda()
         self.channel = Channel(self.current, self.rules, told.proxies)
         kind = Ledger if told.slices else Spread
         self.table: Ledger | Spread = kind(self.current, self.rules, self.fleet, self.channel)
@@ -42,14 +42,14 @@
         self.woken_at, self.looked_at = -1, now - self.rules.look_us
         self.follows_list = False  # without a gap since it last told something
 
-    def turn(self, now: int, events: Sequence[face.Event]) -> list[face.Order]:
+    def turn(self, now: int, events: Sequence[interface.Event]) -> list[interface.Order]:
         """Takes in the events; the orders that follow. Times in microseconds."""
         turn = self.current
         turn.now, turn.orders = now, []
         for event in events:
             self.route(event)
         if self.registry.asks():
-            turn.orders.append(face.Follow())
+            turn.orders.append(interface.Follow())
         prompt = any(isinstance(event, PROMPT) for event in events)
         if prompt or now >= self.look_at():
             self.look()
@@ -86,7 +86,7 @@
         now, at = self.current.now, min(self.look_at(), self.registry.ask_at)
         if at < NEVER and (self.woken_at <= now or at < self.woken_at):
             self.woken_at = max(at, now + 1)
-            self.current.orders.append(face.Wake(0, self.woken_at))
+            self.current.orders.append(interface.Wake(0, self.woken_at))
 
     def standings(self) -> list[Standing]:
         """How each server stood when it was last looked at, for fronts that hold connections there."""
@@ -98,39 +98,39 @@
         slice_ = slices.get(number)
         return slice_ is None or not slice_.moving
 
-    def route(self, event: face.Event) -> None:
+    def route(self, event: interface.Event) -> None:
         """Tells the parts that an event concerns."""
         match event:
-            case face.Listed():
+            case interface.Listed():
                 self.take_list(event)
-            case face.Met(number) if server := self.backends.get(number):
+            case interface.Met(number) if server := self.backends.get(number):
                 self.current.report_came()
                 server.met(event)
                 self.current.touched.add(number)
-            case face.Probed(number, reason) if server := self.backends.get(number):
+            case interface.Probed(number, reason) if server := self.backends.get(number):
                 server.probed(reason)
                 self.current.touched.add(number)
-            case face.Holding(number, load) if server := self.backends.get(number):
+            case interface.Holding(number, load) if server := self.backends.get(number):
                 server.held = load
                 self.current.touched.add(number)
-            case face.Came():
+            case interface.Came():
                 self.table.came(event)
-            case face.Given(number, ours):
+            case interface.Given(number, ours):
                 self.table.given(number, ours)
-            case face.Held(number, backend):
+            case interface.Held(number, backend):
                 if backend not in self.backends:  # up until a probe fails
-                    self.list_entry(face.Entry(backend, "", "gone", None, None), False)
+                    self.list_entry(interface.Entry(backend, "", "gone", None, None), False)
                     self.backends[backend].probed(0)
                 self.table.held(number, backend)
-            case face.Joined():
+            case interface.Joined():
                 self.table.joined(event, self.channel.join(event))
-            case face.Left(proxy):
+            case interface.Left(proxy):
                 self.channel.leave(proxy)
                 self.table.left(proxy)
-            case face.Answered():
+            case interface.Answered():
                 self.channel.answer(event)
 
-    def take_list(self, news: face.Listed) -> None:
+    def take_list(self, news: interface.Listed) -> None:
         """What the registry tells; where it was lost, it is asked again."""
         live = self.follows_list and news.kind == "changes"
         if news.kind == "lost":
@@ -144,10 +144,10 @@
             named = {entry.backend for entry in news.entries}
             missing = [server for number, server in self.backends.items() if number not in named]
             for server in missing:
-                entry = face.Entry(server.number, server.zone, "gone", server.weight, None)
+                entry = interface.Entry(server.number, server.zone, "gone", server.weight, None)
                 self.list_entry(entry, False)
 
-    def list_entry(self, entry: face.Entry, remembered: bool, live: bool = False) -> None:
+    def list_entry(self, entry: interface.Entry, remembered: bool, live: bool = False) -> None:
         """One server of the list; one told as before costs nothing."""
         if (server := self.backends.get(entry.backend)) is None:
             server = Backend(self.current, entry.backend, self.fleet.next_place(), self.rules)
--- a/lapispass/core/channel_state.py
+++ b/lapispass/core/channel_state.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Sequence
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.decay import DecayingSum
 from lapispass.core.messages import Missed
 from lapispass.core.proxies import Proxies
@@ -20,7 +20,10 @@
 
     def __init__(self, turn: Turn, proxies: Proxies, lines_per_us: float, slowest: DecayingSum) -> None:
         self.turn, self.proxies, self.lines_per_us, self.slowest = turn, proxies, lines_per_us, slowest
-        self.head_lines, self.first = 0.0, list[face.Order]()  # of each message; orders before the first one
+        self.head_lines, self.first = (
+            0.0,
+            list[interface.Order](),
+        )  # of each message; orders before the first one
         self.waiting, self.at, self.mark, self.unmarked = 0.0, turn.now, 0, False
         self.written: deque[int] = deque()
         # Lines written to each proxy in all; of these, sure to have left the channel.
@@ -33,7 +36,7 @@
         """How many proxies' streams stand."""
         return len(self.proxies.joined)
 
-    def join(self, event: face.Joined) -> Missed:
+    def join(self, event: interface.Joined) -> Missed:
         """A proxy's stream stands."""
         self.unmarked = True
         return Missed(event.first, self.proxies.join(event.proxy, event.first, self.lines).took)
@@ -42,7 +45,7 @@
         """A proxy's stream has ended."""
         self.proxies.leave(proxy, self.turn.now)
 
-    def answer(self, event: face.Answered) -> None:
+    def answer(self, event: interface.Answered) -> None:
         """A proxy has applied everything up to a mark."""
         now, proxy = self.turn.now, self.proxies.joined.get(event.proxy)
         if proxy is None:
@@ -66,7 +69,7 @@
             return 0.0
         return sum(self.lines - max(self.left, proxy.since) for proxy in self.proxies.joined.values())
 
-    def publish(self, orders: Sequence[face.Order]) -> None:
+    def publish(self, orders: Sequence[interface.Order]) -> None:
         """Writes one message for every proxy, and a mark behind it."""
         lines = len(orders) + 1 + self.head_lines
         self.waiting, self.at = self.backlog() + self.joined * lines, self.turn.now
@@ -76,4 +79,4 @@
         self.turns.append((self.mark, self.lines))
         self.lines += lines
         before = self.first if self.mark == 1 else []
-        self.turn.orders += [*before, *orders, face.Mark(self.mark % MARKS, True)]
+        self.turn.orders += [*before, *orders, interface.Mark(self.mark % MARKS, True)]
--- a/lapispass/core/picture.py
+++ b/lapispass/core/picture.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import tables
 from lapispass.core.facts import NodeId
 
@@ -13,7 +13,7 @@
 class Picture:
     """Follows one controller turn by turn."""
 
-    def __init__(self, slices: int, classes: Sequence[face.VisitClass], by_share: bool) -> None:
+    def __init__(self, slices: int, classes: Sequence[interface.VisitClass], by_share: bool) -> None:
         self.stands = tables.Tables(slices)
         self.writes = [place for place, kind in enumerate(classes) if kind.writes]
         self.places = range(len(classes))
@@ -23,8 +23,8 @@
 
     def turn(
         self,
-        events: Iterable[face.Event],
-        orders: Iterable[face.Order],
+        events: Iterable[interface.Event],
+        orders: Iterable[interface.Order],
         addresses: Mapping[NodeId, tables.Address],
     ) -> tuple[list[tables.Change], int | None]:
         """What a turn has changed, and its mark. Intermediate states of one turn are not told: a gate
@@ -36,23 +36,23 @@
         mark: int | None = None
         for event in events:
             match event:
-                case face.Given(number, ours):
+                case interface.Given(number, ours):
                     (self.ours.add if ours else self.ours.discard)(number)
                     self.clear(number)
-                case face.Held(number, backend) if number in self.ours:
+                case interface.Held(number, backend) if number in self.ours:
                     self.stands.apply(tables.SetLine(number, str(backend)))
         for order in orders:
             match order:
-                case face.Own(number, backend, _):
+                case interface.Own(number, backend, _):
                     self.stands.apply(tables.SetLine(number, str(backend)))
-                case face.Empty(number):
+                case interface.Empty(number):
                     self.clear(number)
-                case face.Withdraw(backend, out):
+                case interface.Withdraw(backend, out):
                     self.stands.apply(tables.SetOut(str(backend), out))
-                case face.Admit(table, classes, _, share):
+                case interface.Admit(table, classes, _, share):
                     for number in self.ours if table is None else (table,):
                         self.admit(number, classes, share)
-                case face.Mark(number):
+                case interface.Mark(number):
                     mark = number
         self.stands.nodes = dict(addresses)
         return list(self.stands.differences(before)), mark
--- a/lapispass/core/server_state.py
+++ b/lapispass/core/server_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.decay import Traffic
 from lapispass.core.messages import Standing
 from lapispass.core.turn import Turn
@@ -31,9 +31,9 @@
         *("since", "speed", "state", "traffic", "turn", "waiting", "warm", "weight", "zone"),
     )
 
-    def __init__(self, turn: Turn, number: face.BackendId, place: int) -> None:
+    def __init__(self, turn: Turn, number: interface.BackendId, place: int) -> None:
         self.turn, self.number, self.place = turn, number, place
-        self.entry: face.Entry | None = None  # as last told
+        self.entry: interface.Entry | None = None  # as last told
         self.born_reported = 0  # by the registry's clock; `born` is by ours
         self.listed, self.zone, self.weight, self.born, self.gone_at = "gone", "", 1.0, 0, NEVER
         self.alive = False  # as probes have it
@@ -47,7 +47,7 @@
         self.pace, self.fine, self.reported, self.read_at = 0.0, False, False, NEVER
         self.state, self.warm = "unproven", True  # as of the last visit
 
-    def note_traffic(self, report: face.Met, half_us: int) -> None:
+    def note_traffic(self, report: interface.Met, half_us: int) -> None:
         """Adds a report to the decaying sums of this half-life."""
         now, done = self.turn.now, report.tries - report.lost
         self.traffic = self.traffic or Traffic(half_us, now)
--- a/lapispass/core/shut_out.py
+++ b/lapispass/core/shut_out.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.fleet_index import Server
 from lapispass.core.messages import Missed
 from lapispass.core.repeats import Repeats
@@ -14,10 +14,10 @@
     """Servers shut out, and those of which it must be said again."""
 
     def __init__(self) -> None:
-        self.out: dict[face.BackendId, int] = {}  # servers shut out, since when ...
+        self.out: dict[interface.BackendId, int] = {}  # servers shut out, since when ...
         self.again = Repeats()  # ... and those of which joiners may have heard otherwise
-        self.repeats: set[face.BackendId] = set()  # of these, those that are about to be let in again
-        self.said: dict[face.BackendId, int] = {}  # whether it is out was last said under this mark
+        self.repeats: set[interface.BackendId] = set()  # of these, those that are about to be let in again
+        self.said: dict[interface.BackendId, int] = {}  # whether it is out was last said under this mark
 
     def missed(self, note: Missed, last_place: int) -> None:
         """A joiner may have missed what was said last, and holds what an earlier stream shut out.
@@ -50,7 +50,7 @@
         self.said[number] = mark
         return was_out and not out
 
-    def forget(self, number: face.BackendId) -> None:
+    def forget(self, number: interface.BackendId) -> None:
         """A server is no longer known."""
         self.again.forget(number)
         self.repeats.discard(number)
--- a/lapispass/core/slice_table.py
+++ b/lapispass/core/slice_table.py
@@ -4,7 +4,7 @@
 
 from typing import Generic
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.fleet_index import AnyServer, FleetIndex
 from lapispass.core.messages import Missed
 from lapispass.core.server_state import ServerState
@@ -33,16 +33,16 @@
         if ours:
             self.holdings.add(number, now + self.lease_us, now)
 
-    def held(self, number: int, backend: face.BackendId) -> None:
+    def held(self, number: int, backend: interface.BackendId) -> None:
         """The owner that the store has for a slice just given."""
         self.holdings.hold(number, backend)
 
-    def came(self, report: face.Came) -> None:
+    def came(self, report: interface.Came) -> None:
         """Visits that came for a slice."""
         if report.over_us:
             self.holdings.report(report, self.demand_us, self.turn.now)
 
-    def joined(self, event: face.Joined, missed: Missed) -> None:
+    def joined(self, event: interface.Joined, missed: Missed) -> None:
         """A proxy's stream stands."""
         super().joined(event, missed)
         self.shut_out.missed(missed, self.fleet.last_place)
@@ -53,7 +53,7 @@
         if server.number in self.holdings.owned:
             self.holdings.unsettled.add(server.number)
 
-    def forget(self, number: face.BackendId) -> bool:
+    def forget(self, number: interface.BackendId) -> bool:
         """A server is gone for good; False while proxies have still to let it in again."""
         if number in self.shut_out.out:
             return False
--- a/lapispass/core/slices.py
+++ b/lapispass/core/slices.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.agenda import Agenda
 from lapispass.core.decay import DecayingSum
 from lapispass.core.units import NEVER
@@ -110,7 +110,7 @@
             self.stepped(slice_)
             self.touched.add(number)
 
-    def report(self, report: face.Came, half_us: int, now: int) -> None:
+    def report(self, report: interface.Came, half_us: int, now: int) -> None:
         """Visits came for a slice."""
         if slice_ := self.slices.get(report.place):
             demand = slice_.demand.setdefault(report.visit_class, DecayingSum(half_us))
--- a/lapispass/core/table.py
+++ b/lapispass/core/table.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.messages import Missed, Offer
 from lapispass.core.server_state import ServerState
 from lapispass.core.units import NEVER
@@ -22,13 +22,13 @@
     def given(self, number: int, ours: bool) -> None:
         """The store puts a slice in this controller's charge, or takes it out."""
 
-    def held(self, number: int, backend: face.BackendId) -> None:
+    def held(self, number: int, backend: interface.BackendId) -> None:
         """The owner that the store has for a slice just given."""
 
-    def came(self, report: face.Came) -> None:
+    def came(self, report: interface.Came) -> None:
         """Visits that came for a slice."""
 
-    def joined(self, event: face.Joined, missed: Missed) -> None:
+    def joined(self, event: interface.Joined, missed: Missed) -> None:
         """A proxy's stream stands."""
         self.changed = True
 
@@ -39,7 +39,7 @@
         """A server was looked at: its health or its place in the list may have changed."""
         self.changed = True
 
-    def forget(self, number: face.BackendId) -> bool:
+    def forget(self, number: interface.BackendId) -> bool:
         """A server is gone for good; False while something has still to be said of it."""
         raise NotImplementedError
 
--- a/lapispass/core/turn.py
+++ b/lapispass/core/turn.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.random_source import RandomSource
 
 
@@ -15,9 +15,13 @@
     now: int
     random: RandomSource
     heard_at: int  # when a report about any server last came
-    orders: list[face.Order] = field(default_factory=list)
-    touched: set[face.BackendId] = field(default_factory=set)  # servers with news since they were looked at
-    awaiting_reports: set[face.BackendId] = field(default_factory=set)  # to be looked at with the next report
+    orders: list[interface.Order] = field(default_factory=list)
+    touched: set[interface.BackendId] = field(
+        default_factory=set
+    )  # servers with news since they were looked at
+    awaiting_reports: set[interface.BackendId] = field(
+        default_factory=set
+    )  # to be looked at with the next report
 
     def report_came(self) -> None:
         """A report about some server has come: silence of others can be told from late reports now."""
@@ -26,4 +30,4 @@
         self.awaiting_reports.clear()
 
     def log(self, text: str) -> None:
-        self.orders.append(face.Log(text))
+        self.orders.append(interface.Log(text))
--- a/lapispass/deployment.py
+++ b/lapispass/deployment.py
@@ -6,7 +6,7 @@
 from math import isfinite
 from typing import Any
 
-from lapispass import interface as face
+from lapispass import interface
 
 LOAD_FIELDS = {
     "busy_reqs": "held",
@@ -86,7 +86,7 @@
         return tuple(told)
 
 
-def visit_classes(env: Part, extra: Part) -> tuple[face.VisitClass, ...]:
+def visit_classes(env: Part, extra: Part) -> tuple[interface.VisitClass, ...]:
     told = env.one("grades", None, lambda value: isinstance(value, list) and value != [], "list of classes")
     grades = [Part(grade, f"grades[{place}]") for place, grade in enumerate(told)]
     names = [grade.word("name", None) for grade in grades]
@@ -98,7 +98,7 @@
         for key in ("class-writes", "home-only")
     )
     return tuple(
-        face.VisitClass(
+        interface.VisitClass(
             name,
             grade.whole("target-us", None),
             grade.whole("hard-limit-us", None),
@@ -112,13 +112,13 @@
     )
 
 
-def read(told: Any) -> face.Deployment:
+def read(told: Any) -> interface.Deployment:
     """Keys it does not know are passed over; a ValueError names the one that is missing or odd."""
     env = Part(told)
     extra, rules, limits = env.part("extra"), env.part("rules"), env.part("limits")
     # A slice with one owner is never handed over without these.
     needed = None if extra.flag("one-owner") and extra.number("key-ranges") else 0
-    return face.Deployment(
+    return interface.Deployment(
         classes=visit_classes(env, extra),
         zones=env.words("zones"),
         proxies=extra.whole("data-plane-size", most=NUMBER_MOST),
--- a/lapispass/drill/codec.py
+++ b/lapispass/drill/codec.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, TextIO
 
-from lapispass import deployment
-from lapispass import interface as face
+from lapispass import deployment, interface
 
 
 class WireError(Exception):
@@ -55,32 +54,32 @@
 count = maybe(whole)
 
 # verb: (readers of the parts after the instance, maker of the event)
-EVENTS: dict[str, tuple[tuple[Callable[[str], Any], ...], Callable[..., face.Event]]] = {
-    "FIRED": ((whole,), face.Woken),
-    "CHECK_RESULT": ((whole, whole, whole, gauge), face.Probed),
-    "MESSAGE": ((whole, lambda text: b"" if text == "-" else bytes.fromhex(text)), face.Said),
+EVENTS: dict[str, tuple[tuple[Callable[[str], Any], ...], Callable[..., interface.Event]]] = {
+    "FIRED": ((whole,), interface.Woken),
+    "CHECK_RESULT": ((whole, whole, whole, gauge), interface.Probed),
+    "MESSAGE": ((whole, lambda text: b"" if text == "-" else bytes.fromhex(text)), interface.Said),
     "ENROLLED": (
         (flag, whole, str, number),
-        lambda first, proxy, zone, visits_per_s: face.Joined(proxy, first, zone, visits_per_s),
+        lambda first, proxy, zone, visits_per_s: interface.Joined(proxy, first, zone, visits_per_s),
     ),
-    "DROPPED_OFF": ((whole,), face.Left),
+    "DROPPED_OFF": ((whole,), interface.Left),
     "STATS": (
         (whole, whole, whole, whole, whole, str, gauge),
-        lambda lost, tries, took, over, backend, zone, load: face.Met(
+        lambda lost, tries, took, over, backend, zone, load: interface.Met(
             backend, zone, lost, tries, took, over, load
         ),
     ),
     "INGRESS": (
         (str, whole, whole, whole, whole),
-        lambda name, lost, visits, over, proxy: face.Came(proxy, name, visits, lost, over),
+        lambda name, lost, visits, over, proxy: interface.Came(proxy, name, visits, lost, over),
     ),
     "PRESSURE": (
         (whole, whole, whole, whole, str),
-        lambda lost, table, over, visits, name: face.Came(table, name, visits, lost, over),
+        lambda lost, table, over, visits, name: interface.Came(table, name, visits, lost, over),
     ),
-    "GIVEN": ((whole, flag), face.Given),
-    "RECORDED": ((whole, whole, number), lambda table, backend, _w: face.Held(table, backend)),
-    "TOOK_EFFECT": ((whole, whole, whole), lambda mark, proxy, took: face.Answered(proxy, mark, took)),
+    "GIVEN": ((whole, flag), interface.Given),
+    "RECORDED": ((whole, whole, number), lambda table, backend, _w: interface.Held(table, backend)),
+    "TOOK_EFFECT": ((whole, whole, whole), lambda mark, proxy, took: interface.Answered(proxy, mark, took)),
 }
 ENTRY = (whole, str, str, whole, named(STATES), number, count)
 
@@ -122,7 +121,7 @@
     def __init__(self, now: int, round_number: int) -> None:
         self.now = now
         self.round_number = round_number
-        self.news: list[tuple[int, face.Event | Spawn | Detach]] = []
+        self.news: list[tuple[int, interface.Event | Spawn | Detach]] = []
 
 
 def read_batches(stream: TextIO) -> Iterator[Batch]:
@@ -151,7 +150,7 @@
         yield batch
 
 
-def _event(line: str, following: Callable[[], str]) -> tuple[int, face.Event | Spawn | Detach]:
+def _event(line: str, following: Callable[[], str]) -> tuple[int, interface.Event | Spawn | Detach]:
     verb, _, rest = line.partition("\t")
     try:
         who = whole(rest.split("\t", 1)[0])
@@ -170,8 +169,8 @@
             if row.split("\t")[0] != "ENTRY":
                 raise WireError(f"ENTRY expected, not {row[:40]!r}")
             backend, zone, _, _, state, weight, born = parts_of(row, ENTRY, 1)
-            entries.append(face.Entry(backend, zone, state, weight, born or None))
-        return who, face.Listed(kind, tuple(entries))
+            entries.append(interface.Entry(backend, zone, state, weight, born or None))
+        return who, interface.Listed(kind, tuple(entries))
     if verb not in EVENTS:
         raise WireError(f"unknown verb {verb[:40]!r}")
     readers, make = EVENTS[verb]
@@ -182,28 +181,28 @@
     return str(int(value)) if value == int(value) else format(value, ".6g")
 
 
-def written(who: int, order: face.Order) -> str:
+def written(who: int, order: interface.Order) -> str:
     """One order as a line of the wire."""
     match order:
-        case face.Own(table, backend, weight):
+        case interface.Own(table, backend, weight):
             return f"UPSERT\t{who}\t{table}\t{figure(weight)}\t{backend}\n"
-        case face.Empty(table):
+        case interface.Empty(table):
             return f"DROP_LINES\t{who}\t{table}\n"
-        case face.Withdraw(backend, out):
+        case interface.Withdraw(backend, out):
             return f"BENCH\t{who}\t{int(out)}\t{backend}\n"
-        case face.Admit(table, classes, retry, share):
+        case interface.Admit(table, classes, retry, share):
             wide = ALL_TABLES if table is None else table
             return f"VALVE\t{who}\t{wide}\t{classes}\t{retry}\t{figure(share)}\n"
-        case face.Mark(mark, every_proxy):
+        case interface.Mark(mark, every_proxy):
             return f"CHECKPOINT\t{who}\t{int(every_proxy)}\t{mark}\n"
-        case face.Bind(proxy, table, classes):
+        case interface.Bind(proxy, table, classes):
             return f"PIN\t{who}\t{proxy}\t{table}\t{classes}\n"
-        case face.Probe(backend):
+        case interface.Probe(backend):
             return f"INSPECT\t{who}\t{backend}\n"
-        case face.Wake(token, at_us):
+        case interface.Wake(token, at_us):
             return f"NOTIFY_ME\t{who}\t{token}\t{at_us}\n"
-        case face.Follow():
+        case interface.Follow():
             return f"TAIL\t{who}\t1\n"
-        case face.Log(text):
+        case interface.Log(text):
             return f"RECORD\t{who}\t{text}\n"
     raise TypeError(f"no such order: {order!r}")
--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import tables
 from lapispass.core.facts import NodeView
 from lapispass.core.keeper import Keeper
@@ -78,9 +78,9 @@
 
     # beside the service's turns
 
-    def turned(self, events: Sequence[face.Event], orders: Sequence[face.Order]) -> None:
+    def turned(self, events: Sequence[interface.Event], orders: Sequence[interface.Order]) -> None:
         """A turn has been taken: its changes and its mark go to every gate, whole, in order."""
-        if any(isinstance(event, face.Listed) for event in events):
+        if any(isinstance(event, interface.Listed) for event in events):
             self.learn_addresses()
         changes, mark = self.picture.turn(events, orders, self.addresses)
         if changes or mark is not None:
@@ -161,7 +161,7 @@
         for note in orders.notes:
             self.log.say("drain", text=note)
         for node, load in orders.loads.items():
-            self.service.tell(face.Holding(node, load))
+            self.service.tell(interface.Holding(node, load))
         for name, plan in orders.plans.items():
             self.tell_plan(name, plan, now)
 
@@ -239,7 +239,7 @@
         writer.write(wire.line(wire.turn(self.picture.stands.differences(wire.stands(hello)), None)))
         self.gates[gate.name] = gate
         self.keeper.joined(now, gate.name, hello.zone, Version(*hello.plan), hello.drains)
-        self.service.tell(face.Joined(gate.number, gate.name not in self.known, hello.zone, None))
+        self.service.tell(interface.Joined(gate.number, gate.name not in self.known, hello.zone, None))
         self.known[gate.name] = hello.boot, 0
         self.counters["gates.joined"] += 1
         self.log.say("gate joined", gate=gate.name, zone=hello.zone, drains=len(hello.drains))
@@ -261,7 +261,7 @@
                 self.send(gate, wire.line(message))
             case wire.Answer(marks):
                 for mark, took_us in marks:
-                    self.service.tell(face.Answered(gate.number, mark, max(0, took_us)))
+                    self.service.tell(interface.Answered(gate.number, mark, max(0, took_us)))
             case wire.Report():
                 self.counters["gates.reports"] += 1
                 self.keeper.told(self.service.clock.now(), gate.name, message.serial, wire.counted(message))
@@ -275,6 +275,6 @@
         del self.gates[gate.name]
         self.known[gate.name] = self.known[gate.name][0], self.service.clock.now()
         self.keeper.left(self.service.clock.now(), gate.name)
-        self.service.tell(face.Left(gate.number))
+        self.service.tell(interface.Left(gate.number))
         self.counters["gates.left"] += 1
         self.log.say("gate left", gate=gate.name, why=why)
--- a/lapispass/lab/drops.py
+++ b/lapispass/lab/drops.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.tables import slice_of
 from lapispass.operator import read as operator
 from lapispass.rules.five import Bounds, Checker
@@ -142,10 +142,10 @@
         self.host = Host(operator.read(self.file), self.verdict.seed + 1)
         turned = self.host.desk.turned
 
-        def watched(events: list[face.Event], orders: list[face.Order]) -> None:
+        def watched(events: list[interface.Event], orders: list[interface.Order]) -> None:
             for order in orders:
-                if isinstance(order, face.Own | face.Empty):
-                    owner = str(order.backend) if isinstance(order, face.Own) else None
+                if isinstance(order, interface.Own | interface.Empty):
+                    owner = str(order.backend) if isinstance(order, interface.Own) else None
                     self.checker.publish(clock_us(), order.table, owner)
                     self.verdict.handovers += owner is not None
             turned(events, orders)
@@ -171,7 +171,7 @@
     async def play(self) -> Verdict:
         chance, verdict = self.chance, self.verdict
         store = Assignments(self.folder / "store", SLICES)  # what an earlier life has left
-        store.commit([face.Own(number, f"n{number % NODES}", 1.0) for number in range(SLICES)])
+        store.commit([interface.Own(number, f"n{number % NODES}", 1.0) for number in range(SLICES)])
         store.close()
         for number in range(SLICES):
             self.checker.publish(0, number, f"n{number % NODES}")
--- a/lapispass/lab/fleet.py
+++ b/lapispass/lab/fleet.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.standins.fleet import MS, SECOND, Size, World
 
@@ -164,8 +164,8 @@
     size: Size = Size(),
     planted: str = "",
     seconds: float = LENGTH_S,
-    start: Callable[[face.Deployment, int, int], Controller] = Controller,
-    told: face.Deployment | None = None,
+    start: Callable[[interface.Deployment, int, int], Controller] = Controller,
+    told: interface.Deployment | None = None,
     faults: Sequence[Fault] = (),
 ) -> Verdict:
     """One day: two to four faults drawn from the seed, or those given."""
--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -12,7 +12,7 @@
 from urllib.parse import parse_qsl, quote_plus
 from xml.etree import ElementTree
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.deployment import LOAD_FIELDS
 
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
@@ -41,8 +41,8 @@
 
     version: int
     whole: bool
-    entries: tuple[face.Entry, ...]
-    addresses: dict[face.BackendId, str]
+    entries: tuple[interface.Entry, ...]
+    addresses: dict[interface.BackendId, str]
     unreadable: int
 
 
@@ -84,7 +84,7 @@
     life, still on its way after a restart, must not pass for one to a mark of this life.
     """
 
-    def __init__(self, told: face.Deployment, id_bytes: int, first_mark: int = 0) -> None:
+    def __init__(self, told: interface.Deployment, id_bytes: int, first_mark: int = 0) -> None:
         self.told, self.id_bytes, self.first_mark = told, id_bytes, first_mark
         self.classes = {kind.name for kind in told.classes}
 
@@ -123,7 +123,7 @@
             raise WireError(f"unknown zone {value[:40]!r}")
         return value
 
-    def report(self, line: memoryview, joined: bool) -> tuple[str, str | face.Event]:
+    def report(self, line: memoryview, joined: bool) -> tuple[str, str | interface.Event]:
         """A collector's line: its kind, and the zone that it joins for, or the event. Joining comes first."""
         try:
             kind, *words = str(line, "utf-8").split()
@@ -138,7 +138,7 @@
                     if lost > tries:
                         raise WireError(f"{lost} of {tries} failed")
                     load = self.load(value["metrics"], ":") if value.get("metrics") else None
-                    return kind, face.Met(
+                    return kind, interface.Met(
                         self._id(value["endpoint"]),
                         self._zone(self._where(value)),
                         lost,
@@ -151,7 +151,7 @@
                     if value["route"] not in self.classes:
                         raise WireError(f"unknown class {value['route'][:40]!r}")
                     # More may fail than came: what came in an interval may fail in the next.
-                    return kind, face.Came(
+                    return kind, interface.Came(
                         self._below(value["shard"], self.told.slices),
                         value["route"],
                         whole(value["total"]),
@@ -164,30 +164,30 @@
 
     # the relay's news
 
-    def news(self, kind: str, data: str) -> face.Event | None:
+    def news(self, kind: str, data: str) -> interface.Event | None:
         """One event of the relay's stream; None for a kind that means nothing here."""
         try:
             value = form(data)
             match kind:
                 case "SUBSCRIBE":
                     rate = figure(value["w"]) if value.get("w") else None
-                    return face.Joined(
+                    return interface.Joined(
                         self._below(value["node"], self.told.proxies),
                         flag(value["cold"]),
                         self._where(value),
                         rate,
                     )
                 case "CLOSED":
-                    return face.Left(self._below(value["node"], self.told.proxies))
+                    return interface.Left(self._below(value["node"], self.told.proxies))
                 case "ACK":
                     mark = (self._below(value["nonce"], MARKS) - self.first_mark) % MARKS
-                    return face.Answered(
+                    return interface.Answered(
                         self._below(value["node"], self.told.proxies), mark, micros(value["latency"])
                     )
                 case "GRANT":
-                    return face.Given(self._below(value["shard"], self.told.slices), flag(value["set"]))
+                    return interface.Given(self._below(value["shard"], self.told.slices), flag(value["set"]))
                 case "ROW":
-                    return face.Held(
+                    return interface.Held(
                         self._below(value["shard"], self.told.slices), self._id(value["endpoint"])
                     )
             return None
@@ -214,8 +214,8 @@
                 raise WireError(f"complete {str(complete)[:40]!r}")
         except (KeyError, TypeError, ValueError) as error:
             raise WireError(f"{type(error).__name__} {error}") from None
-        entries: list[face.Entry] = []
-        addresses: dict[face.BackendId, str] = {}
+        entries: list[interface.Entry] = []
+        addresses: dict[interface.BackendId, str] = {}
         for member in members:
             try:
                 name = self._id(member["id"])
@@ -223,7 +223,7 @@
                 born = round(figure(member.get("up_since_ms") or 0, UNIX_MS_MOST) * 1000)
                 size = figure(member.get("size") or 0)
                 entries.append(
-                    face.Entry(
+                    interface.Entry(
                         name,
                         str(self._where(member)),
                         STATES[member["phase"]],
@@ -239,20 +239,20 @@
 
     # orders
 
-    def written(self, order: face.Order) -> str:
+    def written(self, order: interface.Order) -> str:
         """One order as the relay reads it."""
         match order:
-            case face.Own(table, backend, weight):
+            case interface.Own(table, backend, weight):
                 return f"SET,{table},{backend},{plain(weight)}"
-            case face.Empty(table):
+            case interface.Empty(table):
                 return f"DEL,{table}"
-            case face.Withdraw(backend, out):
+            case interface.Withdraw(backend, out):
                 return f"{'OUT' if out else 'IN'},{backend}"
-            case face.Admit(table, classes, retry, share):
+            case interface.Admit(table, classes, retry, share):
                 names = [kind.name for place, kind in enumerate(self.told.classes) if classes >> place & 1]
                 tables = "*" if table is None else table
                 return f"LIMIT,{tables},{'+'.join(names) or '*'},{plain(share)},{retry}"
-            case face.Mark(mark, every_proxy):
+            case interface.Mark(mark, every_proxy):
                 return f"SYNC,{(mark + self.first_mark) % MARKS},{int(every_proxy)}"
         raise TypeError(f"the relay knows no such order: {order!r}")
 
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net.acceptor import Acceptor, streams
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
@@ -132,7 +132,7 @@
     """Takes connections at one address; each is in the hands of one task from its first byte to its end."""
 
     def __init__(
-        self, tell: Callable[[face.Event], None], codec: Codec, limits: Limits, counters: Counters
+        self, tell: Callable[[interface.Event], None], codec: Codec, limits: Limits, counters: Counters
     ) -> None:
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
         self.log = Part("collectors", limits.log_every_us)
--- a/lapispass/net/probes.py
+++ b/lapispass/net/probes.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import momentary
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
@@ -26,14 +26,14 @@
     """
 
     def __init__(
-        self, tell: Callable[[face.Event], None], codec: Codec, limits: Limits, counters: Counters
+        self, tell: Callable[[interface.Event], None], codec: Codec, limits: Limits, counters: Counters
     ) -> None:
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
         self.log = Part("probes", limits.log_every_us)
-        self.under_way: dict[face.BackendId, asyncio.Task[None]] = {}
-        self.line: dict[face.BackendId, str] = {}  # those that wait, with their addresses
+        self.under_way: dict[interface.BackendId, asyncio.Task[None]] = {}
+        self.line: dict[interface.BackendId, str] = {}  # those that wait, with their addresses
 
-    def start(self, backend: face.BackendId, address: str | None) -> None:
+    def start(self, backend: interface.BackendId, address: str | None) -> None:
         if (
             backend in self.under_way
             or backend in self.line
@@ -56,7 +56,7 @@
             self.counters["probes.sent"] += 1
             self.under_way[backend] = asyncio.create_task(self.probe(backend, address))
 
-    def forget(self, backend: face.BackendId) -> None:
+    def forget(self, backend: interface.BackendId) -> None:
         """The server is another (a new address or a restart): the old one's answer tells nothing of it."""
         self.line.pop(backend, None)
         if task := self.under_way.get(backend):
@@ -68,7 +68,7 @@
         self.line.clear()
         return [*self.under_way.values()]
 
-    async def probe(self, backend: face.BackendId, address: str) -> None:
+    async def probe(self, backend: interface.BackendId, address: str) -> None:
         """The life of a probe."""
         began, load, link, made = time.monotonic_ns(), None, None, True
         reason = UNREACHABLE  # until the connection stands
@@ -100,7 +100,7 @@
             return
         self.counters[f"probes.reason_{reason}"] += 1
         took_us = (time.monotonic_ns() - began) // 1000
-        self.tell(face.Probed(backend, reason, took_us, load))
+        self.tell(interface.Probed(backend, reason, took_us, load))
 
     async def ask(self, link: Link) -> tuple[int, bytes]:
         await link.send("GET", "/stats" if self.codec.told.load_fields else "/health/live")
--- a/lapispass/net/registry.py
+++ b/lapispass/net/registry.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net.codec import Codec, Listing, WireError
 from lapispass.net.counters import Counters
 from lapispass.net.http import BROKEN, Dialer, Link, Overfull, Place, Quiet, ended, within
@@ -60,11 +60,11 @@
         self,
         address: str,
         known: Listing,
-        tell: Callable[[face.Event], None],
+        tell: Callable[[interface.Event], None],
         codec: Codec,
         limits: Limits,
         counters: Counters,
-        replaced: Callable[[face.BackendId], None] = lambda backend: None,
+        replaced: Callable[[interface.BackendId], None] = lambda backend: None,
     ) -> None:
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
         self.replaced = replaced  # is told of a server that is at another address now, or has started anew
@@ -72,13 +72,15 @@
         self.watching: asyncio.Task[None] | None = None
         self.log = Part("registry", limits.log_every_us)
         self.version: int | None = known.version if known.entries else None
-        self.addresses: dict[face.BackendId, str] = dict(known.addresses)
-        self.born: dict[face.BackendId, int] = {entry.backend: entry.born_us or 0 for entry in known.entries}
+        self.addresses: dict[interface.BackendId, str] = dict(known.addresses)
+        self.born: dict[interface.BackendId, int] = {
+            entry.backend: entry.born_us or 0 for entry in known.entries
+        }
         self.asked, self.open = asyncio.Event(), asyncio.Event()
         self.strange, self.stranger = asyncio.Event(), None  # a server that only others name
         self.heard_at = 0.0  # when the list last told something, or a watch was opened
         self.slow = 0  # lists and lines in a row that were begun and did not come whole in time
-        tell(face.Listed("remembered", known.entries))
+        tell(interface.Listed("remembered", known.entries))
 
     def follow(self) -> None:
         """Asks for the changes from now on; what was missed comes first."""
@@ -96,7 +98,7 @@
                 if self.place.ready:
                     continue  # it goes on from the version known: nothing is missed
                 self.counters["registry.lost"] += 1
-                self.tell(face.Listed("lost", ()))
+                self.tell(interface.Listed("lost", ()))
                 # Guards the list where no turn can ask, as while a relay call is unsettled.
                 unasked_us = int(self.limits.unasked_us * random.uniform(0.8, 1.2))
                 try:
@@ -117,7 +119,7 @@
         if self.watching:
             self.watching.cancel()
 
-    def named(self, backend: face.BackendId) -> None:
+    def named(self, backend: interface.BackendId) -> None:
         """Somebody else spoke of a server: one that the list never named shows that it moves on elsewhere."""
         if backend not in self.born:
             self.stranger = backend
@@ -250,7 +252,7 @@
         # An entry that can't be read must not pass for one left out, which would mean gone.
         kind = "whole" if listing.whole and not listing.unreadable and not unknown else "changes"
         try:
-            self.tell(face.Listed(kind, entries))
+            self.tell(interface.Listed(kind, entries))
         except Overfull:
             self.version = None  # what was not taken in is told again with the whole list
             raise
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net import codec as words
 from lapispass.net.codec import Codec, Refused, WireError
 from lapispass.net.counters import Counters
@@ -23,7 +23,7 @@
 
     text: str
     slice: int | None
-    backend: face.BackendId | None  # the owner that the slice has then
+    backend: interface.BackendId | None  # the owner that the slice has then
 
 
 class Calls:
@@ -34,30 +34,30 @@
         self.log = Part("relay", limits.log_every_us)
         self.link: Link | None = None
         self.dialer, self.used_at = Dialer(limits), 0.0
-        self.rows: dict[int, face.BackendId | None] = {}  # each slice's owner, as last told or ordered
+        self.rows: dict[int, interface.BackendId | None] = {}  # each slice's owner, as last told or ordered
         self.given: set[int] = set()  # slices given anew while a call is under way
         # Held while a turn's calls are not settled, or while the relay tells what stands: a picture taken
         # with a call under way cannot be compared, since the call may be carried out just after it.
         self.quiet = asyncio.Lock()
         self.doubt: Callable[[], None] = lambda: None  # the store may differ from what was told and ordered
 
-    async def carry_out(self, orders: list[face.Order]) -> None:
+    async def carry_out(self, orders: list[interface.Order]) -> None:
         """A turn's orders, in their order; returns when the relay has taken them all."""
         self.given.clear()  # before the wait: what is given anew from here on was not known to the turn
         async with self.quiet:
             for part in self.parts(orders):
                 await self.settle(part)
 
-    def parts(self, orders: list[face.Order]) -> Iterator[list[Written]]:
+    def parts(self, orders: list[interface.Order]) -> Iterator[list[Written]]:
         """One call, or several where it would be too long; a turn's mark comes last, behind all it covers."""
         part: list[Written] = []
         size = 0
         for order in orders:
             text = self.codec.written(order)
             match order:
-                case face.Own(table, backend, _):
+                case interface.Own(table, backend, _):
                     item = Written(text, table, backend)
-                case face.Empty(table) | face.Admit(table):
+                case interface.Empty(table) | interface.Admit(table):
                     item = Written(text, table, None)
                 case _:
                     item = Written(text, None, None)
@@ -171,7 +171,7 @@
         self,
         address: str,
         calls: Calls,
-        tell: Callable[[face.Event], None],
+        tell: Callable[[interface.Event], None],
         codec: Codec,
         limits: Limits,
         counters: Counters,
@@ -184,7 +184,7 @@
         self.streaming: asyncio.Task[None] | None = None
         calls.doubt = self.look_again
         self.joined: set[int] = set()
-        self.picture: list[face.Event] | None = None  # what stands, while the relay is still telling it
+        self.picture: list[interface.Event] | None = None  # what stands, while the relay is still telling it
         self.failed, self.spoilt = 0, 0  # pictures in a row that did not come whole; that can't be read
 
     async def run(self) -> None:
@@ -314,25 +314,27 @@
         if event is None:
             return
         if self.picture is not None:
-            if isinstance(event, face.Joined | face.Held) or (isinstance(event, face.Given) and event.ours):
+            if isinstance(event, interface.Joined | interface.Held) or (
+                isinstance(event, interface.Given) and event.ours
+            ):
                 self.picture.append(event)
                 return
             self.compare()  # only what happens now can be such news
         self.pass_on(event)
 
-    def pass_on(self, event: face.Event) -> None:
+    def pass_on(self, event: interface.Event) -> None:
         self.tell(event)  # first: what was not taken in must not count as known
         match event:
-            case face.Joined(proxy):
+            case interface.Joined(proxy):
                 self.joined.add(proxy)
-            case face.Left(proxy):
+            case interface.Left(proxy):
                 self.joined.discard(proxy)
-            case face.Given(number, ours):
+            case interface.Given(number, ours):
                 self.calls.given.add(number)  # orders from before are void
                 self.calls.rows.pop(number, None)
                 if ours:
                     self.calls.rows[number] = None
-            case face.Held(number, backend):
+            case interface.Held(number, backend):
                 self.calls.rows[number] = backend
 
     def compare(self) -> None:
@@ -341,20 +343,20 @@
             return
         self.picture, self.failed, self.spoilt = None, 0, 0
         self.calls.quiet.release()
-        held = {event.slice: event.backend for event in picture if isinstance(event, face.Held)}
-        ours = {event.slice for event in picture if isinstance(event, face.Given)}
+        held = {event.slice: event.backend for event in picture if isinstance(event, interface.Held)}
+        ours = {event.slice for event in picture if isinstance(event, interface.Given)}
         # Guards against a proxy that left and came back in the gap: what it answered before counts no more.
         for proxy in sorted(self.joined):
-            self.pass_on(face.Left(proxy))
+            self.pass_on(interface.Left(proxy))
         for number in sorted(set(self.calls.rows) - ours):
-            self.pass_on(face.Given(number, False))
+            self.pass_on(interface.Given(number, False))
         for event in picture:
-            if isinstance(event, face.Joined):
+            if isinstance(event, interface.Joined):
                 self.pass_on(event)
         for number in sorted(ours):
             # A slice that still stands as ordered was not given anew; its handover goes on.
             if number not in self.calls.rows or self.calls.rows[number] != held.get(number):
-                self.pass_on(face.Given(number, True))
+                self.pass_on(interface.Given(number, True))
                 if number in held:
-                    self.pass_on(face.Held(number, held[number]))
+                    self.pass_on(interface.Held(number, held[number]))
         self.log.say("picture complete", joined=len(self.joined), slices=len(ours))
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from typing import Protocol
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core import momentary
 from lapispass.net import log
@@ -30,7 +30,7 @@
 class Beside(Protocol):
     """A further front that follows the turns, as `Service.beside`."""
 
-    def turned(self, events: Sequence[face.Event], orders: Sequence[face.Order]) -> None:
+    def turned(self, events: Sequence[interface.Event], orders: Sequence[interface.Order]) -> None:
         """A turn was taken on these events; its orders are about to be carried out."""
 
     async def run(self) -> None:
@@ -43,7 +43,7 @@
     def __init__(self, launch: Launch) -> None:
         self.launch, self.limits, self.clock = launch, launch.limits, Clock()
         self.log, self.counters = Part("service", self.limits.log_every_us), Counters()
-        self.inbox: list[face.Event] = []
+        self.inbox: list[interface.Event] = []
         self.wakes: dict[int, int] = {}  # token: when
         self.news_came, self.ended = asyncio.Event(), asyncio.Event()
         codec = Codec(launch.told, self.limits.id_bytes, launch.seed % MARKS)
@@ -56,20 +56,22 @@
         self.controller = Controller(launch.told, launch.seed, self.clock.now())
         self.beside: list[Beside] = []
 
-    def tell(self, event: face.Event) -> None:
+    def tell(self, event: interface.Event) -> None:
         """Takes an event for the next turn.
 
         Guards against an inbox without bound while no turn is taken: first sums are left out, and in the end
         whoever tells more is cut off (`Overfull`), and asks later for all that stands.
         """
         waiting = len(self.inbox)
-        if waiting >= self.limits.events and isinstance(event, face.Met | face.Came | face.Probed):
+        if waiting >= self.limits.events and isinstance(
+            event, interface.Met | interface.Came | interface.Probed
+        ):
             self.counters["service.events_left_out"] += 1
             self.log.rate_limited("sums left out", waiting=waiting)
             return
-        if waiting >= 2 * self.limits.events and event != face.Listed("lost", ()):
+        if waiting >= 2 * self.limits.events and event != interface.Listed("lost", ()):
             raise Overfull(f"{waiting} events wait")
-        if isinstance(event, face.Held | face.Met):
+        if isinstance(event, interface.Held | interface.Met):
             self.registry.named(event.backend)
         self.inbox.append(event)
         self.news_came.set()
@@ -165,7 +167,7 @@
             self.news_came.clear()
             for token in [token for token, at in self.wakes.items() if at <= now]:
                 del self.wakes[token]
-                events.append(face.Woken(token))
+                events.append(interface.Woken(token))
             orders = self.controller.turn(now, events)
             self.note_time(now)
             self.counters["service.turns"] += 1
@@ -203,20 +205,20 @@
             self.log.rate_limited("turn late", late_us=self.clock.now() - expected)
             await asyncio.sleep(self.launch.told.turn_every_us / 1e6)
 
-    async def carry_out(self, orders: list[face.Order]) -> None:
+    async def carry_out(self, orders: list[interface.Order]) -> None:
         """The turn's orders; those for proxies are one relay call, settled before the next turn."""
-        for_proxies: list[face.Order] = []
+        for_proxies: list[interface.Order] = []
         for order in orders:
             match order:
-                case face.Log(text):
+                case interface.Log(text):
                     self.log.say("mode", text=text)
-                case face.Wake(token, at_us):
+                case interface.Wake(token, at_us):
                     self.wakes[token] = at_us
-                case face.Probe(backend):
+                case interface.Probe(backend):
                     self.probes.start(backend, self.registry.addresses.get(backend))
-                case face.Follow():
+                case interface.Follow():
                     self.registry.follow()
-                case face.Bind():
+                case interface.Bind():
                     self.counters["service.orders_unknown"] += 1
                     self.log.rate_limited("order unknown", order=order)
                 case _:
--- a/lapispass/peers/host.py
+++ b/lapispass/peers/host.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import tables
 from lapispass.core.membership import Members, Session
 from lapispass.core.picture import Picture
@@ -146,7 +146,7 @@
 
     def stop_all(self) -> None:
         for number in sorted(self.takeover.acting):
-            self.tell(face.Given(number, False))
+            self.tell(interface.Given(number, False))
         self.takeover.acting.clear()
 
     def may_let_write(self, now: int) -> bool:
@@ -238,7 +238,7 @@
             holder = before[member.name]
             self.gone_at[holder] = now
             if (number := self.numbers.pop(holder, None)) is not None:
-                self.tell(face.Left(number))
+                self.tell(interface.Left(number))
                 self.desk.numbers.give(now, number)
             self.counters["peers.left"] += 1
             self.log.say("controller gone", holder=holder)
@@ -249,7 +249,7 @@
             number = self.numbers[holder] = self.desk.numbers.take(now)
             self.peer_marks[member.name] = -1
             self.peer_answers.pop(member.name, None)
-            self.tell(face.Joined(number, True, "", None))
+            self.tell(interface.Joined(number, True, "", None))
             self.counters["peers.joined"] += 1
             self.log.say("controller there", holder=holder)
         horizon = now - 100 * self.told.lease_us
@@ -300,7 +300,7 @@
             ]
             if ready:
                 self.peer_marks[name] = ready[-1][1]
-                self.tell(face.Answered(number, ready[-1][0], self.clock.now() - ready[-1][1]))
+                self.tell(interface.Answered(number, ready[-1][0], self.clock.now() - ready[-1][1]))
 
     async def looks(self) -> None:
         """Claims, releases, and what others may count on."""
@@ -323,7 +323,7 @@
                 self.leaving,
             )
             for number in work.stop:
-                self.tell(face.Given(number, False))
+                self.tell(interface.Given(number, False))
             for number in work.start:
                 self.counters["peers.slices_taken"] += 1
                 self.begin(number)
@@ -411,7 +411,7 @@
         while True:
             await self.due()
             events, orders = self.decide()
-            self.carry_out([order for order in orders if not isinstance(order, face.Mark)])
+            self.carry_out([order for order in orders if not isinstance(order, interface.Mark)])
             changes, mark = self.mine.turn(events, orders, self.desk.addresses)
             self.unsaid.update(
                 {change.node: change.out for change in changes if isinstance(change, tables.SetOut)}
@@ -451,7 +451,7 @@
             self.show(shown, mark)
             self.counters["host.commits"] += bool(records)
             self.marks.append((mark, revision, self.clock.now()))
-            self.tell(face.Answered(STORE, mark, 0))
+            self.tell(interface.Answered(STORE, mark, 0))
             self.answer_marks()
 
     def out_key(self, node: str) -> str:
@@ -471,17 +471,17 @@
             return
         for number in numbers:
             if number in self.takeover.acting:
-                self.tell(face.Given(number, False))
+                self.tell(interface.Given(number, False))
                 self.begin(number)
 
     def begin(self, number: int) -> None:
         """Hands a slice of ours to the module, with its owner."""
-        self.tell(face.Given(number, True))
+        self.tell(interface.Given(number, True))
         record = self.takeover.records[number]
         # Where writes are shut an earlier owner may still hold some: the module begins with an empty table
         # and its own gate, while readers go on with what stands.
         if record.owner and not record.shut:
-            self.tell(face.Held(number, record.owner))
+            self.tell(interface.Held(number, record.owner))
 
     def as_records(self, changes: Sequence[tables.Change]) -> dict[int, Record]:
         """A turn's changes of slices that are ours."""
--- a/lapispass/policy/admission.py
+++ b/lapispass/policy/admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.messages import Offer
 from lapispass.core.part import SlicePart
 from lapispass.core.slices import Level, Slice
@@ -17,7 +17,7 @@
     def begin(self) -> None:
         self.level_at, self.urgent_left = 0, False
 
-    def orders(self, offer: Offer, room: int, spare: int) -> list[face.Order]:
+    def orders(self, offer: Offer, room: int, spare: int) -> list[interface.Order]:
         """So many shares as fit: `room` for urgent ones, `spare` for the others. What is left stays open."""
         due: list[Level] = []
         for server in self.fleet.in_order(self.holdings.unsettled):
@@ -26,7 +26,7 @@
                 self.holdings.unsettled.discard(server.number)
             due += [level for level in levels if level.urgent or offer.ordinary]
         due.sort(key=lambda level: -level.gain)
-        orders: list[face.Order] = []
+        orders: list[interface.Order] = []
         self.urgent_left = False
         for level in due:
             if len(orders) < (room if level.urgent else spare):
@@ -38,8 +38,8 @@
             self.level_at = self.turn.now + self.rules.pause_us
         return orders
 
-    def order(self, slice_: Slice, place: int, share: float) -> face.Admit:
-        return face.Admit(slice_.number, 1 << place, self.rules.retries[place], share * self.rules.all)
+    def order(self, slice_: Slice, place: int, share: float) -> interface.Admit:
+        return interface.Admit(slice_.number, 1 << place, self.rules.retries[place], share * self.rules.all)
 
     def levels(self, server: Backend) -> list[Level]:
         """What should be ordered for a server's slices."""
--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.fleet_index import FleetIndex
 from lapispass.core.messages import Offer
 from lapispass.core.slice_table import SliceTable
@@ -75,14 +75,14 @@
             self.channel.publish(orders)
         return len(fitting) < len(opening)
 
-    def empty(self, slice_: Slice) -> face.Order:
+    def empty(self, slice_: Slice) -> interface.Order:
         """The first step of a handover."""
         if not slice_.shut:  # where writes were never let in, an earlier owner's are still the last
             slice_.gate_at = None
         self.holdings.assign(slice_, None)
         slice_.step, slice_.since, slice_.mark = "emptied", self.turn.now, self.offer.mark
         self.holdings.stepped(slice_)
-        return face.Empty(slice_.number)
+        return interface.Empty(slice_.number)
 
     def to_open(self) -> list[Slice]:
         """Which slices leave their owner now: all of those that drain, died or fell ill come first."""
@@ -103,7 +103,7 @@
                 self.holdings.relief_at[slice_.owner] = now + self.rules.echo_us
         return others
 
-    def advance(self, slice_: Slice, cleared: int) -> list[face.Order]:
+    def advance(self, slice_: Slice, cleared: int) -> list[interface.Order]:
         """The next step of a handover, when it is due."""
         now, rules = self.turn.now, self.rules
         answered = cleared >= slice_.mark
@@ -130,4 +130,4 @@
         self.holdings.stepped(slice_)
         slice_.levels = {} if clean else dict.fromkeys(rules.writes, 0.0)
         shut = [self.admission.order(slice_, place, 0.0) for place in slice_.levels]
-        return [face.Own(slice_.number, owner, 1.0), *shut]
+        return [interface.Own(slice_.number, owner, 1.0), *shut]
--- a/lapispass/policy/health.py
+++ b/lapispass/policy/health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.decay import Traffic
 from lapispass.core.messages import LISTED
 from lapispass.core.server_state import ServerState
@@ -20,7 +20,7 @@
 
     __slots__ = ("rules",)
 
-    def __init__(self, turn: Turn, number: face.BackendId, place: int, rules: Rules) -> None:
+    def __init__(self, turn: Turn, number: interface.BackendId, place: int, rules: Rules) -> None:
         super().__init__(turn, number, place)
         self.rules, self.alive, self.away_us = rules, not rules.may_probe, 8 * SECOND
 
@@ -28,7 +28,7 @@
         """Guards servers: all controllers that start at once probe them all."""
         self.probe_at += int(self.turn.random.draw() * self.rules.lease_us)
 
-    def list_entry(self, entry: face.Entry, live: bool = False) -> None:
+    def list_entry(self, entry: interface.Entry, live: bool = False) -> None:
         """What the list says of it; `live` where the list is followed without a gap."""
         self.entry, now, reported = entry, self.turn.now, entry.born_us
         started_anew = bool(reported) and reported != self.born_reported
@@ -44,7 +44,7 @@
             self.born_reported = reported
             self.born = local_start(reported, now, live, self.rules.notice_us)
 
-    def met(self, report: face.Met) -> None:
+    def met(self, report: interface.Met) -> None:
         """What the proxies of a zone met there."""
         if report.load:
             self.learn(dict(zip(self.rules.load_fields, report.load, strict=False)))
@@ -123,7 +123,7 @@
         in_doubt = self.doubtful(state) or suspect or state == "ill"
         if rules.may_probe and in_doubt and now >= self.probe_at:
             self.probe_at = now + SECOND
-            self.turn.orders.append(face.Probe(self.number))
+            self.turn.orders.append(interface.Probe(self.number))
         if state not in LISTED:
             return
         traffic = self.traffic or Traffic(HALF_LIFE_US, now)
--- a/lapispass/policy/rules.py
+++ b/lapispass/policy/rules.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.units import SECOND
 
 # PROTOCOL, "Figures": what discovery has to tell counts as told no later than 6 s on.
 NOTICE_US = 6 * SECOND
-PROMPT = face.Listed | face.Given | face.Held  # acted on in the turn that brings them
+PROMPT = interface.Listed | interface.Given | interface.Held  # acted on in the turn that brings them
 
 
 class Rules:
     """The few figures that decisions use, derived from the deployment at the start."""
 
-    def __init__(self, told: face.Deployment) -> None:
+    def __init__(self, told: interface.Deployment) -> None:
         places = list(enumerate(told.classes))
         self.lease_us, self.linger_us, self.bare_us = told.lease_us, told.linger_us, told.bare_us
         self.keep_us = told.lease_us + told.linger_us + told.bare_us
@@ -31,7 +31,7 @@
         self.classes = sorted(((kind.benefit, place, kind.name) for place, kind in places), reverse=True)
         self.shares, self.shuts = told.admits == "share", told.admits != "none"  # a rate is only shut or open
         self.all = 1.0 if self.shares else 1e6
-        self.first = [face.Admit(None, careful, 1, self.all)] if careful else []
+        self.first = [interface.Admit(None, careful, 1, self.all)] if careful else []
         self.agreed_us = sum(kind.agreed_us for kind in told.classes) / max(1, len(told.classes))
         self.echo_us, self.quiet_us = told.report_every_us + SECOND, 2 * told.report_every_us + SECOND
         # A move bares a slice for the longest write and about 2 s: worth it where more is lost in 10 s.
--- a/lapispass/policy/spread.py
+++ b/lapispass/policy/spread.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.fleet_index import FleetIndex
 from lapispass.core.line_table import LineTable
 from lapispass.core.messages import LISTED, Offer
@@ -25,18 +25,18 @@
     def act(self, offer: Offer) -> int:
         """One message, where a server has changed or a proxy has joined; returns when more is due."""
         changes = list(self.changes())
-        orders: list[face.Order] = list(changes[: offer.lines])
+        orders: list[interface.Order] = list(changes[: offer.lines])
         self.order(changes[: offer.lines])
         for proxy, zone in self.joiners.items():
             near = self.rules.zone_tables.get(zone, 0)
             binds = ((0, self.rules.any_zone), (near, self.rules.own_zone))
-            orders += [face.Bind(proxy, table, classes) for table, classes in binds if classes]
+            orders += [interface.Bind(proxy, table, classes) for table, classes in binds if classes]
         self.joiners.clear()
         if orders:
             self.channel.publish(orders)
         return self.turn.now if len(changes) > offer.lines else NEVER
 
-    def changes(self) -> Iterator[face.Own]:
+    def changes(self) -> Iterator[interface.Own]:
         """Lines that differ from what stands: a server is in while ready and well, a cold one in part."""
         servers = list(self.fleet.servers.values())
         well = {s.zone for s in servers if s.state in ("ready", "unproven") and s.warm}
@@ -45,4 +45,4 @@
             weight = server.weight * (0.25 * int(4 * server.warmth()) or 0.1) if fit else 0.0
             for table, number in self.keys(server):
                 if self.lines.get((table, number), 0.0) != weight:
-                    yield face.Own(table, number, weight)
+                    yield interface.Own(table, number, weight)
--- a/lapispass/policy/withdrawals.py
+++ b/lapispass/policy/withdrawals.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.messages import Offer
 from lapispass.core.part import SlicePart
 from lapispass.core.units import NEVER
@@ -22,7 +22,7 @@
         owners = self.fleet.in_order(self.holdings.owned)
         return [server for server in owners if server.number not in out and again.has(server)]
 
-    def orders(self, offer: Offer) -> list[face.Order]:
+    def orders(self, offer: Offer) -> list[interface.Order]:
         """So many as fit into the turn; the rest comes first next time."""
         now, noted = self.turn.now, self.shut_out
         # Guards the channel: who is in was said again of all servers at once, every 2 s while proxies joined,
@@ -31,7 +31,7 @@
             noted.repeat(again)
             self.repeat_at = now + self.rules.bare_us // 8
         held_out = [number for number in self.fleet.out if number in self.holdings.owned]
-        orders: list[face.Order] = []
+        orders: list[interface.Order] = []
         room, self.left_over = offer.ordinary // 2, False
         for server in self.fleet.in_order({*held_out, *noted.out, *noted.repeats}):
             out, number = server.state == "out", server.number
@@ -44,7 +44,7 @@
             room -= not out and number not in noted.out
             if noted.say(server, out, offer.mark, now):
                 self.turn.touched.add(number)  # it may be forgotten now
-            orders.append(face.Withdraw(number, out))
+            orders.append(interface.Withdraw(number, out))
         noted.repeats -= noted.out.keys()
         return orders
 
--- a/lapispass/standins/fleet.py
+++ b/lapispass/standins/fleet.py
@@ -18,7 +18,7 @@
 from functools import partial
 from typing import NamedTuple, Protocol
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.rules.five import Bounds, Checker
 
 MS = 1000
@@ -38,11 +38,11 @@
     "cold servers called warm": {"cold_us": 1},
     "queue called endless": {"queue_lines": 1e9, "lines_per_s": 1e9},
 }
-LOST_ORDERS: dict[str, Callable[[face.Order], bool]] = {
-    "withdrawals lost": lambda order: isinstance(order, face.Withdraw) and order.out,
-    "returns lost": lambda order: isinstance(order, face.Withdraw) and not order.out,
-    "owners lost": lambda order: isinstance(order, face.Own),
-    "levels lost": lambda order: isinstance(order, face.Admit),
+LOST_ORDERS: dict[str, Callable[[interface.Order], bool]] = {
+    "withdrawals lost": lambda order: isinstance(order, interface.Withdraw) and order.out,
+    "returns lost": lambda order: isinstance(order, interface.Withdraw) and not order.out,
+    "owners lost": lambda order: isinstance(order, interface.Own),
+    "levels lost": lambda order: isinstance(order, interface.Admit),
 }
 
 Row = tuple[str | None, int, dict[int, float]]  # a slice at a proxy: its owner, the step, its levels
@@ -51,7 +51,7 @@
 class Deciding(Protocol):
     """A controller, as a front drives it."""
 
-    def turn(self, now: int, events: list[face.Event]) -> list[face.Order]: ...
+    def turn(self, now: int, events: list[interface.Event]) -> list[interface.Order]: ...
 
 
 class Size(NamedTuple):
@@ -63,14 +63,14 @@
     slices_each: int = 3
 
 
-def deployment(size: Size) -> face.Deployment:
+def deployment(size: Size) -> interface.Deployment:
     """What an operator would tell controllers of such a fleet; its channel is as the platform's would be."""
     slices = size.slices_each * size.servers
     pace = max(4000.0, slices * size.proxies / 6)
-    return face.Deployment(
+    return interface.Deployment(
         classes=(
-            face.VisitClass("look", 1500 * MS, 5 * SECOND, 1.0, False, False),
-            face.VisitClass("pay", 2 * SECOND, 4 * SECOND, 3.0, True, False),
+            interface.VisitClass("look", 1500 * MS, 5 * SECOND, 1.0, False, False),
+            interface.VisitClass("pay", 2 * SECOND, 4 * SECOND, 3.0, True, False),
         ),
         zones=("east", "west"),
         proxies=size.proxies,
@@ -107,7 +107,7 @@
     failing: float = 0.0  # the part of its visits that it fails at once
     sent: deque[int] = field(default_factory=deque)
 
-    def warmth(self, told: face.Deployment, now: int) -> float:
+    def warmth(self, told: interface.Deployment, now: int) -> float:
         age = (now - self.born) / told.cold_us if self.born else 1.0
         return min(1.0, told.cold_share + (1 - told.cold_share) * age)
 
@@ -117,7 +117,7 @@
 
     leaves: float  # when so many lines have left the channel
     issued: int
-    orders: list[tuple[face.Order, int]]  # each with the step of the slice's table
+    orders: list[tuple[interface.Order, int]]  # each with the step of the slice's table
 
 
 @dataclass
@@ -140,7 +140,7 @@
 
     number: int
     process: Deciding | None = None
-    news: list[face.Event] = field(default_factory=list)
+    news: list[interface.Event] = field(default_factory=list)
     watch_at: int | None = None  # the watch opens, or has opened, then
     told: int = 0  # changes of the list that it was given
     known: int = 0  # a restart knows the list as it was then
@@ -152,7 +152,7 @@
     troubled_until: int = 0  # rule 1's and 3's limits wait while the channel or a call is not as it should be
     unsettled: float = 0.0  # the part of its calls whose answer does not come
     settles_at: int = 0
-    held_back: list[list[face.Order]] = field(default_factory=list)
+    held_back: list[list[interface.Order]] = field(default_factory=list)
     calls: int = 0
 
 
@@ -163,21 +163,21 @@
         self,
         seed: int,
         size: Size,
-        start: Callable[[face.Deployment, int, int], Deciding],
+        start: Callable[[interface.Deployment, int, int], Deciding],
         planted: str = "",
-        told: face.Deployment | None = None,
+        told: interface.Deployment | None = None,
     ) -> None:
         self.chance, self.now, self.planted, self.make = random.Random(seed), 100 * SECOND, planted, start
         self.told = told or deployment(size)
         zones, slices = self.told.zones, self.told.slices
         self.list = {
-            f"s{n}": face.Entry(f"s{n}", zones[n % 2], "ready", 1.0, None) for n in range(size.servers)
+            f"s{n}": interface.Entry(f"s{n}", zones[n % 2], "ready", 1.0, None) for n in range(size.servers)
         }
         self.rate = 0.6  # visits a second of a proxy for a slice
         able = self.rate * size.proxies * slices / size.servers / LOAD
         self.able = able
         self.servers = {name: Server(str(entry.zone), able) for name, entry in self.list.items()}
-        self.changes: list[tuple[int, face.Entry]] = [(0, entry) for entry in self.list.values()]
+        self.changes: list[tuple[int, interface.Entry]] = [(0, entry) for entry in self.list.values()]
         self.owner: dict[int, str | None] = {n: f"s{n % size.servers}" for n in range(slices)}
         self.step = dict.fromkeys(self.owner, 0)  # of a slice's table in the store
         self.levels: dict[int, dict[int, float]] = {n: {} for n in self.owner}
@@ -218,11 +218,11 @@
         wrongly = TOLD_WRONGLY.get(self.planted, {})
         told = replace(self.told, **wrongly)  # type: ignore[arg-type]
         place.process = self.make(told, self.chance.randrange(1 << 32), self.now)
-        known: dict[str, face.Entry] = {}
+        known: dict[str, interface.Entry] = {}
         for _, entry in self.changes[: place.known]:
             known[str(entry.backend)] = entry
         standing = tuple(entry for entry in known.values() if entry.state != "gone")
-        place.news, place.watch_at, place.told = [face.Listed("remembered", standing)], None, place.known
+        place.news, place.watch_at, place.told = [interface.Listed("remembered", standing)], None, place.known
         place.heard = {str(entry.backend): self.now for entry in standing if entry.state == "draining"}
         place.left, place.settles_at, place.held_back = place.written, 0, []
         for number in range(len(self.streams)):
@@ -255,11 +255,11 @@
         if not place.process or self.charge[number] == place.number:
             return
         if (former := self.charge[number]) is not None:
-            self.places[former].news.append(face.Given(number, False))
+            self.places[former].news.append(interface.Given(number, False))
         self.charge[number], self.given_at[number], self.levels[number] = place.number, self.now, {}
-        place.news.append(face.Given(number, True))
+        place.news.append(interface.Given(number, True))
         if (owner := self.owner[number]) is not None:
-            place.news.append(face.Held(number, owner))
+            place.news.append(interface.Held(number, owner))
         for reads in self.reads:
             reads[number] = self.now + self.some(0.05, 0.4)
 
@@ -273,7 +273,7 @@
         stream.joined_at, stream.reads_at = self.now, self.now + self.some(0.05, 0.4)
         stream.waiting.clear()
         stream.travelling.clear()
-        place.news.append(face.Joined(number, not stream.met, self.told.zones[number % 2], 3.0))
+        place.news.append(interface.Joined(number, not stream.met, self.told.zones[number % 2], 3.0))
         stream.met = True
 
     def leave(self, number: int, place: Place) -> None:
@@ -288,14 +288,16 @@
 
             def noticed() -> None:
                 if place.process is process and stream.joined_at < 0:
-                    place.news.append(face.Left(number))
+                    place.news.append(interface.Left(number))
 
             self.at(self.some(0, 1), noticed)
             self.at(self.some(1.1, 3), lambda: self.join(number, place))
 
     def change(self, name: str, state: str) -> None:
         """The list will say so; a server that it calls ready has just started."""
-        old = self.list.get(name, face.Entry(name, self.told.zones[self.newcomers % 2], state, 1.0, None))
+        old = self.list.get(
+            name, interface.Entry(name, self.told.zones[self.newcomers % 2], state, 1.0, None)
+        )
         self.list[name] = old._replace(state=state, born_us=self.now if state == "ready" else old.born_us)
         self.changes.append((self.now, self.list[name]))
 
@@ -355,7 +357,7 @@
     def lose_watch(self, place: Place) -> None:
         if place.process and place.watch_at is not None:
             place.watch_at = None
-            place.news.append(face.Listed("lost", ()))
+            place.news.append(interface.Listed("lost", ()))
 
     def registry_fails(self, seconds: float) -> None:
         self.registry_down = self.now + int(seconds * SECOND)
@@ -403,14 +405,14 @@
             entries = tuple(entry for _, entry in self.changes[place.told :])
             place.told = len(self.changes)
             if self.planted != "stale list":
-                place.news.append(face.Listed("changes", entries))
+                place.news.append(interface.Listed("changes", entries))
             for entry in entries:
                 self.hear(place, entry)
         for moment, entry in self.changes[place.told :]:
             if self.now > moment + HEARD_AT_LAST:
                 self.hear(place, entry)
 
-    def hear(self, place: Place, entry: face.Entry) -> None:
+    def hear(self, place: Place, entry: interface.Entry) -> None:
         name = str(entry.backend)
         if entry.state == "ready":
             place.heard.pop(name, None)
@@ -429,13 +431,19 @@
         message = []
         for order in place.process.turn(self.now, news):
             match order:
-                case face.Follow():
+                case interface.Follow():
                     self.call(place)
-                case face.Probe(backend):
+                case interface.Probe(backend):
                     up = str(backend) in self.servers and self.servers[str(backend)].up
-                    found = face.Probed(backend, 0 if up else 4, MS, None)
+                    found = interface.Probed(backend, 0 if up else 4, MS, None)
                     self.at(20 * MS, partial(place.news.append, found))
-                case face.Own() | face.Empty() | face.Admit() | face.Withdraw() | face.Mark():
+                case (
+                    interface.Own()
+                    | interface.Empty()
+                    | interface.Admit()
+                    | interface.Withdraw()
+                    | interface.Mark()
+                ):
                     message.append(order)
         if gone := LOST_ORDERS.get(self.planted):
             message = [order for order in message if not gone(order)]
@@ -453,25 +461,25 @@
         begins = max(self.now, self.registry_free)
         if self.now < self.registry_down or begins > self.now + SECOND:
             wait = 100 * MS if self.now < self.registry_down else SECOND
-            self.at(wait, lambda: place.news.append(face.Listed("lost", ())))
+            self.at(wait, lambda: place.news.append(interface.Listed("lost", ())))
             return
         self.registry_free = begins + 300 * MS
         place.watch_at = self.registry_free
 
-    def carry_out(self, place: Place, message: list[face.Order]) -> None:
+    def carry_out(self, place: Place, message: list[interface.Order]) -> None:
         """The store takes the orders, and the channel the messages to all joined proxies."""
         if not message:
             return
         for order in message:
             match order:
-                case face.Own(slice_, backend, _) if self.charge[slice_] == place.number:
+                case interface.Own(slice_, backend, _) if self.charge[slice_] == place.number:
                     self.owner[slice_] = str(backend)
                     self.step[slice_] += 1
                     self.handovers += 1
-                case face.Empty(slice_) if self.charge[slice_] == place.number:
+                case interface.Empty(slice_) if self.charge[slice_] == place.number:
                     self.owner[slice_], self.levels[slice_] = None, {}
                     self.step[slice_] += 1
-                case face.Admit(slice_, classes, _, share) if (
+                case interface.Admit(slice_, classes, _, share) if (
                     slice_ is not None and self.charge[slice_] == place.number
                 ):
                     self.levels[slice_].update(
@@ -480,12 +488,12 @@
         steps = [(order, self.step.get(getattr(order, "table", None) or 0, 0)) for order in message]
         lines = len(message) + self.told.head_lines
         early = self.planted == "answers before applying" and place.process
-        marks = [order.number for order in message if isinstance(order, face.Mark) and early]
+        marks = [order.number for order in message if isinstance(order, interface.Mark) and early]
         for number, streams in enumerate(self.streams):
             if (stream := streams[place.number]).joined_at >= 0:
                 place.written += lines
                 stream.waiting.append(Message(place.written, self.now, steps))
-                place.news += [face.Answered(number, mark, 50 * MS) for mark in marks]
+                place.news += [interface.Answered(number, mark, 50 * MS) for mark in marks]
         self.judge.waiting(self.now, f"channel of n{place.number}", int(place.written - place.left))
 
     def proxy(self, number: int) -> None:
@@ -520,20 +528,22 @@
         table, stream.applied = self.tables[number], message.issued
         for order, step in message.orders:
             match order:
-                case face.Own(slice_, backend, _) if (
+                case interface.Own(slice_, backend, _) if (
                     step > table[slice_][1] and self.charge[slice_] == place.number
                 ):
                     table[slice_] = (str(backend), step, {})
-                case face.Empty(slice_) if step > table[slice_][1] and self.charge[slice_] == place.number:
+                case interface.Empty(slice_) if (
+                    step > table[slice_][1] and self.charge[slice_] == place.number
+                ):
                     table[slice_] = (None, step, {})
-                case face.Admit(slice_, classes, _, share) if (
+                case interface.Admit(slice_, classes, _, share) if (
                     slice_ is not None and self.charge[slice_] == place.number
                 ):
                     table[slice_][2].update({kind: share for kind in (READ, WRITE) if classes >> kind & 1})
-                case face.Withdraw(backend, out):
+                case interface.Withdraw(backend, out):
                     (stream.out.add if out else stream.out.discard)(str(backend))
-                case face.Mark(mark) if place.process:
-                    place.news.append(face.Answered(number, mark, self.now - message.issued))
+                case interface.Mark(mark) if place.process:
+                    place.news.append(interface.Answered(number, mark, self.now - message.issued))
 
     def visit(self, number: int, slice_: int, owner: str | None, step: int, levels: dict[int, float]) -> None:
         """Whether the proxy has a pick now, and, by chance, a visit."""
@@ -623,19 +633,19 @@
         names = [kind.name for kind in self.told.classes]
         for place in self.places:
             process = place.process
-            sums: list[face.Event] = [
-                face.Met(name, self.servers[name].zone, lost, tries, 300 * MS, SECOND, None)
+            sums: list[interface.Event] = [
+                interface.Met(name, self.servers[name].zone, lost, tries, 300 * MS, SECOND, None)
                 for (number, name), (tries, lost) in met.items()
                 if number == place.number
             ]
             sums += [
-                face.Came(slice_, names[kind], visits, 0, SECOND)
+                interface.Came(slice_, names[kind], visits, 0, SECOND)
                 for (number, slice_, kind), visits in came.items()
                 if number == place.number
             ]
 
             def hand_over(
-                place: Place = place, process: object = process, sums: list[face.Event] = sums
+                place: Place = place, process: object = process, sums: list[interface.Event] = sums
             ) -> None:
                 if place.process is process and process:
                     place.news += sums
--- a/lapispass/store/assignments.py
+++ b/lapispass/store/assignments.py
@@ -14,7 +14,7 @@
 import apsw
 import xxhash
 
-from lapispass import interface as face
+from lapispass import interface
 
 SCHEMA = 1
 
@@ -122,15 +122,15 @@
         """Slices that have had an owner: the one that stands, or none in the empty step."""
         return {number: owner for number, owner in self.file.execute("SELECT slice, owner FROM line")}
 
-    def commit(self, orders: Iterable[face.Order]) -> bool:
+    def commit(self, orders: Iterable[interface.Order]) -> bool:
         """The lines that a turn sets, in one transaction; False where it sets none. On return they are on
         the disk. Raises `NotWritten` where the disk fails for now."""
         lines: dict[int, str | None] = {}
         for order in orders:
             match order:
-                case face.Own(number, backend, _):
+                case interface.Own(number, backend, _):
                     lines[number] = str(backend)
-                case face.Empty(number):
+                case interface.Empty(number):
                     lines[number] = None
                 case _:
                     pass
--- a/lapispass/xds/beside.py
+++ b/lapispass/xds/beside.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import tables
 from lapispass.net.service import Service
 from lapispass.operator.read import Source
@@ -21,9 +21,9 @@
             source, service, service.clock.now, service.counters, told, service.launch.seed
         )
 
-    def turned(self, events: Sequence[face.Event], orders: Sequence[face.Order]) -> None:
+    def turned(self, events: Sequence[interface.Event], orders: Sequence[interface.Order]) -> None:
         """Addresses are the registry's; a node that it forgets is no endpoint any more."""
-        if any(isinstance(event, face.Listed) for event in events):
+        if any(isinstance(event, interface.Listed) for event in events):
             zones = {str(standing.backend): standing.zone for standing in self.service.controller.standings()}
             self.desk.addresses = {
                 str(node): tables.Address(address, zones.get(str(node), ""))
--- a/lapispass/xds/codec.py
+++ b/lapispass/xds/codec.py
@@ -18,7 +18,7 @@
 from google.protobuf import any_pb2, duration_pb2, wrappers_pb2
 from google.rpc import status_pb2
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.resources import Assignment, Cluster, Listener, Routes
 from lapispass.core.versions import Item, Update
 
@@ -173,13 +173,13 @@
 
 def loads(
     told: lrs_pb2.LoadStatsRequest, zone: str, nodes: dict[str, str], slices: int, classes: tuple[str, str]
-) -> list[face.Event]:
+) -> list[interface.Event]:
     """A load report as the module's sums: by endpoint what was met, by slice what came. Odd rows are left
     out.
 
     `nodes` finds a node by its address, `classes` names the class of reads and that of writes.
     """
-    events: list[face.Event] = []
+    events: list[interface.Event] = []
     for stats in told.cluster_stats:
         over_us = micros(stats.load_report_interval)
         number, _, suffix = stats.cluster_name.partition(".")
@@ -199,9 +199,11 @@
                             if metric.metric_name == "ms")  # fmt: skip
                 took = int(1000 * spent / max(1, int(row.total_successful_requests)))
                 events.append(
-                    face.Met(node, zone, int(row.total_error_requests), tries, max(0, took), over_us, None)
+                    interface.Met(
+                        node, zone, int(row.total_error_requests), tries, max(0, took), over_us, None
+                    )
                 )
         dropped = int(stats.total_dropped_requests)
         if 0 < came + dropped < 1 << 40:
-            events.append(face.Came(int(number), classes[suffix == "w"], came + dropped, lost, over_us))
+            events.append(interface.Came(int(number), classes[suffix == "w"], came + dropped, lost, over_us))
     return events
--- a/lapispass/xds/desk.py
+++ b/lapispass/xds/desk.py
@@ -17,7 +17,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import TTL_FEATURE, Client, Doorway, Numbers, Step, Terms
 from lapispass.core.picture import Picture
@@ -40,7 +40,7 @@
 class Module(Protocol):
     """What the desk needs of whoever runs the controller's turns."""
 
-    def tell(self, event: face.Event) -> None:
+    def tell(self, event: interface.Event) -> None:
         """For the next turn."""
 
 
@@ -51,7 +51,7 @@
         self,
         module: Module,
         now: Callable[[], int],
-        deployment: face.Deployment,
+        deployment: interface.Deployment,
         terms: Terms,
         doorway: Doorway,
         first_number: int,
@@ -82,7 +82,7 @@
 
     # beside the controller's turns
 
-    def turned(self, events: Sequence[face.Event], orders: Sequence[face.Order]) -> None:
+    def turned(self, events: Sequence[interface.Event], orders: Sequence[interface.Order]) -> None:
         """A turn's changes become versions; whoever watches them is woken."""
         changes, mark = self.picture.turn(events, orders, self.addresses)
         self.publish(self.picture.stands, changes, mark)
@@ -273,15 +273,15 @@
         if step.left is not None:
             until = self.now() + step.left_after_us + self.terms.lease_us
             self.parted.append((until, step.left_proved))
-            left = face.Left(step.left)
+            left = interface.Left(step.left)
             if step.left_after_us:
                 asyncio.get_running_loop().call_later(step.left_after_us / 1e6, self.module.tell, left)
             else:
                 self.module.tell(left)
         if step.joined is not None:
-            self.module.tell(face.Joined(step.joined, True, client.zone, None))
+            self.module.tell(interface.Joined(step.joined, True, client.zone, None))
         for number, mark, took_us in step.answered:
-            self.module.tell(face.Answered(number, mark, took_us))
+            self.module.tell(interface.Answered(number, mark, took_us))
 
     def take(self, client: Client, message: Message) -> None:
         """A client's message: an answer to the last response of its kind, and what it wants."""
@@ -383,7 +383,7 @@
     module: Module,
     now: Callable[[], int],
     counters: Counters,
-    deployment: face.Deployment,
+    deployment: interface.Deployment,
     seed: int,
 ) -> Desk:
     """The front as the operator file sets it; its clients' numbers follow those of the deployment's
--- a/lapispass/xds/host.py
+++ b/lapispass/xds/host.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core import tables
 from lapispass.net import log, process
@@ -49,7 +49,7 @@
         self.log = Part("host", 1_000_000)
         self.told = operator.alone(source.told)
         self.limits = limits = Limits()
-        self.inbox: list[face.Event] = []
+        self.inbox: list[interface.Event] = []
         self.wakes: dict[int, int] = {}
         self.news, self.ended = asyncio.Event(), asyncio.Event()
         self.probes = Probes(self.tell, Codec(self.told, limits.id_bytes), limits, self.counters)
@@ -60,7 +60,7 @@
         self.open_store(source)
         # The store is a proxy that answers at once: without it nothing would be published while nobody may
         # write.
-        self.inbox.append(face.Joined(STORE, True, "", None))
+        self.inbox.append(interface.Joined(STORE, True, "", None))
 
     def open_store(self, source: Source) -> None:
         """The store's table is kept; the module starts no handover there for one lease.
@@ -82,9 +82,9 @@
                 time.sleep(OPEN_AGAIN_S)
         owners = self.store.owners()
         for number in range(self.told.slices):
-            self.inbox.append(face.Given(number, True))
+            self.inbox.append(interface.Given(number, True))
             if owner := owners.get(number):
-                self.inbox.append(face.Held(number, owner))
+                self.inbox.append(interface.Held(number, owner))
 
     def list_nodes(self, source: Source) -> None:
         """The nodes of the file, as a list that is whole."""
@@ -93,14 +93,14 @@
         for node in source.told.node:
             weight = node.weight if node.HasField("weight") else None
             born_us = node.started_unix_ms * 1000 or None
-            entries.append(face.Entry(node.id, node.zone, STATES[node.state], weight, born_us))
-        self.inbox.append(face.Listed("whole", tuple(entries)))
+            entries.append(interface.Entry(node.id, node.zone, STATES[node.state], weight, born_us))
+        self.inbox.append(interface.Listed("whole", tuple(entries)))
         self.desk.addresses = {node.id: tables.Address(node.address, node.zone) for node in source.told.node}
         self.news.set()
 
-    def tell(self, event: face.Event) -> None:
+    def tell(self, event: interface.Event) -> None:
         """For the next turn. Sums are left out where too many wait."""
-        if len(self.inbox) > 20_000 and isinstance(event, face.Met | face.Came):
+        if len(self.inbox) > 20_000 and isinstance(event, interface.Met | interface.Came):
             self.counters["host.events_left_out"] += 1
             return
         self.inbox.append(event)
@@ -172,14 +172,14 @@
             pass
         await asyncio.sleep(self.told.turn_every_us / 1e6)
 
-    def decide(self) -> tuple[list[face.Event], list[face.Order]]:
+    def decide(self) -> tuple[list[interface.Event], list[interface.Order]]:
         """What waits goes to the module; its orders."""
         now = self.clock.now()
         self.news.clear()
         events, self.inbox = self.inbox, []
         for token in [token for token, at in self.wakes.items() if at <= now]:
             del self.wakes[token]
-            events.append(face.Woken(token))
+            events.append(interface.Woken(token))
         self.counters["host.turns"] += 1
         return events, self.controller.turn(now, events)
 
@@ -190,7 +190,7 @@
         self.carry_out(orders)
         self.desk.turned(events, orders)
 
-    async def commit(self, orders: Sequence[face.Order]) -> None:
+    async def commit(self, orders: Sequence[interface.Order]) -> None:
         """Writes until the disk takes it: what the module has decided is owed, and no turn goes before it."""
         again = Backoff(self.limits)
         while True:
@@ -210,17 +210,17 @@
                 self.counters["host.compactions_failed"] += 1
                 self.log.rate_limited("store not compacted", why=error)
 
-    def carry_out(self, orders: Sequence[face.Order]) -> None:
+    def carry_out(self, orders: Sequence[interface.Order]) -> None:
         """What is not for clients."""
         for order in orders:
             match order:
-                case face.Log(text):
+                case interface.Log(text):
                     self.log.say("mode", text=text)
-                case face.Wake(token, at_us):
+                case interface.Wake(token, at_us):
                     self.wakes[token] = at_us
-                case face.Mark(number):
-                    self.tell(face.Answered(STORE, number, 0))
-                case face.Probe(backend):
+                case interface.Mark(number):
+                    self.tell(interface.Answered(STORE, number, 0))
+                case interface.Probe(backend):
                     node = self.nodes.get(str(backend))
                     self.probes.start(backend, node.address if node is not None else None)
                 case _:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 
 MS = 1000
@@ -17,12 +17,12 @@
 GRACE_US = 2500 * MS
 
 
-def deployment(**changes) -> face.Deployment:
+def deployment(**changes) -> interface.Deployment:
     """A deployment of ordinary size; a test names what it needs otherwise."""
     told = dict(
         classes=(
-            face.VisitClass("look", 1500 * MS, 5 * SECOND, 1.0, False, False),
-            face.VisitClass("pay", 2 * SECOND, 4 * SECOND, 3.0, True, False),
+            interface.VisitClass("look", 1500 * MS, 5 * SECOND, 1.0, False, False),
+            interface.VisitClass("pay", 2 * SECOND, 4 * SECOND, 3.0, True, False),
         ),
         zones=("east", "west"),
         proxies=4,
@@ -46,32 +46,32 @@
         fall_multiple=2.5,
         load_fields=(),
     )
-    return face.Deployment(**{**told, **changes})
+    return interface.Deployment(**{**told, **changes})
 
 
 def standing(
-    entries: Sequence[face.Entry], proxies: int, slices: int, first: bool = True
-) -> list[face.Event]:
+    entries: Sequence[interface.Entry], proxies: int, slices: int, first: bool = True
+) -> list[interface.Event]:
     """The news that put a controller in the middle of its work: servers probed, proxies in, slices dealt."""
     owners = [entry.backend for entry in entries]
     return [
-        face.Listed("whole", tuple(entries)),
-        *(face.Probed(owner, 0, MS, None) for owner in owners),
-        *(face.Joined(number, first, "east", 1.0) for number in range(proxies)),
+        interface.Listed("whole", tuple(entries)),
+        *(interface.Probed(owner, 0, MS, None) for owner in owners),
+        *(interface.Joined(number, first, "east", 1.0) for number in range(proxies)),
         *(
             event
             for number in range(slices)
-            for event in (face.Given(number, True), face.Held(number, owners[number % len(owners)]))
+            for event in (interface.Given(number, True), interface.Held(number, owners[number % len(owners)]))
         ),
     ]
 
 
-def answers(orders: Sequence[face.Order], proxies: int, took_us: int) -> list[face.Event]:
+def answers(orders: Sequence[interface.Order], proxies: int, took_us: int) -> list[interface.Event]:
     """What all proxies answer to the marks among a turn's orders."""
     return [
-        face.Answered(number, order.number, took_us)
+        interface.Answered(number, order.number, took_us)
         for order in orders
-        if isinstance(order, face.Mark)
+        if isinstance(order, interface.Mark)
         for number in range(proxies)
     ]
 
@@ -101,11 +101,11 @@
 class Fleet:
     """One controller, its proxies and the list; each step of 50 ms the rules are looked at."""
 
-    def __init__(self, told: face.Deployment, backends: int, seed: int, visits: int = 3) -> None:
+    def __init__(self, told: interface.Deployment, backends: int, seed: int, visits: int = 3) -> None:
         self.told, self.chance, self.now = told, random.Random(seed), 100 * SECOND
         self.visits = visits
         self.list = {
-            100 + n: face.Entry(100 + n, told.zones[n % 2], "ready", 1.0, None) for n in range(backends)
+            100 + n: interface.Entry(100 + n, told.zones[n % 2], "ready", 1.0, None) for n in range(backends)
         }
         self.up = set(self.list)
         self.store = {s: Table(100 + s % backends) for s in range(told.slices)}
@@ -116,7 +116,7 @@
         self.unfit_since: dict[int, int] = {}
         self.sent: list[int] = []
         self.logs: list[str] = []
-        self.news: list[face.Event] = []
+        self.news: list[interface.Event] = []
         self.wake, self.queued, self.queued_at = self.now, 0.0, self.now
         self.mute: set[int] = set()
         self.losing: dict[int, int] = {}  # of nine tries at a server, so many fail at once
@@ -128,12 +128,12 @@
     def start(self) -> None:
         """The controller starts over, with the list and the store only."""
         self.controller = Controller(self.told, self.chance.randrange(1 << 32), self.now)
-        self.news = [face.Listed("remembered", tuple(self.list.values()))]
+        self.news = [interface.Listed("remembered", tuple(self.list.values()))]
         for number, table in self.store.items():
             table.writes = True
-            self.news.append(face.Given(number, True))
+            self.news.append(interface.Given(number, True))
             if table.owner is not None:
-                self.news.append(face.Held(number, table.owner))
+                self.news.append(interface.Held(number, table.owner))
         self.wake, self.sent = self.now, []
         self.bare_since.clear()
 
@@ -146,13 +146,13 @@
         proxy = self.proxies[number]
         first, proxy.joined, proxy.read = not proxy.tables, True, False
         proxy.reads_at = self.now + int(self.chance.uniform(0.05, 0.5) * SECOND)
-        self.news.append(face.Joined(number, first, "east", 5.0))
+        self.news.append(interface.Joined(number, first, "east", 5.0))
 
     def leave(self, number: int) -> None:
         proxy = self.proxies[number]
         if proxy.joined:
             proxy.joined, proxy.broken_at, proxy.coming = False, self.now, []
-            self.news.append(face.Left(number))
+            self.news.append(interface.Left(number))
 
     def rejoin_one_by_one(self, numbers: Iterable[int], away_s: float) -> None:
         for number in numbers:
@@ -161,7 +161,7 @@
             self.join(number)
 
     def change(self, backend: int, state: str, born: int | None = None) -> None:
-        old = self.list.get(backend, face.Entry(backend, "east", state, 1.0, None))
+        old = self.list.get(backend, interface.Entry(backend, "east", state, 1.0, None))
         self.list[backend] = old._replace(state=state, born_us=born or old.born_us)
         (self.up.discard if state == "gone" else self.up.add)(backend)
         if state == "gone":  # what a dead process held is over
@@ -169,7 +169,7 @@
                 writes.pop(backend, None)
         self.tell([self.list[backend]])
 
-    def tell(self, entries: list[face.Entry]) -> None:
+    def tell(self, entries: list[interface.Entry]) -> None:
         """The list says something, true or not."""
         for entry in entries:
             self.list[entry.backend] = entry
@@ -177,7 +177,7 @@
                 self.unfit_since.pop(entry.backend, None)
             elif entry.state == "draining" or self.told.gone_binds:
                 self.unfit_since.setdefault(entry.backend, self.now)
-        self.news.append(face.Listed("changes", tuple(entries)))
+        self.news.append(interface.Listed("changes", tuple(entries)))
 
     def run(self, seconds: float) -> None:
         until = self.now + int(seconds * SECOND)
@@ -198,43 +198,43 @@
             self.report()
         if self.controller and (self.news or self.now >= self.wake):
             if self.now >= self.wake:
-                self.news.append(face.Woken(0))
+                self.news.append(interface.Woken(0))
             news, self.news = self.news, []
             self.ordered(self.controller.turn(self.now, news))
         self.look()
 
-    def ordered(self, orders: list[face.Order]) -> None:
+    def ordered(self, orders: list[interface.Order]) -> None:
         message = []
         for order in orders:
             match order:
-                case face.Own(table, backend, _):
+                case interface.Own(table, backend, _):
                     assert backend in self.list
                     held = self.store[table]
                     held.count += held.owner != backend
                     held.owner = backend
                     message.append((order, held.count))
-                case face.Empty(table):
+                case interface.Empty(table):
                     self.store[table].owner, self.store[table].writes, self.store[table].share = (
                         None,
                         True,
                         1.0,
                     )
                     message.append((order, 0))
-                case face.Admit(table, classes, _, share):
+                case interface.Admit(table, classes, _, share):
                     if classes >> 1 & 1:
                         self.store[table].writes = share > 0
                     if classes & 1:
                         self.store[table].share = share
                     message.append((order, 0))
-                case face.Withdraw() | face.Mark():
+                case interface.Withdraw() | interface.Mark():
                     message.append((order, 0))
-                case face.Wake(_, at_us):
+                case interface.Wake(_, at_us):
                     self.wake = at_us
-                case face.Log(text):
+                case interface.Log(text):
                     self.logs.append(text)
-                case face.Probe(backend):
+                case interface.Probe(backend):
                     fails = backend in self.mute or backend not in self.up
-                    self.news.append(face.Probed(backend, 3 if fails else 0, 2000, None))
+                    self.news.append(interface.Probed(backend, 3 if fails else 0, 2000, None))
         if message:
             joined = [proxy for proxy in self.proxies if proxy.joined]
             self.sent.append(self.now)
@@ -249,28 +249,30 @@
                 at = max([self.now + int(way)] + [at for at, _, _ in proxy.coming[-1:]])
                 proxy.coming.append((at, self.now, message))
 
-    def apply(self, proxy: Proxy, number: int, order: face.Order, count: int, issued: int) -> None:
+    def apply(self, proxy: Proxy, number: int, order: interface.Order, count: int, issued: int) -> None:
         match order:
-            case face.Own(table, backend, _):
+            case interface.Own(table, backend, _):
                 if count >= proxy.tables[table].count:
                     proxy.tables[table].owner, proxy.tables[table].count = backend, count
-            case face.Empty(table):
+            case interface.Empty(table):
                 proxy.tables[table].owner, proxy.tables[table].writes = None, True
-            case face.Admit(table, classes, _, share) if classes >> 1 & 1:
+            case interface.Admit(table, classes, _, share) if classes >> 1 & 1:
                 proxy.tables[table].writes = share > 0
-            case face.Withdraw(backend, out):
+            case interface.Withdraw(backend, out):
                 (proxy.out.add if out else proxy.out.discard)(backend)
-            case face.Mark(mark, _):
-                self.news.append(face.Answered(number, mark, self.now - issued))
+            case interface.Mark(mark, _):
+                self.news.append(interface.Answered(number, mark, self.now - issued))
 
     def report(self) -> None:
         for backend in self.up:
             if backend not in self.mute and any(t.owner == backend for t in self.store.values()):
                 lost = self.losing.get(backend, 0) * self.visits // 3
-                self.news.append(face.Met(backend, "east", lost, 3 * self.visits, 200 * MS, SECOND, None))
+                self.news.append(
+                    interface.Met(backend, "east", lost, 3 * self.visits, 200 * MS, SECOND, None)
+                )
         for number in self.store:
             for kind in self.told.classes:
-                self.news.append(face.Came(number, kind.name, self.visits, 0, SECOND))
+                self.news.append(interface.Came(number, kind.name, self.visits, 0, SECOND))
 
     def look(self) -> None:
         """The rules, as plainly as they can be said."""
--- a/tests/full_look.py
+++ b/tests/full_look.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.policy.handovers import Ledger
 
@@ -12,7 +12,7 @@
 class FullLook(Controller):
     """Looks at every server and every slice in every turn, whether anything is due or not."""
 
-    def turn(self, now: int, events: Sequence[face.Event]) -> list[face.Order]:
+    def turn(self, now: int, events: Sequence[interface.Event]) -> list[interface.Order]:
         self.current.touched.update(self.backends)
         self.table.changed = True
         if isinstance(self.table, Ledger):
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -17,7 +17,7 @@
 import h11
 from fleet import MS, deployment
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net.codec import Codec, Listing
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
@@ -235,17 +235,17 @@
     ("GRANT", "shard=4&set=1"),
 ]
 PICTURE = [
-    face.Joined(0, True, "a", 1.0),
-    face.Joined(1, False, "a", 1.0),
-    face.Given(3, True),
-    face.Held(3, "s-1"),
-    face.Given(4, True),
+    interface.Joined(0, True, "a", 1.0),
+    interface.Joined(1, False, "a", 1.0),
+    interface.Given(3, True),
+    interface.Held(3, "s-1"),
+    interface.Given(4, True),
 ]
 
 
 @asynccontextmanager
 async def news_of(relay: Relay):
-    heard: list[face.Event] = []
+    heard: list[interface.Event] = []
     relay.stands = list(STANDS)
     calls = Calls(relay.address, CODEC, QUICK, Counters())
     news = News(relay.address, calls, heard.append, CODEC, QUICK, Counters())
@@ -299,27 +299,27 @@
 
 @asynccontextmanager
 async def following(book: Book, known: Listing = NOTHING):
-    heard: list[face.Event] = []
+    heard: list[interface.Event] = []
     registry = Registry(book.address, known, heard.append, CODEC, QUICK, Counters())
     async with running(registry.run()):
         registry.follow()
         yield registry, heard
 
 
-S1 = face.Entry("s-1", "a", "ready", 1.0, None)
+S1 = interface.Entry("s-1", "a", "ready", 1.0, None)
 KNOWN = Listing(5, True, (S1,), {"s-1": "127.0.0.1:9"}, 0)
-LOST = face.Listed("lost", ())
+LOST = interface.Listed("lost", ())
 
 
 JOIN = b"SOURCE locality=a\r\n"
 LINE = b"LOAD locality=a endpoint=s-1 total=2 errors=1 rtt=41.7 interval=1000.0\r\n"
 SPOILT = b"LOAD total=x\r\nSHARD shard=3\r\nLOAD" + LINE[4:].replace(b"=a", b"=1e+30")
-MET = face.Met("s-1", "a", 1, 2, 41700, 1_000_000, None)
+MET = interface.Met("s-1", "a", 1, 2, 41700, 1_000_000, None)
 
 
 @asynccontextmanager
 async def listening(limits: Limits = QUICK):
-    heard: list[face.Event] = []
+    heard: list[interface.Event] = []
     collectors = Collectors(heard.append, CODEC, limits, Counters())
     await collectors.listen("127.0.0.1:0")
     port = collectors.server.sockets[0].getsockname()[1]
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -7,7 +7,7 @@
 import pytest
 from fleet import MS, SECOND, Fleet, answers, deployment, standing
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core.decay import DecayingSum
 from lapispass.core.random_source import RandomSource
@@ -53,7 +53,7 @@
                 for number in chance.sample(range(4), 4):
                     fleet.join(number)
             case 5:
-                fleet.news.append(face.Listed("lost", ()))
+                fleet.news.append(interface.Listed("lost", ()))
             case 6:
                 fleet.mute ^= {backend}
             case 7:  # the list calls running servers gone, drained ones too
@@ -62,7 +62,7 @@
                 fleet.run(chance.uniform(1, 9))
                 fleet.tell(true)
             case 8:  # servers that do not exist are listed
-                ghosts = [face.Entry(900 + n, "west", "ready", 2.0, None) for n in range(4)]
+                ghosts = [interface.Entry(900 + n, "west", "ready", 2.0, None) for n in range(4)]
                 fleet.tell(ghosts)
                 fleet.run(chance.uniform(1, 9))
                 fleet.tell([ghost._replace(state="gone") for ghost in ghosts])
@@ -134,7 +134,7 @@
     assert 101 not in owners(fleet) and any("silent" in line for line in fleet.logs)
     fleet.mute.clear()
     for _ in range(8):
-        fleet.news.append(face.Met(103, "east", 30, 50, 1900 * MS, SECOND, None))
+        fleet.news.append(interface.Met(103, "east", 30, 50, 1900 * MS, SECOND, None))
         fleet.run(1)
     assert not any("failing" in line for line in fleet.logs)
 
@@ -192,7 +192,7 @@
     fleet.run(4)
     fleet.losing.update({n: 9 for n in (101, 103, 105, 107)})
     fleet.run(3)
-    fleet.news += [face.Probed(n, 3, 1000, None) for n in (101, 103)]
+    fleet.news += [interface.Probed(n, 3, 1000, None) for n in (101, 103)]
     fleet.losing.clear()
     fleet.run(5)
     assert sum("failing->well" in line for line in fleet.logs) == 4
@@ -207,7 +207,7 @@
         first = max(fleet.list) + 1
         for number in [n for n, e in fleet.list.items() if e.state == "ready"][:2]:
             fleet.change(number, "draining")
-        fleet.tell([face.Entry(n, "east", "ready", 1.0, None) for n in range(first, first + 2)])
+        fleet.tell([interface.Entry(n, "east", "ready", 1.0, None) for n in range(first, first + 2)])
         fleet.up |= {first, first + 1}
         fleet.run(9)
         for number in [n for n, e in fleet.list.items() if e.state == "draining"]:
@@ -269,11 +269,15 @@
 
 def test_without_slices_proxies_are_bound_and_a_draining_server_leaves_the_table() -> None:
     controller = Controller(deployment(slices=0), 7, 0)
-    entries = tuple(face.Entry(n, "east", "ready", 1.0, None) for n in (5, 6))
-    orders = controller.turn(SECOND, [face.Listed("remembered", entries), face.Joined(0, True, "east", 1.0)])
-    assert {face.Own(0, 5, 1.0), face.Own(0, 6, 1.0), face.Bind(0, 0, 3)} <= set(orders)
-    orders = controller.turn(3 * SECOND, [face.Listed("changes", (entries[0]._replace(state="draining"),))])
-    assert face.Own(0, 5, 0.0) in orders
+    entries = tuple(interface.Entry(n, "east", "ready", 1.0, None) for n in (5, 6))
+    orders = controller.turn(
+        SECOND, [interface.Listed("remembered", entries), interface.Joined(0, True, "east", 1.0)]
+    )
+    assert {interface.Own(0, 5, 1.0), interface.Own(0, 6, 1.0), interface.Bind(0, 0, 3)} <= set(orders)
+    orders = controller.turn(
+        3 * SECOND, [interface.Listed("changes", (entries[0]._replace(state="draining"),))]
+    )
+    assert interface.Own(0, 5, 0.0) in orders
 
 
 @pytest.mark.parametrize("usual", [0, 1, 2, 3])
@@ -281,37 +285,41 @@
 def test_no_order_has_a_class_tried_again_that_may_not_simply_be_repeated(usual: int, admits: str) -> None:
     """With a short window, a further try of a keyed class after any failure would come after its window."""
     classes = (
-        face.VisitClass("look", SECOND, 3 * SECOND, 1.0, False, False),
-        face.VisitClass("hold", SECOND, 3 * SECOND, 2.0, True, False, False),
-        face.VisitClass("print", SECOND, 3 * SECOND, 1.0, False, False, False),
+        interface.VisitClass("look", SECOND, 3 * SECOND, 1.0, False, False),
+        interface.VisitClass("hold", SECOND, 3 * SECOND, 2.0, True, False, False),
+        interface.VisitClass("print", SECOND, 3 * SECOND, 1.0, False, False, False),
     )
     for slices in (12, 0):
         told = deployment(classes=classes, usual_retry=usual, admits=admits, slices=slices)
-        ordered: list[face.Order] = []
-        entries = [face.Entry(100 + n, "east", "ready", 1.0, None) for n in range(3)]
+        ordered: list[interface.Order] = []
+        entries = [interface.Entry(100 + n, "east", "ready", 1.0, None) for n in range(3)]
         for life in range(2):  # a restart says it again
             controller, now = Controller(told, 7 + life, 100 * SECOND), 100 * SECOND
             orders = controller.turn(now, standing(entries, 4, slices, first=False))
             first = [
                 order
                 for order in orders
-                if not isinstance(order, face.Log | face.Probe | face.Follow | face.Wake)
+                if not isinstance(order, interface.Log | interface.Probe | interface.Follow | interface.Wake)
             ]
             if usual > 1:
-                assert first[0] == face.Admit(None, 0b110, 1, 1.0 if admits == "share" else 1e6)
+                assert first[0] == interface.Admit(None, 0b110, 1, 1.0 if admits == "share" else 1e6)
             for step in range(600):
                 now += 50 * MS
-                events = answers(orders, 4, MS) + [face.Woken(0)]
+                events = answers(orders, 4, MS) + [interface.Woken(0)]
                 if step == 100:
-                    events.append(face.Listed("changes", (entries[0]._replace(state="draining"),)))
+                    events.append(interface.Listed("changes", (entries[0]._replace(state="draining"),)))
                 if step % 20 == 0:
                     events += [
-                        face.Met(101, "east", 6, 9, 3 * SECOND, SECOND, None),
-                        *(face.Came(n, kind.name, 9, 0, SECOND) for n in range(slices) for kind in classes),
+                        interface.Met(101, "east", 6, 9, 3 * SECOND, SECOND, None),
+                        *(
+                            interface.Came(n, kind.name, 9, 0, SECOND)
+                            for n in range(slices)
+                            for kind in classes
+                        ),
                     ]
                 orders = controller.turn(now, events)
                 ordered += orders
-        admitted = [order for order in ordered if isinstance(order, face.Admit)]
+        admitted = [order for order in ordered if isinstance(order, interface.Admit)]
         assert all(order.retry <= 1 for order in admitted if order.classes & 0b110)
         assert all(order.retry == usual for order in admitted if order.classes == 0b001)
         if slices and admits == "share":
@@ -324,8 +332,8 @@
     controller = Controller(deployment(asks_for_list=True), 7, 0)
     follows = []
     for now in range(0, 5 * SECOND, 100 * MS):
-        orders = controller.turn(now, [face.Listed("lost", ())] if now == 100 * MS else [])
-        follows += [now for order in orders if isinstance(order, face.Follow)]
+        orders = controller.turn(now, [interface.Listed("lost", ())] if now == 100 * MS else [])
+        follows += [now for order in orders if isinstance(order, interface.Follow)]
     assert len(follows) == 2 and follows[0] == 0 and follows[1] >= 600 * MS
 
 
@@ -342,9 +350,11 @@
     fleet = Fleet(deployment(), 4, seed=11)
     fleet.run(4)
     # The list is late: the process is up again and takes writes.
-    fleet.news.append(face.Listed("changes", (fleet.list[102]._replace(state="gone"),)))
+    fleet.news.append(interface.Listed("changes", (fleet.list[102]._replace(state="gone"),)))
     fleet.run(3.2)
-    fleet.news.append(face.Listed("changes", (fleet.list[102]._replace(born_us=fleet.now - 5 * SECOND),)))
+    fleet.news.append(
+        interface.Listed("changes", (fleet.list[102]._replace(born_us=fleet.now - 5 * SECOND),))
+    )
     fleet.run(12)  # the model holds the single owner
     assert all(table.writes for table in fleet.store.values())
 
@@ -389,7 +399,7 @@
 
 def test_a_listed_server_that_answers_nothing_gets_no_slices() -> None:
     fleet = Fleet(deployment(gone_binds=False), 4, seed=14)
-    fleet.tell([face.Entry(900, "east", "ready", 4.0, None)])
+    fleet.tell([interface.Entry(900, "east", "ready", 4.0, None)])
     fleet.run(3)
     fleet.change(102, "draining")
     fleet.run(10)
@@ -401,7 +411,7 @@
     fleet.run(3)
     fleet.change(102, "draining")
     fleet.run(0.3)
-    fleet.news.append(face.Listed("changes", (fleet.list[102]._replace(state="gone"),)))
+    fleet.news.append(interface.Listed("changes", (fleet.list[102]._replace(state="gone"),)))
     fleet.run(12)  # the model holds the single owner
     assert 102 not in owners(fleet) and None not in owners(fleet)
 
@@ -449,8 +459,8 @@
     before = len(fleet.sent)
     for turn in range(80):
         fleet.news += [
-            face.Met(100 + turn % 12, "east", 0, 40, 2500 * MS, SECOND, None),
-            *(face.Came(turn % 12 + more, "look", 20, 0, SECOND) for more in (0, 12)),
+            interface.Met(100 + turn % 12, "east", 0, 40, 2500 * MS, SECOND, None),
+            *(interface.Came(turn % 12 + more, "look", 20, 0, SECOND) for more in (0, 12)),
         ]
         fleet.run(0.1)
     levels = sum(table.share < 1 for table in fleet.store.values())
@@ -479,7 +489,7 @@
     shares = []
     for _ in range(14):
         if queued:  # what is completed there takes nearly all of the agreed time
-            fleet.news += [face.Met(101, "east", 0, 200, 1700 * MS, SECOND, None)]
+            fleet.news += [interface.Met(101, "east", 0, 200, 1700 * MS, SECOND, None)]
         fleet.run(0.25)
         shares.append({table.owner: table.share for table in fleet.store.values()}[101])
     assert max(shares[:7]) < 0.1, "what it did before its start tells nothing"
@@ -489,12 +499,12 @@
 def test_what_a_server_does_for_other_controllers_counts_as_its_load() -> None:
     fleet = Fleet(deployment(slices=24, load_fields=("busy",)), 4, seed=17)
     for number in range(12, 24):  # these are another controller's
-        fleet.news.append(face.Given(number, False))
+        fleet.news.append(interface.Given(number, False))
         del fleet.store[number]
     for _ in range(6):
         for backend in (100, 101, 102, 103):
             fleet.news.append(
-                face.Met(backend, "east", 0, 6, 200 * MS, SECOND, (0.2 if backend == 103 else 0.8,))
+                interface.Met(backend, "east", 0, 6, 200 * MS, SECOND, (0.2 if backend == 103 else 0.8,))
             )
         fleet.run(1)
     fleet.change(102, "draining")
@@ -506,10 +516,13 @@
     # he52968: a server 1.7 s old was given a slice for relief, whose visits had trebled since the last sum.
     now = 100 * SECOND
     controller = Controller(deployment(), 1, now)
-    controller.turn(now, standing([face.Entry(n, "east", "ready", 1.0, None) for n in range(3)], 4, 6))
+    controller.turn(now, standing([interface.Entry(n, "east", "ready", 1.0, None) for n in range(3)], 4, 6))
     controller.turn(
         now,
-        [face.Listed("changes", (face.Entry(9, "east", "ready", 1.0, now),)), face.Probed(9, 0, MS, None)],
+        [
+            interface.Listed("changes", (interface.Entry(9, "east", "ready", 1.0, now),)),
+            interface.Probed(9, 0, MS, None),
+        ],
     )
     slice_, loads = controller.table.holdings.slices[0], []
     for age in (1, 4):
@@ -551,7 +564,7 @@
 def test_small_slices_of_the_owner_longest_shut_out_open_before_larger_ones() -> None:
     fleet = Fleet(deployment(proxies=40, slices=96, queue_lines=2000.0, messages_most=1000), 12, seed=20)
     for _ in range(4):
-        fleet.news += [face.Came(number, "look", 40, 0, SECOND) for number in fleet.store if number % 12]
+        fleet.news += [interface.Came(number, "look", 40, 0, SECOND) for number in fleet.store if number % 12]
         fleet.run(1)
     for backend in range(100, 109):  # the slices of 100 are the small ones
         fleet.change(backend, "draining")
@@ -573,15 +586,17 @@
         turn(
             now + step * MS,
             [
-                face.Met(100, "east", 0, 5, 200 * MS, SECOND, None),
-                face.Answered(step, 1, 90 * MS),
-                face.Came(3, "look", 5, 0, SECOND),
+                interface.Met(100, "east", 0, 5, 200 * MS, SECOND, None),
+                interface.Answered(step, 1, 90 * MS),
+                interface.Came(3, "look", 5, 0, SECOND),
             ],
         )
     assert len(looks) <= 60  # one look at each
     looks.clear()
-    orders = turn(now + 41 * MS, [face.Listed("changes", (face.Entry(107, "west", "draining", 1.0, None),))])
-    assert face.Withdraw(107, True) in orders
+    orders = turn(
+        now + 41 * MS, [interface.Listed("changes", (interface.Entry(107, "west", "draining", 1.0, None),))]
+    )
+    assert interface.Withdraw(107, True) in orders
 
 
 def test_waits_for_a_registry_that_fails_grow_differ_and_end_with_its_answer() -> None:
@@ -590,16 +605,18 @@
     def waits(seed: int) -> list[int]:
         now, found = 100 * SECOND, []
         controller = Controller(deployment(asks_for_list=True), seed, now)
-        assert face.Follow() in controller.turn(now, [])
+        assert interface.Follow() in controller.turn(now, [])
         for _ in range(12):
-            orders, lost = controller.turn(now, [face.Listed("lost", ())]), now
-            while face.Follow() not in orders:
+            orders, lost = controller.turn(now, [interface.Listed("lost", ())]), now
+            while interface.Follow() not in orders:
                 orders = controller.turn(now := now + 50 * MS, [])
             found.append(now - lost)
-        controller.turn(now, [face.Listed("changes", ())])
-        controller.turn(now, [face.Listed("lost", ())])
-        controller.turn(now + 400 * MS, [face.Listed("lost", ())])  # one told twice is asked for no later
-        assert face.Follow() in controller.turn(now + 1550 * MS, [])
+        controller.turn(now, [interface.Listed("changes", ())])
+        controller.turn(now, [interface.Listed("lost", ())])
+        controller.turn(
+            now + 400 * MS, [interface.Listed("lost", ())]
+        )  # one told twice is asked for no later
+        assert interface.Follow() in controller.turn(now + 1550 * MS, [])
         return found
 
     several = [waits(seed) for seed in range(20)]
@@ -610,13 +627,13 @@
 
 
 def test_controllers_that_start_at_once_probe_no_server_all_at_once() -> None:
-    servers = tuple(face.Entry(n, "east", "ready", 1.0, None) for n in range(100))
+    servers = tuple(interface.Entry(n, "east", "ready", 1.0, None) for n in range(100))
     at: list[int] = []
     for seed in range(30):
         now = 100 * SECOND
         controller = Controller(deployment(), seed, now)
-        orders = controller.turn(now, [face.Listed("remembered", servers)])
-        while face.Probe(0) not in orders:
+        orders = controller.turn(now, [interface.Listed("remembered", servers)])
+        while interface.Probe(0) not in orders:
             orders = controller.turn(now := now + 50 * MS, [])
         at.append(now - 100 * SECOND)
     assert max(at) <= 1.3 * SECOND  # a lease, in which nothing moves yet
@@ -627,23 +644,25 @@
     """On ebene 19 messages went out in 5.5 s, who is in a few at a time; nothing was withdrawn for 4.5 s."""
     told = deployment(proxies=160, slices=260, lines_per_s=60_000.0, queue_lines=120_000.0, messages_most=20)
     now, controller, chance = 100 * SECOND, Controller(told, 1, 100 * SECOND), random.Random(5)
-    entries = [face.Entry(n, "east", "ready", 1.0, None) for n in range(130)]
+    entries = [interface.Entry(n, "east", "ready", 1.0, None) for n in range(130)]
     controller.turn(now, standing(entries, 160, 260, first=False))
     draining, told_at, slowest, sent = iter(range(120)), {}, 0, []
     for step in range(1200):
         now += 50 * MS
-        news: list[face.Event] = [
-            face.Met(n, "east", n % 3, 20, 900 * MS, SECOND, None) for n in range(step % 20, 130, 20)
+        news: list[interface.Event] = [
+            interface.Met(n, "east", n % 3, 20, 900 * MS, SECOND, None) for n in range(step % 20, 130, 20)
         ]
         if step % 5 == 0:
-            news += [face.Left(step % 160), face.Joined(step % 160, False, "east", 1.0)]
+            news += [interface.Left(step % 160), interface.Joined(step % 160, False, "east", 1.0)]
         if step % 10 == chance.randrange(10):
             told_at[number := next(draining)] = now
-            news.append(face.Listed("changes", (face.Entry(number, "east", "draining", 1.0, None),)))
+            news.append(
+                interface.Listed("changes", (interface.Entry(number, "east", "draining", 1.0, None),))
+            )
         orders = controller.turn(now, news)
-        sent += [now] * any(isinstance(order, face.Mark) for order in orders)
+        sent += [now] * any(isinstance(order, interface.Mark) for order in orders)
         for order in orders:
-            if isinstance(order, face.Withdraw) and order.out and order.backend in told_at:
+            if isinstance(order, interface.Withdraw) and order.out and order.backend in told_at:
                 slowest = max(slowest, now - told_at.pop(order.backend))
         if news := answers(orders, 160, 90 * MS):
             controller.turn(now, news)
@@ -678,27 +697,34 @@
     """
     told = deployment(proxies=400, slices=300, lines_per_s=20_000.0, queue_lines=40_000.0, messages_most=0)
     now, controller = 100 * SECOND, Controller(told, 1, 100 * SECOND)
-    entries = [face.Entry(n, "east", "ready", 1.0, None) for n in range(100)]
+    entries = [interface.Entry(n, "east", "ready", 1.0, None) for n in range(100)]
     controller.turn(now, standing(entries, 400, 300))
     waiting: list[list[float]] = []  # of each message that has not left whole: its mark, its lines
     most = 0.0
     for step in range(600):
         now += 50 * MS
-        news: list[face.Event] = []
+        news: list[interface.Event] = []
         if step % 20 == 0 and step // 20 < 60:
-            news.append(face.Listed("changes", (entries[step // 20]._replace(state="draining"),)))
+            news.append(interface.Listed("changes", (entries[step // 20]._replace(state="draining"),)))
         leaving = pace * told.lines_per_s / 20
         while waiting and leaving > 0:
             part = min(leaving, waiting[0][1])
             leaving, waiting[0][1] = leaving - part, waiting[0][1] - part
             if waiting[0][1] <= 0:
                 mark = int(waiting.pop(0)[0])
-                news += [face.Answered(n, mark, 200 * MS) for n in range(400)]
+                news += [interface.Answered(n, mark, 200 * MS) for n in range(400)]
         orders = controller.turn(now, news)
         for order in orders:
-            if isinstance(order, face.Mark):
+            if isinstance(order, interface.Mark):
                 count = sum(
-                    isinstance(one, face.Own | face.Empty | face.Admit | face.Withdraw | face.Mark)
+                    isinstance(
+                        one,
+                        interface.Own
+                        | interface.Empty
+                        | interface.Admit
+                        | interface.Withdraw
+                        | interface.Mark,
+                    )
                     for one in orders
                 )
                 waiting.append([order.number, 400 * (count + told.head_lines)])
@@ -713,32 +739,36 @@
     """
     told = deployment(proxies=400, slices=300, lines_per_s=20_000.0, queue_lines=40_000.0, messages_most=0)
     now, controller = 100 * SECOND, Controller(told, 1, 100 * SECOND)
-    servers = [face.Entry(100 + n, "east", "ready", 1.0, None) for n in range(100)]
-    held = [event for n in range(300) for event in (face.Given(n, True), face.Held(n, 100 + n % 100))]
-    joined = [face.Joined(proxy, False, "east", 1.0) for proxy in range(400)]
+    servers = [interface.Entry(100 + n, "east", "ready", 1.0, None) for n in range(100)]
+    held = [
+        event for n in range(300) for event in (interface.Given(n, True), interface.Held(n, 100 + n % 100))
+    ]
+    joined = [interface.Joined(proxy, False, "east", 1.0) for proxy in range(400)]
     controller.turn(
         now,
         [
-            face.Listed("whole", tuple(servers)),
+            interface.Listed("whole", tuple(servers)),
             *held,
-            *(face.Joined(proxy, True, "east", 1.0) for proxy in range(400 if met else 0)),
+            *(interface.Joined(proxy, True, "east", 1.0) for proxy in range(400 if met else 0)),
         ],
     )
     if met:  # they have answered a mark: of the withdrawal that brought it nothing is left
-        controller.turn(now, [face.Listed("changes", (servers[99]._replace(state="draining"),))])
-        controller.turn(now, [face.Answered(proxy, 1, 90 * MS) for proxy in range(400)])
+        controller.turn(now, [interface.Listed("changes", (servers[99]._replace(state="draining"),))])
+        controller.turn(now, [interface.Answered(proxy, 1, 90 * MS) for proxy in range(400)])
     lifted: list[int] = []
-    controller.turn(now, [face.Left(proxy) for proxy in range(400 if met else 0)] + joined)
+    controller.turn(now, [interface.Left(proxy) for proxy in range(400 if met else 0)] + joined)
     for _ in range(400):
         now += 50 * MS
         orders = controller.turn(now, [])
-        lifted += [order.backend for order in orders if isinstance(order, face.Withdraw)]
+        lifted += [order.backend for order in orders if isinstance(order, interface.Withdraw)]
         controller.turn(now, answers(orders, 400, 90 * MS))
         assert controller.channel.waiting <= told.queue_lines / 4 + 400 * 2
     assert sorted(lifted) == ([] if met else [server.backend for server in servers])
-    controller.turn(now, joined[:1] if met else [face.Joined(7, False, "east", 1.0)])
-    orders = controller.turn(now + SECOND, [face.Listed("changes", (servers[4]._replace(state="draining"),))])
-    assert face.Withdraw(104, True) in orders
+    controller.turn(now, joined[:1] if met else [interface.Joined(7, False, "east", 1.0)])
+    orders = controller.turn(
+        now + SECOND, [interface.Listed("changes", (servers[4]._replace(state="draining"),))]
+    )
+    assert interface.Withdraw(104, True) in orders
 
 
 def test_a_proxy_that_an_earlier_life_kept_from_a_server_is_let_in_again_in_time() -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -18,7 +18,7 @@
 from hypothesis import strategies as some
 
 from lapispass import deployment as settings
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.drill.codec import read_batches
 from lapispass.net import log
@@ -56,7 +56,7 @@
     return json.dumps({"revision": revision, "complete": complete, "members": members})
 
 
-def report(text: str) -> tuple[str, str | face.Event]:
+def report(text: str) -> tuple[str, str | interface.Event]:
     return CODEC.report(memoryview(text.encode()), True)
 
 
@@ -82,7 +82,7 @@
 
 def test_load_reports_stand_in_the_order_of_the_deployment() -> None:
     met = report(f"{LOAD} metrics=inflight:7,util:0.61,queue:2,odd:x")[1]
-    assert isinstance(met, face.Met) and met.load == (2.0, 0.61)
+    assert isinstance(met, interface.Met) and met.load == (2.0, 0.61)
     assert CODEC.load("inflight=7,util=0.61", "=") == (None, 0.61)
     # On sockets they come by the names of the settings; only the page's were read, and nothing was known of
     # queues.
@@ -102,9 +102,9 @@
         )
     )
     assert told.entries == (
-        face.Entry("s-1", "a", "ready", 1.0, None),
-        face.Entry("s-2", "a", "draining", None, START_MS * MS),
-        face.Entry("s-3", "a", "gone", 1.0, None),
+        interface.Entry("s-1", "a", "ready", 1.0, None),
+        interface.Entry("s-2", "a", "draining", None, START_MS * MS),
+        interface.Entry("s-3", "a", "gone", 1.0, None),
     )
     assert (told.version, told.whole, told.unreadable) == (43, False, 0)
     assert told.addresses["s-2"] == "127.0.0.1:3000"
@@ -229,7 +229,7 @@
                 events.append(report(spoilt(chance.choice(texts[:2])))[1])
             elif choice == 1:
                 told = CODEC.listing(spoilt(chance.choice(texts[2:])))
-                events.append(face.Listed(("changes", "whole")[told.whole], told.entries))
+                events.append(interface.Listed(("changes", "whole")[told.whole], told.entries))
             else:
                 kind, data = chance.choice(NEWS)
                 events.append(CODEC.news(kind, spoilt(data)))
@@ -238,7 +238,7 @@
         if chance.random() < 0.1:
             now += chance.randrange(SECOND)
             for order in controller.turn(now, [event for event in events if event]):
-                if not isinstance(order, face.Probe | face.Wake | face.Follow | face.Log):
+                if not isinstance(order, interface.Probe | interface.Wake | interface.Follow | interface.Log):
                     CODEC.written(order)
             events.clear()
     assert 500 < refused < 3500
@@ -247,28 +247,28 @@
 @pytest.mark.parametrize(
     ("order", "text"),
     [
-        (face.Own(4, "s-1", 1.5), "SET,4,s-1,1.5"),
-        (face.Empty(4), "DEL,4"),
-        (face.Withdraw("s-1", True), "OUT,s-1"),
-        (face.Withdraw("s-1", False), "IN,s-1"),
-        (face.Admit(4, 2, 1, 0.9), "LIMIT,4,pay,0.9,1"),
-        (face.Admit(None, 0, 0, 1.0), "LIMIT,*,*,1,0"),
-        (face.Admit(4, 3, 1, 0.0), "LIMIT,4,look+pay,0,1"),
-        (face.Mark(905, True), "SYNC,905,1"),
-        (face.Mark(1, False), "SYNC,1,0"),
+        (interface.Own(4, "s-1", 1.5), "SET,4,s-1,1.5"),
+        (interface.Empty(4), "DEL,4"),
+        (interface.Withdraw("s-1", True), "OUT,s-1"),
+        (interface.Withdraw("s-1", False), "IN,s-1"),
+        (interface.Admit(4, 2, 1, 0.9), "LIMIT,4,pay,0.9,1"),
+        (interface.Admit(None, 0, 0, 1.0), "LIMIT,*,*,1,0"),
+        (interface.Admit(4, 3, 1, 0.0), "LIMIT,4,look+pay,0,1"),
+        (interface.Mark(905, True), "SYNC,905,1"),
+        (interface.Mark(1, False), "SYNC,1,0"),
     ],
 )
-def test_orders_are_written(order: face.Order, text: str) -> None:
+def test_orders_are_written(order: interface.Order, text: str) -> None:
     assert CODEC.written(order) == text
 
 
 def test_an_answer_to_a_mark_of_an_earlier_life_does_not_pass_for_one_of_this_life() -> None:
     before, now = Codec(TOLD, 256, 7), Codec(TOLD, 256, 40_000)
-    assert now.written(face.Mark(65535, True)) == "SYNC,39999,1"
+    assert now.written(interface.Mark(65535, True)) == "SYNC,39999,1"
     assert now.news("ACK", "node=1&nonce=39999&latency=1").mark == 65535
-    late = before.written(face.Mark(3, True)).split(",")[1]
+    late = before.written(interface.Mark(3, True)).split(",")[1]
     controller = Controller(deployment(slices=1, proxies=1), 1, 0)
-    controller.turn(0, [face.Joined(0, True, "a", 1.0), face.Given(0, True)])
+    controller.turn(0, [interface.Joined(0, True, "a", 1.0), interface.Given(0, True)])
     controller.turn(1, [now.news("ACK", f"node=0&nonce={late}&latency=1")])
     assert controller.channel.proxies.joined[0].answered < 0
 
@@ -304,7 +304,7 @@
     there, here = Controller(told, 9, 0), Controller(told, 9, 0)
     now, kinds = 0, set()
 
-    def both(line: str, event: face.Event | None) -> None:
+    def both(line: str, event: interface.Event | None) -> None:
         lines.append(line)
         events.append(event)
 
@@ -322,7 +322,7 @@
                     *({**MEMBER, "id": f"s-{n}", "phase": states[n], "up_since_ms": born} for n in range(4))
                 )
             )
-            both(f"TOPOLOGY\t0\tincr\t1\t4{entries}", face.Listed("changes", told_now.entries))
+            both(f"TOPOLOGY\t0\tincr\t1\t4{entries}", interface.Listed("changes", told_now.entries))
         if number % 100 == 2:
             for node in range(2):
                 both(
@@ -341,7 +341,7 @@
                         f"LOAD locality=a endpoint=s-{n} total=9 errors={lost} rtt={took}.0 interval=1000"
                     )[1],
                 )
-                both(f"CHECK_RESULT\t0\t{n}\t0\t1\t-", face.Probed(f"s-{n}", 0, 1, None))
+                both(f"CHECK_RESULT\t0\t{n}\t0\t1\t-", interface.Probed(f"s-{n}", 0, 1, None))
             for n in range(6):
                 count = chance.randrange(30)
                 both(
@@ -349,7 +349,7 @@
                     report(f"SHARD shard={n} route=look total={count} errors=0 interval=1000")[1],
                 )
         for order in there.current.orders:
-            if isinstance(order, face.Mark):
+            if isinstance(order, interface.Mark):
                 nonce = codec.written(order).split(",")[1]
                 for node in range(2):
                     both(
@@ -362,18 +362,18 @@
         assert [
             order if not hasattr(order, "backend") else order._replace(backend=f"s-{order.backend}")
             for order in orders
-            if not isinstance(order, face.Log)
-        ] == [order for order in mine if not isinstance(order, face.Log)]
+            if not isinstance(order, interface.Log)
+        ] == [order for order in mine if not isinstance(order, interface.Log)]
         kinds |= {type(order) for order in mine}
     assert kinds >= {
-        face.Own,
-        face.Empty,
-        face.Mark,
-        face.Withdraw,
-        face.Admit,
-        face.Follow,
-        face.Probe,
-        face.Wake,
+        interface.Own,
+        interface.Empty,
+        interface.Mark,
+        interface.Withdraw,
+        interface.Admit,
+        interface.Follow,
+        interface.Probe,
+        interface.Wake,
     }
 
 
@@ -584,9 +584,9 @@
     second.turn(
         SECOND,
         [
-            face.Listed("whole", (face.Entry("s-1", "", "ready", 1.0, None),)),
-            face.Joined(0, True, "", 1.0),
-            face.Given(1, True),
+            interface.Listed("whole", (interface.Entry("s-1", "", "ready", 1.0, None),)),
+            interface.Joined(0, True, "", 1.0),
+            interface.Given(1, True),
         ],
     )
     assert {name: repr(value) for name, value in vars(first.rules).items()} == before
@@ -684,8 +684,8 @@
     """
 
     async def read() -> None:
-        heard: list[face.Event] = []
-        known = Listing(5, True, (face.Entry("s-0", "east", "ready", 1.0, None),), {}, 0)
+        heard: list[interface.Event] = []
+        known = Listing(5, True, (interface.Entry("s-0", "east", "ready", 1.0, None),), {}, 0)
         registry = Registry(
             "127.0.0.1:1", known, heard.append, Codec(deployment(), 256), Limits(), Counters()
         )
--- a/tests/test_core_gate.py
+++ b/tests/test_core_gate.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import drain, leaving
 from lapispass.core.admission import Admission, Allotment, Demand, Intake, Refused, whole_parts
 from lapispass.core.costs import Costs
@@ -705,38 +705,48 @@
 
     told = deployment(proxies=1, slices=4, may_probe=False, gone_binds=True, lease_us=0)
     made = Controller(told, 1, NOW)
-    entries = tuple(face.Entry(name, "east", "ready", 1.0, None) for name in ("a", "b", "c"))
-    events: list[face.Event] = [face.Listed("whole", entries), face.Joined(0, True, "east", 1.0)]
-    events += [face.Given(number, True) for number in range(4)]
-    events += [face.Held(number, "c") for number in range(4)]
+    entries = tuple(interface.Entry(name, "east", "ready", 1.0, None) for name in ("a", "b", "c"))
+    events: list[interface.Event] = [
+        interface.Listed("whole", entries),
+        interface.Joined(0, True, "east", 1.0),
+    ]
+    events += [interface.Given(number, True) for number in range(4)]
+    events += [interface.Held(number, "c") for number in range(4)]
     made.turn(NOW, events)
-    made.turn(NOW + 1, [face.Holding("a", 50.0)])
+    made.turn(NOW + 1, [interface.Holding("a", 50.0)])
     owners = set()
-    listed = (face.Entry("c", "east", "draining", 1.0, None),)
+    listed = (interface.Entry("c", "east", "draining", 1.0, None),)
     now = NOW + 2
-    answers: list[face.Event] = [face.Listed("changes", listed)]
+    answers: list[interface.Event] = [interface.Listed("changes", listed)]
     for _ in range(400):
         now += SECOND // 20
         orders = made.turn(now, answers)
-        answers = [face.Answered(0, order.number, 1000) for order in orders if isinstance(order, face.Mark)]
-        owners |= {order.backend for order in orders if isinstance(order, face.Own)}
+        answers = [
+            interface.Answered(0, order.number, 1000) for order in orders if isinstance(order, interface.Mark)
+        ]
+        owners |= {order.backend for order in orders if isinstance(order, interface.Own)}
     assert owners == {"b"}
 
 
 def test_the_picture_follows_events_and_orders_and_tells_a_turn_whole() -> None:
-    kinds = (face.VisitClass("look", 1, 1, 1.0, False, False), face.VisitClass("pay", 1, 1, 1.0, True, False))
+    kinds = (
+        interface.VisitClass("look", 1, 1, 1.0, False, False),
+        interface.VisitClass("pay", 1, 1, 1.0, True, False),
+    )
     picture = Picture(4, kinds, True)
-    changes, mark = picture.turn([face.Given(1, True), face.Held(1, "a")], [], {"a": Address("x:1", "")})
+    changes, mark = picture.turn(
+        [interface.Given(1, True), interface.Held(1, "a")], [], {"a": Address("x:1", "")}
+    )
     assert changes == [SetNode("a", Address("x:1", "")), SetLine(1, "a")] and mark is None
-    changes, mark = picture.turn([], [face.Empty(1), face.Mark(9, True)], {"a": Address("x:1", "")})
+    changes, mark = picture.turn([], [interface.Empty(1), interface.Mark(9, True)], {"a": Address("x:1", "")})
     assert changes == [SetLine(1, None)] and mark == 9
     changes, _ = picture.turn(
-        [], [face.Own(1, "b", 1.0), face.Admit(1, 2, 1, 0.0)], {"a": Address("x:1", "")}
+        [], [interface.Own(1, "b", 1.0), interface.Admit(1, 2, 1, 0.0)], {"a": Address("x:1", "")}
     )
     assert changes == [SetLine(1, "b"), SetShare(1, 0.5, True)]
-    changes, _ = picture.turn([], [face.Admit(None, 3, 1, 1.0), face.Withdraw("b", True)], {})
+    changes, _ = picture.turn([], [interface.Admit(None, 3, 1, 1.0), interface.Withdraw("b", True)], {})
     assert SetShare(1, 1.0, False) in changes and SetOut("b", True) in changes
-    assert picture.turn([face.Given(1, True), face.Held(1, "b")], [], {})[0] == []
+    assert picture.turn([interface.Given(1, True), interface.Held(1, "b")], [], {})[0] == []
 
 
 def test_never_is_a_bound_and_no_time() -> None:
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as some
 from parties import CODEC, JOIN, KNOWN, LINE, LOST, MEMBER, MET, PICTURE, QUICK, STANDS, change, play
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
 from lapispass.net.registry import Registry
@@ -66,11 +66,11 @@
     + b":\r\n"
     + event("GRANT", "shard=4&set=0")
 )
-HEARD = [*PICTURE, face.Answered(1, 9, 2500), face.Left(1), face.Given(4, False)]
+HEARD = [*PICTURE, interface.Answered(1, 9, 2500), interface.Left(1), interface.Given(4, False)]
 
 
-async def news_heard(pieces: list[bytes], ends: Any) -> tuple[list[face.Event], News]:
-    heard: list[face.Event] = []
+async def news_heard(pieces: list[bytes], ends: Any) -> tuple[list[interface.Event], News]:
+    heard: list[interface.Event] = []
     calls = Calls("", CODEC, QUICK, Counters())
     news = News("", calls, heard.append, CODEC, QUICK, Counters())
     news.place.ready = Said(pieces, ends)
@@ -110,8 +110,8 @@
 )
 
 
-async def list_heard(pieces: list[bytes]) -> tuple[list[face.Event], Registry]:
-    heard: list[face.Event] = []
+async def list_heard(pieces: list[bytes]) -> tuple[list[interface.Event], Registry]:
+    heard: list[interface.Event] = []
     registry = Registry("", KNOWN, heard.append, CODEC, QUICK, Counters())
     said = registry.place.ready = Said(pieces)
     await registry.watch()
@@ -181,7 +181,7 @@
     places: list[int], until: int, closing: bool
 ) -> None:
     async def test() -> None:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         collectors = Collectors(heard.append, CODEC, QUICK, Counters())
         reader, writer = Reader(), Writer()
         life = asyncio.create_task(collectors.serve(reader, writer))  # type: ignore[arg-type]
--- a/tests/test_due_look.py
+++ b/tests/test_due_look.py
@@ -12,14 +12,14 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.lab import fleet as days
 from lapispass.policy.handovers import Ledger
 from lapispass.policy.health import Backend
 from lapispass.standins.fleet import MS, SECOND, Size, World, deployment
 
-Turn = tuple[int, list[face.Order]]
+Turn = tuple[int, list[interface.Order]]
 
 
 def recorded(kind: type[Controller], turns: list[list[Turn]], sleeps: bool) -> type[Controller]:
@@ -29,20 +29,21 @@
     """
 
     class Recorded(kind):  # type: ignore[misc, valid-type]
-        def __init__(self, told: face.Deployment, seed: int, now: int) -> None:
+        def __init__(self, told: interface.Deployment, seed: int, now: int) -> None:
             super().__init__(told, seed, now)
             self.kept: list[Turn] = []
             self.sleeps_until = now
             turns.append(self.kept)
 
-        def turn(self, now: int, events: Sequence[face.Event]) -> list[face.Order]:
+        def turn(self, now: int, events: Sequence[interface.Event]) -> list[interface.Order]:
             if sleeps and not events and now < self.sleeps_until:
                 return []
             orders = super().turn(now, events)
             self.sleeps_until = min(
-                (order.at_us for order in orders if isinstance(order, face.Wake)), default=self.sleeps_until
+                (order.at_us for order in orders if isinstance(order, interface.Wake)),
+                default=self.sleeps_until,
             )
-            if kept := [order for order in orders if not isinstance(order, face.Wake)]:
+            if kept := [order for order in orders if not isinstance(order, interface.Wake)]:
                 self.kept.append((now, kept))
             return orders
 
@@ -74,7 +75,7 @@
     both(lambda kind: days.play(40, size, start=kind, faults=(fault,), seconds=26))
 
 
-def narrow(size: Size) -> face.Deployment:
+def narrow(size: Size) -> interface.Deployment:
     """A channel that is short of room, with few messages; reports tell of load."""
     return replace(
         deployment(size),
@@ -110,16 +111,16 @@
 class Script:
     """Events drawn at random for one controller on its own: load, queues, relief, lists and answers."""
 
-    def __init__(self, kind: type[Controller], seed: int, told: face.Deployment) -> None:
+    def __init__(self, kind: type[Controller], seed: int, told: interface.Deployment) -> None:
         self.chance, self.now, self.told = random.Random(seed), 100 * SECOND, told
         self.controller = kind(told, seed, self.now)
-        self.later: list[tuple[int, face.Event]] = []
+        self.later: list[tuple[int, interface.Event]] = []
         self.servers = [f"s{number}" for number in range(16)]
-        listed = tuple(face.Entry(name, self.zone(name), "ready", 1.0, None) for name in self.servers)
-        self.news: list[face.Event] = [face.Listed("remembered", listed)]
-        self.news += [face.Joined(number, True, "east", 1.0) for number in range(told.proxies)]
+        listed = tuple(interface.Entry(name, self.zone(name), "ready", 1.0, None) for name in self.servers)
+        self.news: list[interface.Event] = [interface.Listed("remembered", listed)]
+        self.news += [interface.Joined(number, True, "east", 1.0) for number in range(told.proxies)]
         for number in range(told.slices):
-            self.news += [face.Given(number, True), face.Held(number, self.servers[number % 9])]
+            self.news += [interface.Given(number, True), interface.Held(number, self.servers[number % 9])]
         self.owners = {number: self.servers[number % 9] for number in range(told.slices)}
 
     def zone(self, name: str) -> str:
@@ -135,19 +136,19 @@
             for order in self.controller.turn(self.now, news):
                 self.follow(order)
 
-    def follow(self, order: face.Order) -> None:
+    def follow(self, order: interface.Order) -> None:
         match order:
-            case face.Mark(mark):
+            case interface.Mark(mark):
                 for number in range(self.told.proxies):
                     took = self.chance.randrange(20, 400) * MS
-                    self.later.append((self.now + took, face.Answered(number, mark, took)))
-            case face.Probe(name):
+                    self.later.append((self.now + took, interface.Answered(number, mark, took)))
+            case interface.Probe(name):
                 reason = self.chance.choice([0, 0, 0, 0, 3])
-                self.later.append((self.now + 20 * MS, face.Probed(name, reason, MS, None)))
-            case face.Own(slice_, name):
+                self.later.append((self.now + 20 * MS, interface.Probed(name, reason, MS, None)))
+            case interface.Own(slice_, name):
                 self.owners[slice_] = str(name)
-            case face.Follow():
-                self.later.append((self.now + 100 * MS, face.Listed("changes", ())))
+            case interface.Follow():
+                self.later.append((self.now + 100 * MS, interface.Listed("changes", ())))
 
     def draw(self) -> None:
         """Reports of some owners, late or not; now and then a change of the list or of a stream."""
@@ -156,20 +157,20 @@
             visits, name = chance.choice([0, 3, 30, 90]), self.owners[slice_]
             lost, took = chance.randrange(visits + 1) // 4, chance.choice([100, 900, 2500]) * MS
             load = tuple(chance.choice([None, 0.2, 0.95, 4.0]) for _ in self.told.load_fields)
-            self.news.append(face.Met(name, "east", lost, visits, took, SECOND, load))
-            self.news.append(face.Came(slice_, chance.choice(["look", "pay"]), visits, 0, SECOND))
+            self.news.append(interface.Met(name, "east", lost, visits, took, SECOND, load))
+            self.news.append(interface.Came(slice_, chance.choice(["look", "pay"]), visits, 0, SECOND))
         if chance.random() < 0.02:
             name, state = chance.choice(self.servers), chance.choice(["ready", "draining", "gone"])
             born = self.now if state == "ready" and chance.random() < 0.6 else None
-            entry = face.Entry(name, self.zone(name), state, chance.choice([1.0, 2.0]), born)
-            self.news.append(face.Listed("changes", (entry,)))
+            entry = interface.Entry(name, self.zone(name), state, chance.choice([1.0, 2.0]), born)
+            self.news.append(interface.Listed("changes", (entry,)))
         if chance.random() < 0.02:
             number = chance.randrange(self.told.proxies)
-            self.news += [face.Left(number), face.Joined(number, False, "east", 1.0)]
+            self.news += [interface.Left(number), interface.Joined(number, False, "east", 1.0)]
         if chance.random() < 0.01:
-            self.news.append(face.Holding(chance.choice(self.servers), chance.choice([0.0, 40.0])))
+            self.news.append(interface.Holding(chance.choice(self.servers), chance.choice([0.0, 40.0])))
         if chance.random() < 0.01:
-            self.news.append(face.Listed("lost", ()))
+            self.news.append(interface.Listed("lost", ()))
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -189,12 +190,12 @@
     class Bound(Script):
         def draw(self) -> None:
             for name in self.chance.sample(self.servers, 2):
-                self.news.append(face.Met(name, "east", 1, 30, 100 * MS, SECOND, None))
+                self.news.append(interface.Met(name, "east", 1, 30, 100 * MS, SECOND, None))
             if self.chance.random() < 0.05:
                 self.told = told
                 name, state = self.chance.choice(self.servers), self.chance.choice(["ready", "draining"])
-                entry = face.Entry(name, self.zone(name), state, 1.0, self.now)
-                self.news.append(face.Listed("changes", (entry,)))
+                entry = interface.Entry(name, self.zone(name), state, 1.0, self.now)
+                self.news.append(interface.Listed("changes", (entry,)))
 
     both(lambda kind: Bound(kind, seed, told).run(30))
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -51,7 +51,7 @@
 )
 from test_net import Roll, World
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
 from lapispass.net.http import Dialer, Link, within
@@ -172,7 +172,7 @@
     async def test() -> None:
         async with Book([b"\n", 3600.0]) as old, Book([change(6, {**MEMBER, "id": "s-2"}), 3600.0]) as new:
             held.gates[old.address] = asyncio.Event()
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             limits = replace(QUICK, connect_us=60 * SECOND)  # it is cut, and does not run out of time
             registry = Registry(old.address, KNOWN, heard.append, CODEC, limits, Counters())
             async with running(registry.run()):
@@ -181,7 +181,7 @@
                 registry.move(new.address)
                 await until(lambda: len(heard) == 2)
                 held.gates[old.address].set()
-                assert heard[1] == face.Listed("changes", (S1._replace(backend="s-2"),))
+                assert heard[1] == interface.Listed("changes", (S1._replace(backend="s-2"),))
                 await asyncio.sleep(0.05)
                 assert not old.targets and len(new.targets) == 1 and registry.counters["registry.lost"] == 0
 
@@ -194,7 +194,7 @@
             await reader.read()
 
         async with Party(silent) as old, Book() as new:
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             limits = replace(QUICK, list_us=60 * SECOND)
             registry = Registry(
                 old.address, KNOWN._replace(entries=()), heard.append, CODEC, limits, Counters()
@@ -204,7 +204,7 @@
                 await until(lambda: old.writers)
                 registry.move(new.address)
                 await until(lambda: len(new.targets) == 2 and len(heard) == 2)
-                assert heard[1] == face.Listed("whole", (S1,)) and new.targets[1].endswith("from=9")
+                assert heard[1] == interface.Listed("whole", (S1,)) and new.targets[1].endswith("from=9")
 
     play(test())
 
@@ -301,7 +301,7 @@
         line = change(6, *({**MEMBER, "id": f"s-{n}"} for n in range(2, 60)))
         slow = in_pieces(line, times * QUICK.watch_quiet_us / 1e6)
         async with Book(*([*slow, b"\n", 3600.0] for _ in range(5))) as book:
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             registry = Registry(book.address, KNOWN, heard.append, CODEC, QUICK, Counters())
             async with running(registry.run()):
                 registry.follow()
@@ -333,7 +333,7 @@
             writer.write(state.send(h11.EndOfMessage()))
 
         async with Party(slowly) as book:
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             known = KNOWN._replace(entries=())
             registry = Registry(book.address, known, heard.append, CODEC, QUICK, Counters())
             async with running(registry.run()):
@@ -347,7 +347,7 @@
 def test_silence_within_a_list_is_given_no_longer_after_slow_ones() -> None:
     async def test() -> None:
         async with Book([b"{", 3600.0]) as book:
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             registry = Registry(book.address, KNOWN, heard.append, CODEC, QUICK, Counters())
             registry.slow = 3
             async with running(registry.run()):
@@ -368,7 +368,7 @@
         async with Book(
             [b"\n", 0.05] * 400, [503], [change(8, {**MEMBER, "id": "s-2"}), *[b"\n", 0.05] * 400]
         ) as book:
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             limits = replace(QUICK, renew_us=100 * MS, renew_most_us=200 * MS)
             registry = Registry(book.address, KNOWN, heard.append, CODEC, limits, Counters())
             async with running(registry.run()):
@@ -387,7 +387,7 @@
         async with Book(
             [b"\n", 0.05] * 400, [change(8, {**MEMBER, "id": "s-2"}), *[b"\n", 0.05] * 400]
         ) as book:
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             registry = Registry(
                 book.address, KNOWN, heard.append, CODEC, replace(QUICK, strange_us=40 * MS), Counters()
             )
@@ -412,7 +412,7 @@
     version: int, whole: bool, since: int, taken: bool | None
 ) -> None:
     async def test() -> None:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         registry = Registry("", KNOWN._replace(version=7), heard.append, CODEC, QUICK, Counters())
         async with Book() as book:
             link = await Link.open(book.address, QUICK)
@@ -445,7 +445,7 @@
             await answer.wait()
             writer.write(answered(state, 200, b""))
 
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         async with Party(late) as server:
             probes = Probes(heard.append, CODEC, replace(QUICK, probe_us=10 * SECOND), Counters())
             registry = Registry("", KNOWN, heard.append, CODEC, QUICK, Counters(), probes.forget)
@@ -474,11 +474,11 @@
             answer.set()
             await until(lambda: not probes.under_way)
             assert (
-                not any(isinstance(event, face.Probed) for event in heard)
+                not any(isinstance(event, interface.Probed) for event in heard)
                 and probes.counters["probes.outdated"] == 1
             )
             probes.start("s-1", server.address)
-            await until(lambda: any(isinstance(event, face.Probed) for event in heard))
+            await until(lambda: any(isinstance(event, interface.Probed) for event in heard))
 
     play(test())
 
@@ -487,7 +487,7 @@
     """One refused probe ends a server that a list wrongly calls gone; one slow dial does not."""
 
     async def test() -> None:
-        heard: list[face.Probed] = []
+        heard: list[interface.Probed] = []
         held.gates["127.0.0.1:9"] = asyncio.Event()
         held.refused.add("127.0.0.1:8")
         probes = Probes(heard.append, CODEC, replace(QUICK, connect_us=30 * MS), Counters())
@@ -504,7 +504,7 @@
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         async with Party(silent) as mute:
             probes = Probes(heard.append, CODEC, replace(QUICK, probes=2, probe_us=10 * SECOND), Counters())
             for number in range(6):
@@ -534,7 +534,7 @@
             assert not heard, "nothing is decided on half a picture"
             relay.stands.remove(odd)
             await until(lambda: len(heard) == 4)
-            assert heard == [face.Left(0), face.Left(1), *PICTURE[:2]]
+            assert heard == [interface.Left(0), interface.Left(1), *PICTURE[:2]]
             heard.clear()
             relay.stands.insert(1, odd)
             relay.reset()
@@ -558,7 +558,7 @@
     async def test() -> None:
         async with Slow() as relay:
             relay.later, relay.stands = [], STANDS * 2
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             calls = Calls(relay.address, CODEC, QUICK, Counters())
             limits = replace(QUICK, told_us=200 * MS, picture_us=180 * MS)  # ten events, 100 ms apart
             news = News(relay.address, calls, heard.append, CODEC, limits, Counters())
@@ -588,7 +588,7 @@
         async with Relay() as old, Relay() as new:
             new.stands = list(STANDS)
             held.gates[old.address] = asyncio.Event()
-            heard: list[face.Event] = []
+            heard: list[interface.Event] = []
             calls = Calls(old.address, CODEC, QUICK, Counters())
             news = News(
                 old.address, calls, heard.append, CODEC, replace(QUICK, connect_us=60 * SECOND), Counters()
@@ -629,10 +629,10 @@
             doubts: list[bool] = []
             calls = Calls(relay.address, CODEC, QUICK, Counters())
             calls.doubt = lambda: doubts.append(True)
-            await calls.carry_out([face.Mark(1, True)])
-            await calls.carry_out([face.Mark(2, True)])
+            await calls.carry_out([interface.Mark(1, True)])
+            await calls.carry_out([interface.Mark(2, True)])
             await asyncio.sleep(0.02)
-            await calls.carry_out([face.Mark(3, True)])
+            await calls.carry_out([interface.Mark(3, True)])
             calls.close()
             assert doubts in ([], [True])
             if calls.counters["relay.answers_unasked"]:
@@ -649,10 +649,10 @@
             doubts: list[bool] = []
             calls = Calls(relay.address, CODEC, QUICK, Counters())
             calls.doubt = lambda: doubts.append(True)
-            await calls.carry_out([face.Mark(1, True)])
+            await calls.carry_out([interface.Mark(1, True)])
             relay.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
             await until(lambda: calls.link.unasked)
-            await calls.carry_out([face.Mark(2, True)])
+            await calls.carry_out([interface.Mark(2, True)])
             assert doubts == [True] and relay.done == ["SYNC,1,1", "SYNC,2,1"] and len(relay.writers) == 2
             calls.close()
 
@@ -663,12 +663,12 @@
     async def test() -> None:
         async with Relay() as relay:
             calls = Calls(relay.address, CODEC, QUICK, Counters())
-            await calls.carry_out([face.Mark(1, True)])
+            await calls.carry_out([interface.Mark(1, True)])
             link = calls.link
             link.writer.transport.pause_reading()  # its end is on the way and not seen
             relay.reset()
             link.writer.transport.resume_reading()
-            await calls.carry_out([face.Mark(2, True)])
+            await calls.carry_out([interface.Mark(2, True)])
             assert relay.done == ["SYNC,1,1", "SYNC,2,1"]
             calls.close()
 
@@ -685,7 +685,7 @@
                 Counters(),
             )
             relay.faults += [f"short {n % 2}" for n in range(10_000)]
-            async with running(calls.carry_out([face.Mark(n, True) for n in range(4)])):
+            async with running(calls.carry_out([interface.Mark(n, True) for n in range(4)])):
                 await asyncio.sleep(0.4)
                 assert 3 < len(relay.calls) < 25
             calls.close()
@@ -801,7 +801,10 @@
                 "call unsettled": lambda: service.counters["relay.unknown"] > 1,
                 "silent relay": lambda: relay.calls,
                 "told": lambda: (
-                    any(isinstance(event, face.Listed) and event.kind == "changes" for event in service.inbox)
+                    any(
+                        isinstance(event, interface.Listed) and event.kind == "changes"
+                        for event in service.inbox
+                    )
                     or service.counters["registry.messages"]
                 ),
                 "empty": lambda: "DEL,3" in relay.done,
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -9,7 +9,7 @@
 import pytest
 from typer.testing import CliRunner
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.cli.main import app
 from lapispass.core.messages import Offer
 from lapispass.core.shut_out import ShutOut
@@ -54,7 +54,7 @@
             world.at(9 * SECOND, partial(world.change, name, "draining"))
 
 
-def narrow(size: Size, pace: float = 1000.0) -> face.Deployment:
+def narrow(size: Size, pace: float = 1000.0) -> interface.Deployment:
     return replace(deployment(size), lines_per_s=pace, queue_lines=1600.0)
 
 
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -11,7 +11,7 @@
 import pytest
 from parties import CODEC, QUICK, Party, answered, play, request, until
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net.counters import Counters
 from lapispass.net.probes import ANSWERED, LATE, Probes
 
@@ -41,8 +41,8 @@
     writer.write(answered(state, 200, b""))
 
 
-async def probe(address: str) -> list[face.Probed]:
-    heard: list[face.Probed] = []
+async def probe(address: str) -> list[interface.Probed]:
+    heard: list[interface.Probed] = []
     probes = Probes(heard.append, CODEC, QUICK, Counters())
     probes.start("s-1", address)
     await until(lambda: not probes.under_way)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -49,7 +49,7 @@
 )
 from rule_world import Roll, World
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.net.codec import Codec
 from lapispass.net.counters import Counters
 from lapispass.net.http import Overfull, within
@@ -61,7 +61,12 @@
 
 # relay calls
 
-ORDERS = [face.Empty(1), face.Own(2, "s-1", 1.0), face.Admit(2, 2, 1, 0.0), face.Mark(7, True)]
+ORDERS = [
+    interface.Empty(1),
+    interface.Own(2, "s-1", 1.0),
+    interface.Admit(2, 2, 1, 0.0),
+    interface.Mark(7, True),
+]
 TEXTS = ["DEL,1", "SET,2,s-1,1", "LIMIT,2,pay,0,1", "SYNC,7,1"]
 
 
@@ -87,9 +92,9 @@
         async with Relay() as relay:
             calls = Calls(relay.address, CODEC, QUICK, Counters())
             relay.faults += ["", fault, fault, ""] if fault == "throttled" else ["", fault]
-            await calls.carry_out([face.Mark(6, True)])
+            await calls.carry_out([interface.Mark(6, True)])
             await calls.carry_out(ORDERS)  # over the connection that was kept
-            await calls.carry_out([face.Mark(8, True)])
+            await calls.carry_out([interface.Mark(8, True)])
             assert relay.done == ["SYNC,6,1", *TEXTS * times, "SYNC,8,1"]
             calls.close()
 
@@ -115,7 +120,7 @@
             counters = Counters()
             calls = Calls(relay.address, CODEC, QUICK, counters)
             relay.faults.append("picky")
-            await calls.carry_out([*ORDERS[:2], face.Withdraw("bad", True), *ORDERS[2:]])
+            await calls.carry_out([*ORDERS[:2], interface.Withdraw("bad", True), *ORDERS[2:]])
             assert relay.done == TEXTS and counters["relay.orders_left_out"] == 1
             calls.close()
 
@@ -127,7 +132,7 @@
         async with Relay() as relay:
             calls = Calls(relay.address, CODEC, QUICK, Counters())
             await calls.carry_out(
-                [*(face.Own(n % 12, f"s-{n:0200d}", 1.0) for n in range(900)), face.Mark(7, True)]
+                [*(interface.Own(n % 12, f"s-{n:0200d}", 1.0) for n in range(900)), interface.Mark(7, True)]
             )
             assert len(relay.calls) > 2 and relay.done[-1] == "SYNC,7,1" and len(relay.done) == 901
             assert all(len(";".join(orders)) <= 60_000 for orders in relay.calls)
@@ -145,7 +150,7 @@
             relay.faults += ["reset before"] * 10_000  # it stays away until the news has come
             task = asyncio.create_task(calls.carry_out(ORDERS))
             await until(lambda: len(relay.calls) >= 1)
-            news.pass_on(face.Given(2, True))  # decided before this was known
+            news.pass_on(interface.Given(2, True))  # decided before this was known
             begun = len(relay.calls)
             await until(lambda: len(relay.calls) >= begun + 2)  # the last of them began after the news
             relay.faults.clear()
@@ -170,7 +175,7 @@
             ):
                 relay.say(kind, data)
             await until(lambda: len(heard) == 3)
-            assert heard == [face.Answered(1, 9, 2500), face.Left(1), face.Given(4, False)]
+            assert heard == [interface.Answered(1, 9, 2500), interface.Left(1), interface.Given(4, False)]
             assert relay.written_after == b""
 
     play(test())
@@ -192,7 +197,7 @@
                 )
             )
             rounds = 0
-            while face.Given(4, False) not in heard:
+            while interface.Given(4, False) not in heard:
                 await asyncio.sleep(0)  # a turn would be taken in each
                 rounds += bool(heard)
             assert rounds < 50 and len(heard) == 501
@@ -208,11 +213,11 @@
             await until(lambda: len(heard) >= 5)
             # Both count as having left: one that came back in the gap must answer anew.
             assert heard == [
-                face.Left(0),
-                face.Left(1),
-                face.Given(4, False),
+                interface.Left(0),
+                interface.Left(1),
+                interface.Given(4, False),
                 PICTURE[0],
-                face.Given(5, True),
+                interface.Given(5, True),
             ]
 
     play(test())
@@ -221,16 +226,17 @@
 def test_a_slice_whose_owner_changed_in_the_gap_was_given_anew() -> None:
     async def test() -> None:
         async with Relay() as relay, news_of(relay) as (news, heard):
-            await news.calls.carry_out([face.Own(4, "s-2", 1.0)])
+            await news.calls.carry_out([interface.Own(4, "s-2", 1.0)])
             relay.stands[3:] = [
                 ("ROW", "shard=3&endpoint=s-9&w=1"),
                 STANDS[4],
                 ("ROW", "shard=4&endpoint=s-2&w=1"),
             ]
             relay.reset()
-            await until(lambda: face.Held(3, "s-9") in heard)
+            await until(lambda: interface.Held(3, "s-9") in heard)
             assert (
-                heard[-2:] == [face.Given(3, True), face.Held(3, "s-9")] and face.Given(4, True) not in heard
+                heard[-2:] == [interface.Given(3, True), interface.Held(3, "s-9")]
+                and interface.Given(4, True) not in heard
             )
 
     play(test())
@@ -243,7 +249,9 @@
         async with Relay() as relay, news_of(relay) as (news, heard):
             news.calls.limits = replace(QUICK, answer_us=10 * SECOND)
             relay.faults.append("held")
-            call_ = asyncio.create_task(news.calls.carry_out([face.Own(4, "s-2", 1.0), face.Mark(1, True)]))
+            call_ = asyncio.create_task(
+                news.calls.carry_out([interface.Own(4, "s-2", 1.0), interface.Mark(1, True)])
+            )
             await until(lambda: relay.calls)
             relay.streams[0][1].transport.abort()
             await until(lambda: news.counters["news.lost"] == 1)
@@ -253,7 +261,9 @@
             relay.held.set()
             await call_
             await until(lambda: len(heard) >= 4)
-            assert heard == [face.Left(0), face.Left(1), *PICTURE[:2]], "the slices go on where they were"
+            assert heard == [interface.Left(0), interface.Left(1), *PICTURE[:2]], (
+                "the slices go on where they were"
+            )
 
     play(test())
 
@@ -266,8 +276,8 @@
             relay.signs = False
             relay.reset()
             await until(lambda: len(relay.streams) == 2 and news.picture)
-            await news.calls.carry_out([*ORDERS, face.Own(3, "s-2", 1.0)])
-            assert face.Held(3, "s-9") in heard and relay.done == TEXTS
+            await news.calls.carry_out([*ORDERS, interface.Own(3, "s-2", 1.0)])
+            assert interface.Held(3, "s-9") in heard and relay.done == TEXTS
 
     play(test())
 
@@ -278,7 +288,9 @@
         async with Relay() as relay, news_of(relay) as (news, heard):
             news.calls.limits = replace(QUICK, answer_us=10 * SECOND)
             relay.faults += ["held"] if doubt == "given anew" else ["short 0"] * 2
-            call_ = asyncio.create_task(news.calls.carry_out([face.Own(4, "s-2", 1.0), face.Mark(1, True)]))
+            call_ = asyncio.create_task(
+                news.calls.carry_out([interface.Own(4, "s-2", 1.0), interface.Mark(1, True)])
+            )
             await until(lambda: relay.calls)
             if doubt == "given anew":
                 relay.say("GRANT", "shard=4&set=1")
@@ -286,8 +298,8 @@
                 relay.stands.append(("ROW", "shard=4&endpoint=s-2&w=1"))  # the call came after the giving
                 relay.held.set()
             await call_
-            await until(lambda: len(relay.streams) == 2 and face.Given(4, True) in heard[1:])
-            assert heard.count(face.Held(4, "s-2")) == (doubt == "given anew")
+            await until(lambda: len(relay.streams) == 2 and interface.Given(4, True) in heard[1:])
+            assert heard.count(interface.Held(4, "s-2")) == (doubt == "given anew")
 
     play(test())
 
@@ -309,7 +321,7 @@
                 await asyncio.sleep(0.02)
                 relay.reset()
             await until(lambda: len(relay.streams) == 2 and len(heard) >= 4)
-            assert heard[:4] == [face.Left(0), face.Left(1), *PICTURE[:2]]
+            assert heard[:4] == [interface.Left(0), interface.Left(1), *PICTURE[:2]]
 
     play(test())
 
@@ -323,9 +335,9 @@
         async with Book(spoken) as book, following(book) as (registry, heard):
             await until(lambda: len(heard) == 3)
             assert heard == [
-                face.Listed("remembered", ()),
-                face.Listed("whole", (S1,)),
-                face.Listed("changes", (S1._replace(state="draining"),)),
+                interface.Listed("remembered", ()),
+                interface.Listed("whole", (S1,)),
+                interface.Listed("changes", (S1._replace(state="draining"),)),
             ]
             assert book.targets == ["/registry/instances", "/registry/instances?watch=1&from=9"]
             assert registry.addresses == {"s-1": "127.0.0.1:1"}
@@ -340,8 +352,8 @@
         async with Book(pieces) as book, following(book, KNOWN) as (_, heard):
             await until(lambda: len(heard) == 2)
             assert heard == [
-                face.Listed("remembered", (S1,)),
-                face.Listed("changes", (S1._replace(backend="s-2"), S1._replace(state="gone"))),
+                interface.Listed("remembered", (S1,)),
+                interface.Listed("changes", (S1._replace(backend="s-2"), S1._replace(state="gone"))),
             ]
             assert book.targets == ["/registry/instances?watch=1&from=5"]
 
@@ -390,7 +402,7 @@
             await until(lambda: LOST in heard)
             registry.follow()
             await until(lambda: len(book.targets) == 3)
-            assert heard[1:] == [LOST, face.Listed("whole", (S1,))]
+            assert heard[1:] == [LOST, interface.Listed("whole", (S1,))]
             assert book.targets[2].endswith("from=9")
 
     play(test())
@@ -398,7 +410,7 @@
 
 def test_a_list_beyond_all_measure_is_taken_in_part_and_nobody_is_gone_for_it() -> None:
     async def test() -> None:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         registry = Registry("", KNOWN, heard.append, CODEC, replace(QUICK, servers=2), Counters())
         for start in range(0, 60, 4):
             members = [{**MEMBER, "id": f"s-{start + n}"} for n in range(4)]
@@ -416,7 +428,7 @@
         )
         async with Book([whole.encode() + b"\n", 3600.0]) as book, following(book, KNOWN) as (_, heard):
             await until(lambda: len(heard) == 2)
-            assert heard[1] == face.Listed("changes", (S1._replace(backend="s-2"),))
+            assert heard[1] == interface.Listed("changes", (S1._replace(backend="s-2"),))
 
     play(test())
 
@@ -582,7 +594,7 @@
                 return "reset"
             writer.write(answered(state, behaviour, b"inflight=7,queue=2,util=0.61"))
 
-        heard: list[face.Probed] = []
+        heard: list[interface.Probed] = []
         codec = Codec(deployment(load_fields=("waiting", "busy")), 256)
         async with Party(serve) as server:
             address = {"refused": "127.0.0.1:1", "no address": "nowhere"}.get(str(behaviour), server.address)
@@ -608,7 +620,7 @@
             await request(reader, state)
             writer.write(answered(state, 200, b""))
 
-        heard: list[face.Probed] = []
+        heard: list[interface.Probed] = []
         async with Party(silent) as mute, Party(well) as good:
             counters = Counters()
             probes = Probes(heard.append, CODEC, replace(QUICK, probes=3, probe_us=40 * MS), counters)
@@ -692,16 +704,16 @@
             service = Service(launch(relay.address, book.address))
             seen: list[tuple[int, list]] = []
 
-            def turn(now: int, events: list[face.Event]) -> list[face.Order]:
+            def turn(now: int, events: list[interface.Event]) -> list[interface.Order]:
                 seen.append((now, events))
-                return [face.Wake(5, now)]
+                return [interface.Wake(5, now)]
 
             service.controller.turn = turn
             async with running(service.run()):
                 await until(lambda: len(seen) > 20)
             gaps = [after[0] - before[0] for before, after in pairwise(seen)]
-            assert min(gaps) >= TOLD.turn_every_us and face.Woken(5) not in seen[0][1]
-            assert all(face.Woken(5) in events for _, events in seen[1:])
+            assert min(gaps) >= TOLD.turn_every_us and interface.Woken(5) not in seen[0][1]
+            assert all(interface.Woken(5) in events for _, events in seen[1:])
 
     play(test())
 
@@ -712,7 +724,7 @@
             service = Service(launch(relay.address, book.address))
             turns: list[int] = []
 
-            async def carry_out(orders: list[face.Order]) -> None:
+            async def carry_out(orders: list[interface.Order]) -> None:
                 turns.append(service.counters["service.late_turns"])
                 service.wakes[0] = service.clock.now() + 20 * MS
                 if len(turns) == 3:
@@ -731,15 +743,16 @@
 def test_a_full_inbox_leaves_out_sums_and_nothing_else() -> None:
     async def test() -> None:
         service = Service(launch("127.0.0.1:1", "127.0.0.1:1", limits=replace(QUICK, events=3)))
-        for event in (MET, MET, MET, MET, face.Left(1)):
+        for event in (MET, MET, MET, MET, interface.Left(1)):
             service.tell(event)
         assert (
-            service.inbox[1:] == [MET, MET, face.Left(1)] and service.counters["service.events_left_out"] == 2
+            service.inbox[1:] == [MET, MET, interface.Left(1)]
+            and service.counters["service.events_left_out"] == 2
         )
-        service.tell(face.Left(2))
-        service.tell(face.Left(3))
+        service.tell(interface.Left(2))
+        service.tell(interface.Left(3))
         with pytest.raises(Overfull):  # the news end, and the next ones begin with all that stands
-            service.news.pass_on(face.Given(7, True))
+            service.news.pass_on(interface.Given(7, True))
         assert 7 not in service.calls.rows, "what was not taken in does not count as known"
         with pytest.raises(Overfull):
             service.registry.take(CODEC.listing(change(9, MEMBER)))
