--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -15,7 +15,7 @@
 from fleet import MS, SECOND, answers, deployment, standing
 from full_look import FullLook
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core import ownership
 from lapispass.core.membership import Members
@@ -61,7 +61,7 @@
         asks_for_list=True,
     )
     controller = kind(told, 1, now)
-    entries = [face.Entry(f"s-{n}", "east", "ready", 1.0, None) for n in range(servers)]
+    entries = [interface.Entry(f"s-{n}", "east", "ready", 1.0, None) for n in range(servers)]
     controller.turn(now, standing(entries, proxies, mine))
     return controller, now
 
@@ -91,7 +91,7 @@
     assert len(launch.known.entries) == MANY and launch.limits.events > 5000 + 2 * 6000
 
     async def test() -> None:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         registry = Registry(
             "127.0.0.1:1", launch.known, heard.append, Codec(launch.told, 256), launch.limits, Counters()
         )
@@ -118,7 +118,7 @@
 
 def test_a_part_of_a_list_that_is_left_out_does_not_pass_for_gone() -> None:
     async def test() -> None:
-        heard: list[face.Event] = []
+        heard: list[interface.Event] = []
         limits = Limits(servers=1000)
         registry = Registry(
             "127.0.0.1:1",
@@ -138,19 +138,20 @@
 
 def test_1024_draining_servers_and_1024_given_slices_are_decided_on() -> None:
     controller, now = world(MANY, 40, 3 * MANY, 2 * MANY)
-    news: list[face.Event] = [
-        face.Listed(
-            "changes", tuple(face.Entry(f"s-{n}", "east", "draining", 1.0, None) for n in range(0, MANY, 2))
+    news: list[interface.Event] = [
+        interface.Listed(
+            "changes",
+            tuple(interface.Entry(f"s-{n}", "east", "draining", 1.0, None) for n in range(0, MANY, 2)),
         )
     ]
-    told: list[face.Order] = []
+    told: list[interface.Order] = []
     for _ in range(600):
         now += 50 * MS
         orders, news = controller.turn(now, news), []
         told += orders
         assert controller.channel.waiting <= 0.8 * 3 * MANY * 40 / 3
         controller.turn(now, answers(orders, 40, 50 * MS))
-    assert {order.backend for order in told if isinstance(order, face.Withdraw)} == {
+    assert {order.backend for order in told if isinstance(order, interface.Withdraw)} == {
         f"s-{n}" for n in range(0, MANY, 2)
     }
     owners = [slice_.owner for slice_ in controller.table.holdings.slices.values()]
@@ -212,7 +213,7 @@
     """Where nothing but sums came, nothing but their servers is touched."""
     controller, now = world(400, 1600, 2000, 400)
     controller.turn(now := now + 50 * MS, [])
-    sums = [face.Met(f"s-{n}", "east", 0, 9, 200 * MS, SECOND, None) for n in range(3)]
+    sums = [interface.Met(f"s-{n}", "east", 0, 9, 200 * MS, SECOND, None) for n in range(3)]
     best = float("inf")
     for _ in range(4):
         began = time.process_time()
@@ -231,11 +232,11 @@
         controller.turn(
             now,
             [
-                face.Listed(
+                interface.Listed(
                     "changes",
                     (
-                        face.Entry(names[0], "east", "ready", 1.0, now),
-                        face.Entry(names[1], "east", "draining", 1.0, None),
+                        interface.Entry(names[0], "east", "ready", 1.0, now),
+                        interface.Entry(names[1], "east", "draining", 1.0, None),
                     ),
                 )
             ],
@@ -243,9 +244,9 @@
         controller.turn(
             now,
             [
-                face.Probed(names[0], 0, MS, None),
-                face.Left(round_ % 20),
-                face.Joined(round_ % 20, False, "east", 1.0),
+                interface.Probed(names[0], 0, MS, None),
+                interface.Left(round_ % 20),
+                interface.Joined(round_ % 20, False, "east", 1.0),
             ],
         )
         for step in range(40):
@@ -254,7 +255,8 @@
             controller.turn(now, answers(orders, 20, 50 * MS))
             if step == 30:
                 controller.turn(
-                    now, [face.Listed("changes", (face.Entry(names[1], "east", "gone", 1.0, None),))]
+                    now,
+                    [interface.Listed("changes", (interface.Entry(names[1], "east", "gone", 1.0, None),))],
                 )
         table, channel = controller.table, controller.channel
         sizes.append(
--- a/tests/test_target_size.py
+++ b/tests/test_target_size.py
@@ -16,7 +16,7 @@
 from parties import CODEC, TOLD, Party, answered, listening, play, request, running, until
 from test_codec import CONFIG, SETTINGS
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.membership import Members
 from lapispass.net.codec import Codec, Listing, WireError
 from lapispass.net.counters import Counters
@@ -95,7 +95,7 @@
 
     async def test() -> None:
         async with ListServer(body, change) as server:
-            heard: list[face.Listed] = []
+            heard: list[interface.Listed] = []
             counters = Counters()
             registry = Registry(server.address, NOTHING, heard.append, CODEC, LIMITS, counters)
             async with running(registry.run()):
@@ -142,9 +142,9 @@
 
 def test_a_list_beyond_the_bound_is_still_cut_and_never_passes_for_whole() -> None:
     async def test() -> None:
-        heard: list[face.Listed] = []
+        heard: list[interface.Listed] = []
         registry = Registry("", NOTHING, heard.append, CODEC, LIMITS, Counters())
-        entries = tuple(face.Entry(f"s-{n}", "a", "ready", 1.0, None) for n in range(LIMITS.servers + 3))
+        entries = tuple(interface.Entry(f"s-{n}", "a", "ready", 1.0, None) for n in range(LIMITS.servers + 3))
         registry.take(Listing(2, True, entries, {}, 0))
         assert heard[-1].kind == "changes" and len(heard[-1].entries) == LIMITS.servers
         assert registry.counters["registry.too_many"] == 3
@@ -158,7 +158,9 @@
             "", NOTHING, lambda event: None, CODEC, replace(LIMITS, servers=SERVERS), Counters()
         )
         for round_ in range(5):
-            entries = tuple(face.Entry(f"s-{round_}-{n}", "a", "ready", 1.0, None) for n in range(SERVERS))
+            entries = tuple(
+                interface.Entry(f"s-{round_}-{n}", "a", "ready", 1.0, None) for n in range(SERVERS)
+            )
             addresses = {entry.backend: "127.0.0.1:9" for entry in entries}
             registry.take(Listing(2 + round_, True, entries, addresses, 0))
             assert all(entry.backend in registry.addresses for entry in entries)
@@ -185,11 +187,11 @@
 def test_orders_for_every_slice_go_out_in_calls_of_bounded_size() -> None:
     codec = Codec(deployment(slices=SLICES), LIMITS.id_bytes)
     calls = Calls("127.0.0.1:1", codec, LIMITS, Counters())
-    orders: list[face.Order] = [face.Own(n, f"s-{n:08x}", 1.0) for n in range(SLICES)]
-    orders += [face.Admit(n, 1, 0, 0.9) for n in range(SLICES)]
-    parts = list(calls.parts([*orders, face.Mark(1, True)]))
+    orders: list[interface.Order] = [interface.Own(n, f"s-{n:08x}", 1.0) for n in range(SLICES)]
+    orders += [interface.Admit(n, 1, 0, 0.9) for n in range(SLICES)]
+    parts = list(calls.parts([*orders, interface.Mark(1, True)]))
     written = [item.text for part in parts for item in part]
-    assert written == [codec.written(order) for order in [*orders, face.Mark(1, True)]]
+    assert written == [codec.written(order) for order in [*orders, interface.Mark(1, True)]]
     assert len(parts) > 1
     assert all(len(";".join(item.text for item in part)) <= LIMITS.call_bytes for part in parts)
 
--- a/tests/test_turn_cost.py
+++ b/tests/test_turn_cost.py
@@ -8,7 +8,7 @@
 import pytest
 from fleet import MS, SECOND, answers, deployment, standing
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core.agenda import Agenda
 from lapispass.core.decay import DecayingSum
@@ -31,17 +31,17 @@
             queue_lines=2200 * PROXIES / 3,
             messages_most=0,
         )
-        self.entries = [face.Entry(f"s-{n}", "east", "ready", 1.0, None) for n in range(servers)]
+        self.entries = [interface.Entry(f"s-{n}", "east", "ready", 1.0, None) for n in range(servers)]
         self.controller = Controller(told, 1, self.now)
         orders = self.controller.turn(self.now, standing(self.entries, PROXIES, HELD))
         for _ in range(100):
             self.now += 50 * MS
             orders = self.controller.turn(self.now, answers(orders, PROXIES, 50 * MS))
 
-    def report(self) -> list[face.Event]:
+    def report(self) -> list[interface.Event]:
         """What one collector reports."""
-        met = [face.Met(f"s-{n}", "east", 0, 9, 200 * MS, SECOND, None) for n in range(HELD)]
-        return [*met, *(face.Came(n, "look", 9, 0, SECOND) for n in range(HELD))]
+        met = [interface.Met(f"s-{n}", "east", 0, 9, 200 * MS, SECOND, None) for n in range(HELD)]
+        return [*met, *(interface.Came(n, "look", 9, 0, SECOND) for n in range(HELD))]
 
     def second(self) -> float:
         """Processor time of a second (s)."""
@@ -62,7 +62,7 @@
     quiet, best = Quiet(TARGET), float("inf")
     for number in range(30):
         quiet.now += 60 * MS
-        news = [face.Probed(f"s-{100 + number}", 0, MS, None)]
+        news = [interface.Probed(f"s-{100 + number}", 0, MS, None)]
         began = time.process_time()
         quiet.controller.turn(quiet.now, news)
         best = min(best, time.process_time() - began)
@@ -73,8 +73,8 @@
     quiet = Quiet(TARGET)
     quiet.now += MS
     draining = quiet.entries[1]._replace(state="draining")
-    orders = quiet.controller.turn(quiet.now, [face.Listed("changes", (draining,))])
-    assert face.Withdraw("s-1", True) in orders and face.Empty(1) in orders
+    orders = quiet.controller.turn(quiet.now, [interface.Listed("changes", (draining,))])
+    assert interface.Withdraw("s-1", True) in orders and interface.Empty(1) in orders
 
 
 def test_no_wake_up_is_asked_for_while_nothing_is_due() -> None:
@@ -92,13 +92,13 @@
     quiet = Quiet(TARGET)
     quiet.second()
     quiet.now += 60 * MS
-    quiet.controller.turn(quiet.now, [face.Listed("whole", tuple(quiet.entries))])
+    quiet.controller.turn(quiet.now, [interface.Listed("whole", tuple(quiet.entries))])
     visited: list[object] = []
     update = quiet.controller.fleet.update
     quiet.controller.fleet.update = lambda server: (visited.append(server.number), update(server))  # type: ignore
     quiet.now += 60 * MS
     left_out = tuple(quiet.entries[:-1])
-    quiet.controller.turn(quiet.now, [face.Listed("whole", left_out)])
+    quiet.controller.turn(quiet.now, [interface.Listed("whole", left_out)])
     assert f"s-{TARGET - 1}" in visited and len(visited) < 10
 
 
@@ -164,18 +164,18 @@
     """The lines of one that was gone for long were taken out late, and it was kept for good."""
     told = deployment(slices=0, proxies=2)
     now, controller = 100 * SECOND, Controller(told, 1, 100 * SECOND)
-    entries = tuple(face.Entry(name, "east", "ready", 1.0, None) for name in ("a", "b"))
-    news: list[face.Event] = [face.Listed("whole", entries), face.Joined(0, True, "east", 1.0)]
-    news += [face.Probed(name, 0, MS, None) for name in ("a", "b")]
+    entries = tuple(interface.Entry(name, "east", "ready", 1.0, None) for name in ("a", "b"))
+    news: list[interface.Event] = [interface.Listed("whole", entries), interface.Joined(0, True, "east", 1.0)]
+    news += [interface.Probed(name, 0, MS, None) for name in ("a", "b")]
     controller.turn(now, news)
     now += SECOND
-    controller.turn(now, [face.Left(0)])  # nobody is there to be told
-    controller.turn(now, [face.Listed("changes", (entries[0]._replace(state="gone"),))])
+    controller.turn(now, [interface.Left(0)])  # nobody is there to be told
+    controller.turn(now, [interface.Listed("changes", (entries[0]._replace(state="gone"),))])
     now += controller.rules.keep_us + SECOND
     controller.turn(now, [])
     assert "a" in controller.backends and controller.backends["a"].state == "past"
-    orders = controller.turn(now + SECOND, [face.Joined(0, False, "east", 1.0)])
+    orders = controller.turn(now + SECOND, [interface.Joined(0, False, "east", 1.0)])
     for _ in range(20):
         now += SECOND
         orders += controller.turn(now, [])
-    assert face.Own(0, "a", 0.0) in orders and list(controller.backends) == ["b"]
+    assert interface.Own(0, "a", 0.0) in orders and list(controller.backends) == ["b"]
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -16,7 +16,7 @@
 from grpclib.config import Configuration
 from support_gate import play, until
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core.tables import slice_of
 from lapispass.lab import drops
 from lapispass.net.counters import Counters
@@ -294,7 +294,7 @@
             heard: list[Any] = []
             tell = host.tell
 
-            def listen(event: face.Event) -> None:
+            def listen(event: interface.Event) -> None:
                 heard.append(event)
                 tell(event)
 
@@ -327,13 +327,15 @@
                     )
                     one.load_metric_stats.add(metric_name="ms", total_metric_value=70.0)
                 await stream.send_message(report)
-                await until(lambda: sum(isinstance(event, face.Met | face.Came) for event in heard) >= 2)
+                await until(
+                    lambda: sum(isinstance(event, interface.Met | interface.Came) for event in heard) >= 2
+                )
                 await stream.end()
             channel.close()
-            met = [event for event in heard if isinstance(event, face.Met)]
-            came = [event for event in heard if isinstance(event, face.Came)]
-            assert met == [face.Met("n0", "west", 1, 8, 10_000, 1_000_000, None)]
-            assert came == [face.Came(3, "trade-order", 10, 1, 1_000_000)]
+            met = [event for event in heard if isinstance(event, interface.Met)]
+            came = [event for event in heard if isinstance(event, interface.Came)]
+            assert met == [interface.Met("n0", "west", 1, 8, 10_000, 1_000_000, None)]
+            assert came == [interface.Came(3, "trade-order", 10, 1, 1_000_000)]
 
     play(test())
 
--- a/tests/test_xds_core.py
+++ b/tests/test_xds_core.py
@@ -14,7 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import WRITES, Client, Doorway, Numbers, Terms
 from lapispass.core.facts import SECOND
@@ -458,16 +458,16 @@
 # the store
 
 
-def own(number: int, node: str) -> face.Own:
-    return face.Own(number, node, 1.0)
+def own(number: int, node: str) -> interface.Own:
+    return interface.Own(number, node, 1.0)
 
 
 def test_the_store_opens_with_what_was_committed(tmp_path: Path) -> None:
     store = Assignments(tmp_path / "s", 4)
-    assert store.commit([own(0, "a"), own(1, "b"), face.Mark(1, True)]) and not store.commit(
-        [face.Mark(2, True)]
+    assert store.commit([own(0, "a"), own(1, "b"), interface.Mark(1, True)]) and not store.commit(
+        [interface.Mark(2, True)]
     )
-    store.commit([face.Empty(0)])
+    store.commit([interface.Empty(0)])
     with pytest.raises(Spoilt, match="locked"):
         Assignments(tmp_path / "s", 4)  # one controller at a time
     store.snapshot(tmp_path / "copy")
@@ -515,14 +515,14 @@
 
 WRITER = """
 import sys
-from lapispass import interface as face
+from lapispass import interface
 from lapispass.store.assignments import Assignments
 store = Assignments(sys.argv[1], 8)
 turn = store.turn
 print("open", turn, flush=True)
 while True:
     turn += 1
-    store.commit([face.Own(number, f"t{turn}", 1.0) for number in range(8)])
+    store.commit([interface.Own(number, f"t{turn}", 1.0) for number in range(8)])
     print(turn, flush=True)
 """
 
