--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -52,7 +52,7 @@
 from lapispass.gate import wire
 from lapispass.net import codec as words
 from lapispass.net.codec import Codec, Listing
-from lapispass.net.collectors import Collectors, Connection
+from lapispass.net.collectors import ClientConnection, Collectors
 from lapispass.net.counters import Counters
 from lapispass.net.launch import Launch
 from lapispass.net.limits import Limits
@@ -309,7 +309,7 @@
     async def reading(told: dict[int, bytes]) -> list[tuple[int, float]]:
         heard: list[interface.Event] = []
         collectors = Collectors(heard.append, CODEC, LIMITS, Counters())
-        client = Connection(1, None, None, LIMITS)  # type: ignore[arg-type]  # nothing is written to it
+        client = ClientConnection(1, None, None, LIMITS)  # type: ignore[arg-type]  # nothing is written to it
         client.zone = ZONES[0]
 
         def read(text: bytes) -> None:
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -36,7 +36,7 @@
     """The connection is closed for a reason of ours: idle time, lack of room, the end of the process."""
 
 
-class Connection:
+class ClientConnection:
     """One client, and what is known of it."""
 
     def __init__(
@@ -136,7 +136,7 @@
     ) -> None:
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
         self.log = Part("collectors", limits.log_every_us)
-        self.open: dict[Connection, None] = {}  # in the order of last use
+        self.open: dict[ClientConnection, None] = {}  # in the order of last use
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: Acceptor | None = None
         self.closed = False
@@ -170,7 +170,7 @@
         """The life of a connection."""
         self.tasks.add(task := asyncio.current_task())  # type: ignore[arg-type]
         self.counters["collectors.opened"] += 1
-        connection = Connection(self.counters["collectors.opened"], reader, writer, self.limits)
+        connection = ClientConnection(self.counters["collectors.opened"], reader, writer, self.limits)
         if self.closed:  # accepted just before the end
             connection.end_soon("the process ends")
         elif len(self.open) >= self.limits.connections:
@@ -201,7 +201,7 @@
                 self.counters["collectors.closed"] += 1
                 writer.transport.abort()
 
-    async def finish(self, connection: Connection, why: str, rejected: bool) -> None:
+    async def finish(self, connection: ClientConnection, why: str, rejected: bool) -> None:
         """Sends what is still unsent. Whoever is rejected hears so, and has a moment to read it."""
         writer, lingers_us = connection.writer, 0
         if rejected:
@@ -220,7 +220,7 @@
         if lingers_us:
             await self.linger(connection)
 
-    async def linger(self, connection: Connection) -> None:
+    async def linger(self, connection: ClientConnection) -> None:
         """Reads on for a moment after a rejection: a close with bytes unread is a reset, which may overtake
         what was written. A PING that crossed the rejection of an idle connection is answered.
         """
@@ -236,7 +236,7 @@
             pass
         await flush(connection.writer, self.limits.flush_us)
 
-    def take_piece(self, piece: bytes, connection: Connection) -> None:
+    def take_piece(self, piece: bytes, connection: ClientConnection) -> None:
         """Handles the lines that a piece ends."""
         lines = connection.lines
         if not lines.rest:
@@ -247,7 +247,7 @@
         if odd:
             raise Rejected(f"byte {odd[0][0]}, which no message holds")
 
-    async def let_it_read(self, connection: Connection) -> None:
+    async def let_it_read(self, connection: ClientConnection) -> None:
         """Reads no further while answers wait to be read; whoever leaves them for too long is cut off."""
         transport = connection.writer.transport
         if transport.get_write_buffer_size() <= self.limits.unsent_bytes:
@@ -261,7 +261,7 @@
         if transport.get_write_buffer_size() > self.limits.unsent_bytes:
             raise Rejected("answers left unread")
 
-    def take(self, line: memoryview, connection: Connection) -> None:
+    def take(self, line: memoryview, connection: ClientConnection) -> None:
         """Handles one line: a spoilt report costs itself alone; a stream with nothing sound left is ended."""
         if line == b"PING":
             self.counters["collectors.pings"] += 1
@@ -287,7 +287,7 @@
         else:
             self.tell(told)
 
-    def used(self, connection: Connection) -> None:
+    def used(self, connection: ClientConnection) -> None:
         """Last in the order of use; one crowded out in this instant does not come back."""
         if connection in self.open and not connection.closing:
             self.open[connection] = self.open.pop(connection)
