--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import secrets
-import socket
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -18,8 +17,7 @@
 from lapispass.core.picture import Picture
 from lapispass.core.plans import Plan, Version
 from lapispass.gate import wire
-from lapispass.net.acceptor import Acceptor, streams
-from lapispass.net.http import split
+from lapispass.net.acceptor import Acceptor, listener_at, streams
 from lapispass.net.log import Part
 from lapispass.net.service import Service
 from lapispass.operator import read as operator
@@ -111,12 +109,7 @@
 
     async def run(self) -> None:
         """Listens, and looks after plans."""
-        host, port = split(self.told.listen)
-        listener = socket.create_server(
-            (host, port),
-            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
-            backlog=self.limits.connections,
-        )
+        listener = listener_at(self.told.listen, self.limits.connections)
         server = Acceptor(
             listener,
             streams(self.serve, self.limits.line_bytes),
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -18,10 +17,9 @@
 from lapispass.gate.tunnel import Tunnel
 from lapispass.gate.uplink import Uplink
 from lapispass.net import log, process
-from lapispass.net.acceptor import Acceptor
+from lapispass.net.acceptor import Acceptor, listener_at
 from lapispass.net.clock import Clock
 from lapispass.net.counters import Counters
-from lapispass.net.http import split
 from lapispass.net.log import Part
 from lapispass.operator import read as operator
 from lapispass.operator.read import BadFile, Source
@@ -113,13 +111,8 @@
 
     async def run(self) -> None:
         """Serves until `stop()`, then closes what it holds in order."""
-        host, port = split(self.told.listen)
         loop = asyncio.get_running_loop()
-        listener = socket.create_server(
-            (host, port),
-            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
-            backlog=self.limits.backlog,
-        )
+        listener = listener_at(self.told.listen, self.limits.backlog)
         self.server = Acceptor(
             listener,
             self.take,
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -10,6 +10,7 @@
 
 from lapispass.core import momentary
 from lapispass.net.counters import Counters
+from lapispass.net.http import split
 from lapispass.net.log import Part
 from lapispass.net.streams import Reader
 
@@ -20,6 +21,13 @@
 PATIENT_ATTEMPTS = 10  # without a descriptor, before `exhausted` is called
 
 
+def listener_at(address: str, backlog: int) -> socket.socket:
+    """A socket that listens at `host:port`; a ValueError where that is no address."""
+    host, port = split(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, port), family=family, backlog=backlog)
+
+
 def streams(serve: Serve, read_bytes: int) -> ProtocolFactory:
     """A factory of protocols that serve each connection by its streams, in a task of its own."""
 
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -8,15 +8,13 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import Callable
 from contextlib import suppress
 
 from lapispass import interface
-from lapispass.net.acceptor import Acceptor, streams
+from lapispass.net.acceptor import Acceptor, listener_at, streams
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
-from lapispass.net.http import split
 from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines, TooLong
 from lapispass.net.log import Part
@@ -142,13 +140,10 @@
         self.closed = False
 
     async def listen(self, address: str) -> None:
-        host, port = split(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
         # Accepted at once are few, since each holds a descriptor before there is room for it; many more may
         # wait in the system's queue, where hundreds of silent clients would otherwise keep a collector out.
-        listener = socket.create_server((host, port), family=family, backlog=self.limits.backlog)
         self.server = Acceptor(
-            listener,
+            listener_at(address, self.limits.backlog),
             streams(self.serve, self.limits.read_bytes),
             name="collectors",
             at_once=self.limits.at_once,
--- a/lapispass/xds/server.py
+++ b/lapispass/xds/server.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import ssl
 from collections.abc import Collection
 from typing import TYPE_CHECKING
@@ -18,9 +17,8 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
-from lapispass.net.acceptor import Acceptor
+from lapispass.net.acceptor import Acceptor, listener_at
 from lapispass.net.counters import Counters
-from lapispass.net.http import split
 from lapispass.net.log import Part
 
 if TYPE_CHECKING:
@@ -52,9 +50,7 @@
 
     async def listen(self, address: str, tls: ssl.SSLContext | None, log: Part, counters: Counters) -> str:
         """Listens at `host:port`; the address that it has got."""
-        host, port = split(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        listener = listener_at(address, BACKLOG)
         await self.start(sock=listener, ssl=tls)
         asyncio.get_running_loop().remove_reader(listener.fileno())
         self.acceptor = Acceptor(
