Failing test: a client that reads its answers late is cut off

Found on reading the change afresh: drain waits from 64 KiB on, while the bound is 16 KiB, so a client was rejected at once between the two.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -566,6 +566,32 @@
     play(test())
 
 
+def test_a_client_that_reads_late_gets_every_answer() -> None:
+    # It was cut off as soon as 16 KiB of answers waited.
+    many = 4000
+
+    async def test() -> None:
+        async with listening(replace(QUICK, unsent_bytes=8000, unread_us=2 * SECOND)) as (
+            listener,
+            _,
+            connect,
+        ):
+            listener.server.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            narrow = socket.socket()
+            narrow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            narrow.connect(("127.0.0.1", connect.port))
+            reader, writer = await asyncio.open_connection(sock=narrow, limit=1000)
+            writer.transport.pause_reading()
+            writer.write(b"PING\r\n" * many)
+            await asyncio.sleep(1.2)
+            writer.transport.resume_reading()
+            answers = await asyncio.wait_for(reader.readexactly(6 * many), 10)
+            writer.close()
+            assert answers == b"PONG\r\n" * many
+
+    play(test())
+
+
 # probes
 
 
