Wait for a client to read its answers from the bound on; end rejected clients at once when room is made

Cause: StreamWriter.drain waits above 64 KiB, the bound on unsent answers is 16 KiB: between the two a client was rejected at once. A rejected client that lingers kept its descriptor when room was made. Change: the transport's high mark is the bound; end_soon aborts who has been rejected already.

--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -50,6 +50,7 @@
         self.asked_at: float | None = None  # its last PING
         self.closing = ""  # why it is to end as soon as what has come is answered
         self.expired = False  # its time was over while something had come that was not read yet
+        self.rejected = False  # it has been told so, and has a moment to read it
         self.waiting: asyncio.Timeout | None = None
 
     def deadline(self) -> float | None:
@@ -100,8 +101,10 @@
             raise Ended(self.closing or "idle") from None
 
     def end_soon(self, why: str) -> None:
-        """Has it closed once what has come is answered."""
+        """Has it closed once what has come is answered; at once where it has been rejected already."""
         self.closing = self.closing or why
+        if self.rejected:
+            self.writer.transport.abort()
         if self.waiting is not None:
             with suppress(RuntimeError):  # its time is over already
                 self.waiting.reschedule(self.loop.time())
@@ -166,6 +169,7 @@
         self.tasks.add(task := asyncio.current_task())  # type: ignore[arg-type]
         self.counters["collectors.opened"] += 1
         connection = ClientConnection(self.counters["collectors.opened"], reader, writer, self.limits)
+        writer.transport.set_write_buffer_limits(high=self.limits.unsent_bytes)  # from which on `drain` waits
         if self.closed:  # accepted just before the end
             connection.end_soon("the process ends")
         elif len(self.open) >= self.limits.connections:
@@ -219,6 +223,7 @@
         """Reads on for a moment after a rejection: a close with bytes unread is a reset, which may overtake
         what was written. A PING that crossed the rejection of an idle connection is answered.
         """
+        connection.rejected = True
         sound = connection.unreadable == 0 and not connection.lines.rest
         left = self.limits.read_bytes
         try:
