--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -5,6 +5,9 @@
 import asyncio
 import errno
 import socket
+import struct
+import threading
+import time
 from typing import Any
 
 import h11
@@ -13,7 +16,7 @@
 
 from lapispass import interface
 from lapispass.net.counters import Counters
-from lapispass.net.probes import ANSWERED, LATE, Probes
+from lapispass.net.probes import ANSWERED, BROKE, LATE, UNREACHABLE, Probes
 
 LOCAL = [errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENFILE, errno.EMFILE, errno.ENOMEM, errno.EAGAIN]
 ROUTE = [errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ENETDOWN]
@@ -73,3 +76,37 @@
         assert found == expected and dials.failed > 2 * len(expected)
 
     play(test())
+
+
+def test_a_server_that_resets_each_connection_is_told_as_such(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A reset that came before the peer's name was asked for passed for a connect that never began.
+    def reset_all(listener: socket.socket) -> None:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return  # the test has ended
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()
+
+    connect = socket.socket.connect
+
+    def connect_and_be_reset(connection: socket.socket, address: Any) -> None:
+        connection.setblocking(True)
+        connect(connection, address)
+        time.sleep(0.01)  # until the reset has come
+        connection.setblocking(False)
+
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            serving = threading.Thread(target=reset_all, args=(listener,))
+            serving.start()
+            address = "{}:{}".format(*listener.getsockname())
+            found = [told.reason for _ in range(50) for told in await probe(address)]
+            monkeypatch.setattr(socket.socket, "connect", connect_and_be_reset)
+            found += [told.reason for _ in range(10) for told in await probe(address)]
+            listener.shutdown(socket.SHUT_RDWR)
+            serving.join()
+        assert len(found) == 60 and set(found) <= {BROKE, UNREACHABLE}
+
+    play(test())
