Tell a connection that was reset at once from a connect that never began

Cause: both have no peer's name; the first was taken for a fault of our own, and its probe told nobody. Change: one that never began has no port of its own either (http.never_began).

--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -114,6 +114,14 @@
         return await self.ends.__aexit__(*raised)
 
 
+def never_began(transport: asyncio.BaseTransport) -> bool:
+    """Whether connect gave EAGAIN or EINTR without a beginning: asyncio takes both for a connection that is
+    being made. One that was made and reset meanwhile has no peer any more either, but a port of its own.
+    """
+    sockname = transport.get_extra_info("sockname")
+    return transport.get_extra_info("peername") is None and (not sockname or sockname[1] == 0)
+
+
 def split(address: str) -> tuple[str, int]:
     """`host:port`; a ValueError where it is none."""
     host, _, port = str(address).rpartition(":")
@@ -154,7 +162,7 @@
             lambda: asyncio.StreamReaderProtocol(reader, loop=loop), *split(address)
         )
         link = cls(reader, asyncio.StreamWriter(transport, protocol, reader, loop), address, limits)
-        if transport.get_extra_info("peername") is None:  # connect gave EAGAIN or EINTR, and never began
+        if never_began(transport):
             link.close()
             raise BlockingIOError(errno.EAGAIN, f"connect to {address} did not begin")
         return link
