Tests of rule 2 share the wait until all has come right

The same lines stood in tests/test_net.py and tests/test_fault_rules.py; rule_world.comes_right serves both. Assertions are the same; the text of one failure has the log's lines no more.

--- a/tests/rule_world.py
+++ b/tests/rule_world.py
@@ -7,7 +7,7 @@
 import random
 
 import h11
-from parties import MEMBER, TOLD, Party, Relay, answered, request
+from parties import MEMBER, TOLD, Party, Relay, answered, request, until
 
 
 class Proxy:
@@ -150,3 +150,17 @@
         ready = self.members[name]["phase"] == "Ready"
         if not ready or up > 1:
             self.put(name, chance.choice(("Terminating", "Gone")) if ready else "Ready")
+
+
+async def comes_right(world: World, roll: Roll) -> None:
+    """Once nothing goes wrong any more, every slice has an owner that is ready, and all proxies know it."""
+    for node in range(len(world.proxies)):
+        world.join(node)
+    ready = {name for name, member in roll.members.items() if member["phase"] == "Ready"}
+    await until(
+        lambda: (
+            {owner for owner, _ in world.store.values()} <= ready
+            and all(proxy.tables == world.store for proxy in world.proxies)
+        )
+    )
+    assert not world.broken, world.broken
--- a/tests/test_fault_rules.py
+++ b/tests/test_fault_rules.py
@@ -10,8 +10,8 @@
 
 import pytest
 from faulty_process import SHORT, Call, Controller, controller
-from parties import MEMBER, TOLD, play, until
-from rule_world import Roll, World
+from parties import MEMBER, TOLD, play
+from rule_world import Roll, World, comes_right
 
 SLICES, PROXIES = 8, 4
 DAY_S = 8.0
@@ -100,16 +100,7 @@
             world.faults.clear()
             for call in Call:
                 running.faults.clear(call)
-            for node in range(PROXIES):
-                world.join(node)
-            ready = {name for name, member in roll.members.items() if member["phase"] == "Ready"}
-            await until(
-                lambda: (
-                    {owner for owner, _ in world.store.values()} <= ready
-                    and all(proxy.tables == world.store for proxy in world.proxies)
-                )
-            )
-            assert not world.broken, (world.broken, running.lines)
+            await comes_right(world, roll)
             running.signal(signal.SIGTERM)
             assert await running.ended() == 0
             assert not [line for line in running.lines if "trace=" in line]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -47,7 +47,7 @@
     running,
     until,
 )
-from rule_world import Roll, World
+from rule_world import Roll, World, comes_right
 
 from lapispass import interface
 from lapispass.net.codec import Codec
@@ -954,15 +954,6 @@
                 assert not world.broken, world.broken
                 assert not task.done() and world.moves > 3
                 world.faults.clear()
-                for node in range(proxies):
-                    world.join(node)
-                ready = {name for name, member in roll.members.items() if member["phase"] == "Ready"}
-                await until(
-                    lambda: (
-                        {owner for owner, _ in world.store.values()} <= ready
-                        and all(proxy.tables == world.store for proxy in world.proxies)
-                    )
-                )
-                assert not world.broken, world.broken
+                await comes_right(world, roll)
 
     play(test(), limit_s=90)
