--- a/tests/fault_shim.c
+++ b/tests/fault_shim.c
@@ -3,7 +3,8 @@
  * The test writes one record a call into the file named by LAPISPASS_FAULTS; the file is mapped, so that
  * faults can be switched while the process runs. A record holds how many calls still fail (-1: all), of how
  * many thousandths of the calls, and the errno they fail with. The errno SHORT makes a transfer move a single
- * byte. The record of the wall clock holds the seconds by which it is stepped.
+ * byte. The record of the wall clock holds the seconds by which it is stepped. The record READ counts the
+ * bytes that the process has read from the connections that it accepted.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -23,7 +24,9 @@
 
 #define SHORT 10000
 
-enum call { ACCEPT, SOCKET, CONNECT, SEND, RECEIVE, WAIT, WRITE, SYNC, BIND, OPEN, CLOCK, PIPE, CALLS };
+enum call { ACCEPT, SOCKET, CONNECT, SEND, RECEIVE, WAIT, WRITE, SYNC, BIND, OPEN, CLOCK, PIPE, READ, CALLS };
+
+#define DESCRIPTORS 4096
 
 struct fault {
     int32_t left;
@@ -34,6 +37,7 @@
 
 static struct fault *faults;
 static uint32_t random_state = 1;
+static char accepted[DESCRIPTORS]; /* whether a descriptor is a connection that was accepted */
 
 __attribute__((constructor)) static void map_faults(void) {
     const char *path = getenv("LAPISPASS_FAULTS");
@@ -84,13 +88,17 @@
 int accept4(int listener, struct sockaddr *address, socklen_t *size, int flags) {
     NEXT(accept4);
     FAIL(ACCEPT, 1);
-    return next(listener, address, size, flags);
+    int descriptor = next(listener, address, size, flags);
+    if (descriptor >= 0 && descriptor < DESCRIPTORS) accepted[descriptor] = 1;
+    return descriptor;
 }
 
 int socket(int family, int type, int protocol) {
     NEXT(socket);
     FAIL(SOCKET, family == AF_INET || family == AF_INET6);
-    return next(family, type, protocol);
+    int descriptor = next(family, type, protocol);
+    if (descriptor >= 0 && descriptor < DESCRIPTORS) accepted[descriptor] = 0;
+    return descriptor;
 }
 
 int connect(int descriptor, const struct sockaddr *address, socklen_t size) {
@@ -122,7 +130,9 @@
         errno = error;
         return -1;
     }
-    return next(descriptor, bytes, error && size ? 1 : size, flags);
+    ssize_t got = next(descriptor, bytes, error && size ? 1 : size, flags);
+    if (got > 0 && faults && descriptor < DESCRIPTORS && accepted[descriptor]) faults[READ].injected += got;
+    return got;
 }
 
 int epoll_wait(int descriptor, struct epoll_event *events, int most, int timeout) {
--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -49,6 +49,7 @@
     OPEN = 9
     CLOCK = 10
     PIPE = 11
+    READ = 12  # fails never: counts the bytes read from connections that were accepted
 
 
 @cache
@@ -84,6 +85,10 @@
         """How many calls have failed so far."""
         return RECORD.unpack_from(self.records, call * RECORD.size)[3]
 
+    def bytes_read(self) -> int:
+        """How much the process has read from the connections that it accepted."""
+        return self.injected(Call.READ)
+
 
 class Controller:
     """A running controller process."""
