Clients that have asked stay until their place is needed; what was read is answered before a close

Now there is no idle time after a PING; only idle clients make room, and where none is idle the next one waits in the system's queue, 250 ms at most; reading stops with the decision to close. At SIGTERM what waits to be accepted is accepted, and clients that go on asking are served for up to 150 ms. Reasons of closes are an enumeration, each end is logged, the peer's too.

--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
@@ -57,15 +58,19 @@
         pause_us: int,
         log: Part,
         counters: Counters,
-        exhausted: Callable[[], None] = lambda: None,
+        has_room: Callable[[], bool] = lambda: True,
+        make_room: Callable[[], bool] = lambda: True,
+        exhausted: Callable[[], object] = lambda: None,
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        """`name` begins the names of the counters; `exhausted` may free a descriptor of this process, once it
-        has had none for a while."""
+        """`name` begins the names of the counters. Without `has_room`, `make_room` is asked for each
+        connection that waits; where it makes none, the connection waits on. `exhausted` may free a
+        descriptor of this process, once it has had none for a while."""
         listener.setblocking(False)
         self.listener, self.protocol, self.name, self.tls = listener, protocol, name, tls
         self.at_once, self.pause_us = at_once, pause_us
         self.log, self.counters, self.exhausted = log, counters, exhausted
+        self.has_room, self.make_room = has_room, make_room
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.pause: asyncio.TimerHandle | None = None
@@ -88,15 +93,45 @@
             self.pause.cancel()
         self.loop.remove_reader(self.listener.fileno())
 
-    def close(self) -> None:
-        """Stops listening; connections that stand go on."""
+    def close(self, last: int = 0) -> None:
+        """Stops listening; connections that stand go on.
+
+        Up to `last` connections that wait in the queue are accepted first: what was written on them would be
+        lost with the listening socket.
+        """
         self.stop()
+        if self.listener.fileno() >= 0:
+            self._accept_waiting(last)
         self.listener.close()
 
+    def _accept_waiting(self, most: int) -> None:
+        """So many of the connections in the queue, whether there is room or not."""
+        for _ in range(most):
+            try:
+                connection, _ = self.listener.accept()
+            except OSError as error:
+                if isinstance(error, BlockingIOError) or error.errno in momentary.EXHAUSTED:
+                    return
+                continue
+            self._begin(connection)
+
+    def _waits(self) -> bool:
+        """Whether a connection waits in the queue."""
+        poll = select.poll()
+        poll.register(self.listener.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _ready(self) -> None:
         """Connections wait in the queue: takes so many of them, that other work has its turn."""
         failed = 0
         for _ in range(self.at_once):
+            if not self.has_room():
+                if not self._waits():
+                    return
+                if not self.make_room():
+                    self.counters[f"{self.name}.accept_without_room"] += 1
+                    self._pause()
+                    return
             try:
                 connection, _ = self.listener.accept()
             except BlockingIOError:
@@ -109,12 +144,15 @@
                     return
                 continue
             self.pauses = self.without_descriptor = 0
-            task = self.loop.create_task(self._run(connection))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._begin(connection)
         if failed == self.at_once:  # an error that stays must not take the whole processor
             self._pause()
 
+    def _begin(self, connection: socket.socket) -> None:
+        task = self.loop.create_task(self._run(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def _failed(self, error: OSError) -> None:
         self.counters[f"{self.name}.accept_failed"] += 1
         name = errno.errorcode.get(error.errno or 0, str(error.errno))
--- /dev/null
+++ b/lapispass/net/client_connection.py
@@ -0,0 +1,152 @@
+"""One client of the listening address: what has come from it, until when it may stay, and why it ended."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from enum import StrEnum
+
+from lapispass.net.limits import Limits
+from lapispass.net.lines import Lines
+from lapispass.net.streams import has_input, unread
+
+
+class CloseReason(StrEnum):
+    """Why a connection ended. The names are those of the counters, the values those of the log."""
+
+    PEER = "ended by the peer"
+    SILENT = "neither joined nor asked in time"
+    UNFINISHED = "message not whole in time"
+    UNREADABLE = "unreadable"
+    TOO_LONG = "line without an end"
+    UNREAD = "answers left unread"
+    CROWDED_OUT = "crowded out"
+    PROCESS_ENDS = "the process ends"
+    BROKEN = "broken"
+    FAULT = "fault"
+
+
+class Ended(Exception):
+    """The connection ends for this reason; `detail` is for the log alone, it may be a stranger's text."""
+
+    def __init__(self, reason: CloseReason, detail: str = "") -> None:
+        super().__init__(detail)
+        self.reason, self.detail = reason, detail
+
+
+class ClientConnection:
+    """One client, and what is known of it."""
+
+    def __init__(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, limits: Limits
+    ) -> None:
+        self.number, self.reader, self.writer, self.limits = number, reader, writer, limits
+        self.loop = asyncio.get_running_loop()
+        self.lines = Lines(limits.message_bytes)
+        self.zone: str | None = None  # once it has joined
+        self.unreadable = 0  # lines since the last sound one
+        self.pings = 0  # asked, and answered
+        self.opened_at = self.heard_at = self.begun_at = self.loop.time()
+        self.closing: CloseReason | None = None  # why it is to end as soon as what has come is answered
+        self.expired = False  # its time was over while something had come that was not read yet
+        self.rejected = False  # it has been told so, and has a moment to read it
+        self.waiting: asyncio.Timeout | None = None
+
+    @property
+    def unfinished(self) -> bool:
+        """Whether a message comes in pieces."""
+        return bool(self.lines.rest)
+
+    def silent_us(self) -> int:
+        """For how long nothing has come."""
+        return int((self.loop.time() - self.heard_at) * 1e6)
+
+    def deadline(self) -> float | None:
+        """When it is closed if nothing comes, in seconds of the loop's clock; None where it may be silent.
+
+        Whoever has asked once may stay: it may ask again on the connection that it has, and would find it
+        closed in that instant. It goes when its place is needed (`Collectors.make_room`).
+        """
+        if self.closing is not None:
+            return self.loop.time()
+        if self.zone is not None:
+            return None
+        if self.unfinished:
+            return self.begun_at + self.limits.message_us / 1e6
+        if self.pings:
+            return None
+        return self.opened_at + self.limits.join_us / 1e6
+
+    def reason(self) -> CloseReason:
+        """Why its time is over."""
+        if self.closing is not None:
+            return self.closing
+        return CloseReason.UNFINISHED if self.unfinished else CloseReason.SILENT
+
+    async def read(self) -> bytes:
+        """The next bytes; none at the end of the stream.
+
+        Raises `Ended` once its time is over, and nothing has come meanwhile. Guards against the timer that
+        wins over what was read: where the process stood still, both are due in the same round.
+        """
+        waiting = asyncio.timeout_at(self.deadline())
+        try:
+            async with waiting:
+                self.waiting = waiting
+                piece = await self.reader.read(self.limits.read_bytes)
+        except TimeoutError:
+            if not waiting.expired():
+                raise  # the connection's own (ETIMEDOUT)
+            piece = await self._read_last()
+        finally:
+            self.waiting = None
+        self.heard_at = self.loop.time()
+        return piece
+
+    async def _read_last(self) -> bytes:
+        """What has come although its time is over; the system may not have handed it over yet.
+
+        Guards against a request that is read and dropped: it may come between this decision and the close.
+        From here on what comes stays in the system's buffer, and what was read already is handled.
+        """
+        if not self.expired and has_input(self.reader, self.writer):
+            self.expired = True
+            waiting = asyncio.timeout(self.limits.late_us / 1e6)
+            try:
+                async with waiting:
+                    return await self.reader.read(self.limits.read_bytes)
+            except TimeoutError:
+                if not waiting.expired():
+                    raise  # the connection's own (ETIMEDOUT)
+        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        if unread(self.reader):
+            return await self.reader.read(self.limits.read_bytes)
+        raise Ended(self.reason())
+
+    def end_soon(self, reason: CloseReason) -> None:
+        """Has it closed once what has come is answered; at once where it has been rejected already."""
+        self.closing = self.closing or reason
+        if self.rejected:
+            self.writer.transport.abort()
+        if self.waiting is not None:
+            with suppress(RuntimeError):  # its time is over already
+                self.waiting.reschedule(self.loop.time())
+
+    def asked(self) -> None:
+        """A PING: it is answered, and the connection may be idle."""
+        self.pings += 1
+        self.expired = self.closing is not None
+        self.writer.write(b"PONG\r\n")
+
+    def fields(self) -> dict[str, object]:
+        """What a log line says of it."""
+        now = self.loop.time()
+        return {
+            "connection": self.number,
+            "peer": self.writer.get_extra_info("peername"),
+            "zone": self.zone,
+            "age_ms": round((now - self.opened_at) * 1e3),
+            "silent_ms": round((now - self.heard_at) * 1e3),
+            "pings": self.pings,
+            "unfinished": len(self.lines.rest),
+        }
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -1,132 +1,40 @@
 """The listening side: collectors join and forward reports, anyone may ask PING, others are rejected.
 
-A PING that was read is answered before its connection is closed, whatever ends it: idle time, lack of room,
-the end of the process.
+A PING that was read is answered before its connection is closed, whatever ends it: lack of room, the end of
+the process. Nobody is told what it has not asked for: only what cannot be read is rejected with a message.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
 import re
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
 
 from lapispass import interface
 from lapispass.net.acceptor import Acceptor, listener_at, streams
+from lapispass.net.client_connection import ClientConnection, CloseReason, Ended
 from lapispass.net.codec import Codec, WireError
 from lapispass.net.counters import Counters
 from lapispass.net.limits import Limits
-from lapispass.net.lines import Lines, TooLong
+from lapispass.net.lines import TooLong
 from lapispass.net.log import Part
-from lapispass.net.streams import flush, has_input
+from lapispass.net.streams import flush
 
 # What no line of this wire holds. A spoilt report is still text; behind such bytes no message begins
 # anywhere.
 ODD = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 REJECTION = b"NACK why=unreadable\r\n"
-
-
-class Rejected(Exception):
-    """The connection is of no use; the text says why."""
-
-
-class Ended(Exception):
-    """The connection is closed for a reason of ours: idle time, lack of room, the end of the process."""
-
-
-class ClientConnection:
-    """One client, and what is known of it."""
-
-    def __init__(
-        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, limits: Limits
-    ) -> None:
-        self.number, self.reader, self.writer, self.limits = number, reader, writer, limits
-        self.loop = asyncio.get_running_loop()
-        self.lines = Lines(limits.message_bytes)
-        self.zone: str | None = None  # once it has joined
-        self.unreadable = 0  # lines since the last sound one
-        self.pings = 0  # asked, and answered
-        self.opened_at = self.heard_at = self.begun_at = self.loop.time()
-        self.asked_at: float | None = None  # its last PING
-        self.closing = ""  # why it is to end as soon as what has come is answered
-        self.expired = False  # its time was over while something had come that was not read yet
-        self.rejected = False  # it has been told so, and has a moment to read it
-        self.waiting: asyncio.Timeout | None = None
-
-    def deadline(self) -> float | None:
-        """When it is closed if nothing comes, in seconds of the loop's clock; None where it may be silent."""
-        if self.closing:
-            return self.loop.time()
-        if self.zone is not None:
-            return None
-        if self.lines.rest:  # a message comes in pieces
-            whole_by = self.begun_at + self.limits.message_us / 1e6
-            return min(whole_by, self.heard_at + self.limits.join_us / 1e6)
-        if self.asked_at is not None:
-            return self.asked_at + self.limits.idle_client_us / 1e6
-        return self.opened_at + self.limits.join_us / 1e6
-
-    async def read(self) -> bytes:
-        """The next bytes; none at the end of the stream.
-
-        Raises `Ended` once its time is over, and nothing has come meanwhile. Guards against the timer that
-        wins over what was read: where the process stood still, both are due in the same round.
-        """
-        most, waiting = self.limits.read_bytes, asyncio.timeout_at(self.deadline())
-        try:
-            async with waiting:
-                self.waiting = waiting
-                piece = await self.reader.read(most)
-        except TimeoutError:
-            if not waiting.expired():
-                raise  # the connection's own (ETIMEDOUT)
-            if self.expired or not has_input(self.reader, self.writer):
-                raise Ended(self.closing or "idle") from None
-            piece = await self.read_last()
-        finally:
-            self.waiting = None
-        self.heard_at = self.loop.time()
-        return piece
-
-    async def read_last(self) -> bytes:
-        """What has come although its time is over; the system may not have handed it over yet."""
-        self.expired = True
-        waiting = asyncio.timeout(self.limits.late_us / 1e6)
-        try:
-            async with waiting:
-                return await self.reader.read(self.limits.read_bytes)
-        except TimeoutError:
-            if not waiting.expired():
-                raise  # the connection's own (ETIMEDOUT)
-            raise Ended(self.closing or "idle") from None
-
-    def end_soon(self, why: str) -> None:
-        """Has it closed once what has come is answered; at once where it has been rejected already."""
-        self.closing = self.closing or why
-        if self.rejected:
-            self.writer.transport.abort()
-        if self.waiting is not None:
-            with suppress(RuntimeError):  # its time is over already
-                self.waiting.reschedule(self.loop.time())
-
-    def asked(self) -> None:
-        """A PING: it is answered, and the connection may be idle for a while."""
-        self.pings += 1
-        self.asked_at, self.expired = self.loop.time(), bool(self.closing)
-        self.writer.write(b"PONG\r\n")
-
-    def fields(self) -> dict[str, object]:
-        """What a log line says of it."""
-        now = self.loop.time()
-        return {
-            "connection": self.number,
-            "peer": self.writer.get_extra_info("peername"),
-            "zone": self.zone,
-            "age_ms": round((now - self.opened_at) * 1e3),
-            "silent_ms": round((now - self.heard_at) * 1e3),
-            "pings": self.pings,
-            "unfinished": len(self.lines.rest),
-        }
+REJECTED = frozenset(
+    {
+        CloseReason.SILENT,
+        CloseReason.UNFINISHED,
+        CloseReason.UNREADABLE,
+        CloseReason.TOO_LONG,
+        CloseReason.UNREAD,
+    }
+)
+ORDINARY = frozenset({CloseReason.PEER, CloseReason.PROCESS_ENDS})
 
 
 class Collectors:
@@ -140,11 +48,11 @@
         self.open: dict[ClientConnection, None] = {}  # in the order of last use
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: Acceptor | None = None
+        self.full_since: float | None = None  # since when one waits that cannot be accepted for lack of room
         self.closed = False
 
     async def listen(self, address: str) -> None:
-        # Accepted at once are few, since each holds a descriptor before there is room for it; many more may
-        # wait in the system's queue, where hundreds of silent clients would otherwise keep a collector out.
+        """Accepts as many connections as there is room for; the others wait in the system's queue."""
         self.server = Acceptor(
             listener_at(address, self.limits.backlog),
             streams(self.serve, self.limits.read_bytes),
@@ -153,16 +61,37 @@
             pause_us=self.limits.again_least_us,
             log=self.log,
             counters=self.counters,
-            exhausted=self.crowd_out,
+            has_room=self.has_room,
+            make_room=self.make_room,
+            exhausted=self.end_longest_silent,
         )
 
+    def stop_listening(self) -> None:
+        """Accepts what waits in the queue, then no more."""
+        if self.server:
+            self.server.close(self.limits.connections)
+
+    async def drain(self) -> None:
+        """Serves on while clients ask, for `Limits.drain_us` at most: they may not know yet that the process
+        ends."""
+        loop, quiet_s = asyncio.get_running_loop(), self.limits.drained_us / 1e6
+        until = loop.time() + self.limits.drain_us / 1e6
+        while self.is_asked() and loop.time() < until:
+            await asyncio.sleep(quiet_s / 2)
+
+    def is_asked(self) -> bool:
+        """Whether a client has come, or said something, a moment ago."""
+        if self.server and self.server.tasks:
+            return True
+        clients = (connection for connection in self.open if connection.zone is None)
+        return any(connection.silent_us() < self.limits.drained_us for connection in clients)
+
     def close(self) -> None:
         """Listens no more; connections end as soon as what has come on them is answered."""
         self.closed = True
-        if self.server:
-            self.server.close()
+        self.stop_listening()
         for connection in self.open:
-            connection.end_soon("the process ends")
+            connection.end_soon(CloseReason.PROCESS_ENDS)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """The life of a connection."""
@@ -171,70 +100,73 @@
         connection = ClientConnection(self.counters["collectors.opened"], reader, writer, self.limits)
         writer.transport.set_write_buffer_limits(high=self.limits.unsent_bytes)  # from which on `drain` waits
         if self.closed:  # accepted just before the end
-            connection.end_soon("the process ends")
-        elif len(self.open) >= self.limits.connections:
-            self.crowd_out()
+            connection.end_soon(CloseReason.PROCESS_ENDS)
         self.open[connection] = None
-        why, rejected = "", False
+        end = Ended(CloseReason.FAULT)
+        try:
+            end = await self.converse(connection)
+        finally:
+            try:
+                await self.finish(connection, end)
+            finally:
+                self.open.pop(connection, None)
+                self.tasks.discard(task)  # type: ignore[arg-type]
+                self.counters["collectors.closed"] += 1
+                writer.transport.abort()
+
+    async def converse(self, connection: ClientConnection) -> Ended:
+        """Takes what comes until the connection ends; why it does."""
         try:
             while piece := await connection.read():
+                self.used(connection)
                 self.take_piece(piece, connection)
                 await self.let_it_read(connection)
-        except (Ended, Rejected) as error:
-            why, rejected = str(error), not self.closed
+        except Ended as end:
+            return end
         except TooLong:
-            why, rejected = "line without an end", True
+            return Ended(CloseReason.TOO_LONG)
         except OSError as error:
-            why = f"broken: {type(error).__name__} {error}"
             self.counters["collectors.broken"] += 1
+            return Ended(CloseReason.BROKEN, f"{type(error).__name__} {error}")
         except Exception:  # a fault of our own costs this connection, not the controller
-            why = "fault"
             self.counters["collectors.faults"] += 1
             self.log.failed("connection failed", **connection.fields())
-        finally:
-            try:
-                await self.finish(connection, why, rejected)
-            finally:
-                self.open.pop(connection, None)
-                self.tasks.discard(task)  # type: ignore[arg-type]
-                self.counters["collectors.closed"] += 1
-                writer.transport.abort()
+            return Ended(CloseReason.FAULT)
+        return Ended(CloseReason.PEER)
 
-    async def finish(self, connection: ClientConnection, why: str, rejected: bool) -> None:
+    async def finish(self, connection: ClientConnection, end: Ended) -> None:
         """Sends what is still unsent. Whoever is rejected hears so, and has a moment to read it."""
-        writer, lingers_us = connection.writer, 0
-        if rejected:
+        told = end.reason in REJECTED and connection.zone is None  # a collector is never written to
+        if end.reason in REJECTED or end.reason is CloseReason.SILENT:
             self.counters["collectors.turned_away"] += 1
-            if connection.zone is None:  # a collector is never written to
-                writer.write(REJECTION)
-                lingers_us = 0 if connection.closing else self.limits.linger_us
-        unsent = await flush(writer, self.limits.flush_us)
-        if unsent:
-            self.counters["collectors.unsent_bytes"] += unsent
-        if why or unsent:
-            self.counters[f"collectors.ended.{why.partition(':')[0].replace(' ', '_')[:40]}"] += 1
-            self.log.rate_limited(
-                "connection ended", why=why or "ended by the peer", unsent=unsent, **connection.fields()
-            )
-        if lingers_us:
+        if told:
+            connection.writer.write(REJECTION)
+        unsent = await flush(connection.writer, self.limits.flush_us)
+        self.counters["collectors.unsent_bytes"] += unsent
+        why = end.detail or end.reason.value
+        self.counters[f"collectors.ended.{why.partition(':')[0].replace(' ', '_')[:40]}"] += 1
+        self.log.rate_limited(
+            "connection ended",
+            level=logging.INFO if end.reason in ORDINARY and not unsent else logging.WARNING,
+            kind=end.reason.name,
+            why=f"{end.reason}: {end.detail}" if end.detail else end.reason,
+            unsent=unsent,
+            **connection.fields(),
+        )
+        if told and connection.closing is None:
             await self.linger(connection)
 
     async def linger(self, connection: ClientConnection) -> None:
         """Reads on for a moment after a rejection: a close with bytes unread is a reset, which may overtake
-        what was written. A PING that crossed the rejection of an idle connection is answered.
-        """
+        what was written."""
         connection.rejected = True
-        sound = connection.unreadable == 0 and not connection.lines.rest
         left = self.limits.read_bytes
         try:
             async with asyncio.timeout(self.limits.linger_us / 1e6):
                 while left > 0 and (piece := await connection.reader.read(left)):
                     left -= len(piece)
-                    if sound:
-                        self.take_piece(piece, connection)
-        except (OSError, Rejected, TooLong):
+        except OSError:
             pass
-        await flush(connection.writer, self.limits.flush_us)
 
     def take_piece(self, piece: bytes, connection: ClientConnection) -> None:
         """Handles the lines that a piece ends."""
@@ -245,7 +177,7 @@
         for line in lines.cut(memoryview(piece)[: odd.start()] if odd else piece):
             self.take(line, connection)
         if odd:
-            raise Rejected(f"byte {odd[0][0]}, which no message holds")
+            raise Ended(CloseReason.UNREADABLE, f"byte {odd[0][0]}, which no message holds")
 
     async def let_it_read(self, connection: ClientConnection) -> None:
         """Reads no further while answers wait to be read; whoever leaves them for too long is cut off."""
@@ -259,14 +191,13 @@
             if not waiting.expired():
                 raise  # the connection's own (ETIMEDOUT)
         if transport.get_write_buffer_size() > self.limits.unsent_bytes:
-            raise Rejected("answers left unread")
+            raise Ended(CloseReason.UNREAD)
 
     def take(self, line: memoryview, connection: ClientConnection) -> None:
         """Handles one line: a spoilt report costs itself alone; a stream with nothing sound left is ended."""
         if line == b"PING":
             self.counters["collectors.pings"] += 1
             connection.asked()
-            self.used(connection)
             return
         if not line:
             return
@@ -277,33 +208,72 @@
             self.log.rate_limited("line unreadable", why=error, **connection.fields())
             connection.unreadable += 1
             if connection.zone is None or connection.unreadable > self.limits.unreadable:
-                raise Rejected(str(error)) from None
+                raise Ended(CloseReason.UNREADABLE, str(error)) from None
             return
         connection.unreadable = 0
         self.counters[f"collectors.{kind}"] += 1
-        self.used(connection)
         if isinstance(told, str):
             connection.zone = told
         else:
             self.tell(told)
 
     def used(self, connection: ClientConnection) -> None:
-        """Last in the order of use; one crowded out in this instant does not come back."""
-        if connection in self.open and not connection.closing:
+        """Last in the order of use; one that is being ended does not come back."""
+        if connection in self.open and connection.closing is None:
             self.open[connection] = self.open.pop(connection)
 
-    def crowd_out(self) -> None:
-        """Makes room: the client that was silent for longest and has not joined is closed.
+    def has_room(self) -> bool:
+        """Whether a further connection can be accepted as it is."""
+        if self.standing() >= self.limits.connections:
+            return False
+        self.full_since = None
+        return True
+
+    def standing(self) -> int:
+        """Connections that hold a descriptor, those that are being set up or ended among them."""
+        return len(self.tasks) + (len(self.server.tasks) if self.server else 0)
 
-        Guards against clients that connect and stay. What it has asked is answered first.
+    def make_room(self) -> bool:
+        """Ends a client for the one that waits to be accepted; False where none can go just now.
+
+        Guards against clients that connect and stay. Guards those, too, that have just come or are in the
+        midst of a message: where all are such, the next one waits, for `Limits.room_us` at most.
         """
-        staying = (connection for connection in self.open if not connection.closing)
-        quiet = next((connection for connection in staying if connection.zone is None), None)
+        if self.standing() >= self.limits.connections + self.limits.at_once:
+            return False  # those that are being ended still hold their descriptors
+        now = asyncio.get_running_loop().time()
+        if self.full_since is None:
+            self.full_since = now
+        idle = next((connection for connection in self.candidates() if self.is_idle(connection)), None)
+        if idle is not None:
+            self.crowd_out(idle)
+        elif now - self.full_since < self.limits.room_us / 1e6 or not self.end_longest_silent():
+            return False
+        self.full_since = None
+        return True
+
+    def candidates(self) -> Iterator[ClientConnection]:
+        """Clients that may be ended, the longest silent first."""
+        return (one for one in self.open if one.zone is None and one.closing is None)
+
+    def is_idle(self, connection: ClientConnection) -> bool:
+        """Whether nothing is under way on it."""
+        return not connection.unfinished and connection.silent_us() >= self.limits.fresh_us
+
+    def end_longest_silent(self) -> bool:
+        """Ends the client that was silent for longest, whatever it is about; a collector, where there is no
+        other. False where all are being ended already."""
+        quiet = next(self.candidates(), None)
         if quiet is None:
-            quiet = next((connection for connection in self.open if not connection.closing), None)
+            quiet = next((connection for connection in self.open if connection.closing is None), None)
         if quiet is None:
-            return
+            return False
+        self.crowd_out(quiet)
+        return True
+
+    def crowd_out(self, connection: ClientConnection) -> None:
+        """Ends a client whose place is needed. What it has asked is answered first."""
         self.counters["collectors.crowded_out"] += 1
-        self.log.rate_limited("connection crowded out", most=self.limits.connections, **quiet.fields())
-        del self.open[quiet]
-        quiet.end_soon("crowded out")
+        self.log.rate_limited("connection crowded out", most=self.limits.connections, **connection.fields())
+        del self.open[connection]
+        connection.end_soon(CloseReason.CROWDED_OUT)
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -39,9 +39,11 @@
     spoilt_pictures: int = 3  # that hold what can't be read, before one is taken as it is
 
     # times
-    join_us: int = 1_000_000  # from connecting until a client has joined or asked, and between pieces
-    message_us: int = 2_000_000  # for a message that comes in pieces: a rejection is owed within 3 s
-    idle_client_us: int = 15_000_000  # from its last PING until a client that has not joined is closed
+    # A rejection or a close is owed within 3 s of connecting.
+    join_us: int = 2_000_000  # from connecting until a client has joined or asked
+    message_us: int = 2_000_000  # for a message that comes in pieces
+    fresh_us: int = 100_000  # in which a client is not closed for lack of room, after it has said something
+    room_us: int = 250_000  # for which a client waits where nobody is idle, before one is closed all the same
     unread_us: int = 2_000_000  # for a client to read the answers that wait for it
     flush_us: int = 250_000  # for what is unsent when a connection ends
     linger_us: int = 200_000  # from a rejection until the close, for the client to read it
@@ -72,7 +74,10 @@
     clock_step_us: int = 100_000  # of the wall clock, from which on it is logged
     log_every_us: int = 1_000_000  # for lines that a peer can cause
     bind_us: int = 3_000_000  # for a process that still holds the listening address to end
-    stop_us: int = 300_000  # for connections to close at the end
+    # The end, which is over before a SIGKILL 0.7 s after SIGTERM.
+    drain_us: int = 150_000  # clients that go on asking are served for so long ...
+    drained_us: int = 50_000  # ... unless none has asked for so long
+    stop_us: int = 300_000  # for connections to close
 
     @classmethod
     def within(cls, sockets: int, proxies: int = 0, slices: int = 0) -> Limits:
--- a/lapispass/net/log.py
+++ b/lapispass/net/log.py
@@ -91,7 +91,7 @@
     def __init__(self, name: str, every_us: int = 0) -> None:
         self.logger = logging.getLogger(f"lapispass.{name}")
         self.every_ns = every_us * 1000
-        self.last: dict[str, tuple[int, int]] = {}
+        self.last: dict[tuple[str, str], tuple[int, int]] = {}
 
     def say(self, event: str, level: int = logging.INFO, **fields: object) -> None:
         self.logger.log(level, event, extra={"fields": fields})
@@ -99,15 +99,20 @@
     def warn(self, event: str, **fields: object) -> None:
         self.say(event, logging.WARNING, **fields)
 
-    def rate_limited(self, event: str, **fields: object) -> None:
-        """At most one such line in a while; the next one tells how many were left out."""
-        at, left_out = self.last.get(event, (0, 0))
+    def rate_limited(
+        self, event: str, *, level: int = logging.WARNING, kind: str = "", **fields: object
+    ) -> None:
+        """At most one such line in a while; the next one tells how many were left out.
+
+        Lines of each `kind` are counted by themselves: frequent ones do not hide others. There must be few.
+        """
+        at, left_out = self.last.get((event, kind), (0, 0))
         now = time.monotonic_ns()
         if at and now - at < self.every_ns:
-            self.last[event] = (at, left_out + 1)
+            self.last[event, kind] = (at, left_out + 1)
             return
-        self.last[event] = (now, 0)
-        self.warn(event, **fields, **({"left_out": left_out} if left_out else {}))
+        self.last[event, kind] = (now, 0)
+        self.say(event, level, **fields, **({"left_out": left_out} if left_out else {}))
 
     def failed(self, event: str, **fields: object) -> None:
         """Inside an except block: the fault with its trace."""
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -103,11 +103,13 @@
                 task.result()  # raises what ended it
             self.log.say("ended")
         finally:
-            self.collectors.close()
+            self.collectors.stop_listening()
             self.calls.close()
             ending = [*tasks, *self.probes.close()]
             for task in ending:
                 task.cancel()
+            await self.collectors.drain()
+            self.collectors.close()
             await asyncio.wait([*ending, *self.collectors.tasks], timeout=self.limits.stop_us / 1e6)
             self.print_counters()
 
--- a/lapispass/net/streams.py
+++ b/lapispass/net/streams.py
@@ -21,12 +21,17 @@
         return piece
 
 
+def unread(reader: asyncio.StreamReader) -> int:
+    """How many bytes a stream has taken over that nobody has read yet."""
+    return reader.unread if isinstance(reader, Reader) else 0
+
+
 def has_input(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
     """Whether bytes have come that were not read yet, in the stream or in the system's buffer.
 
     The peer's end counts as input too, until the stream has seen it.
     """
-    if isinstance(reader, Reader) and reader.unread:
+    if unread(reader):
         return True
     if reader.at_eof() or reader.exception() or writer.is_closing():
         return False
