--- a/tests/test_unasked_answers.py
+++ b/tests/test_unasked_answers.py
@@ -8,12 +8,19 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from faulty_process import Controller, controller
+from faulty_process import Controller, Faults, controller, free_address, process
 from parties import play
 
 PING, PONG = b"PING\r\n", b"PONG\r\n"
+NACK = b"NACK why=unreadable\r\n"
+OWED_S = 3.0  # within which a client that has not joined or asked gets a rejection or a close
 KEPT_S = 16.0  # longer than any time after which an idle client was ever closed
 KILL_S = 0.7  # from SIGTERM to SIGKILL at the earliest
+GATE_FILE = """
+connection_class {{ name: "board" path_prefix: "/board" }}
+gate {{ name: "g0" listen: "{listen}" slices: 2 handshake_ms: 500 }}
+node {{ id: "n0" address: "127.0.0.1:1" zone: "east" }}
+"""
 
 
 async def heard(reader: asyncio.StreamReader, for_s: float) -> bytes:
@@ -46,6 +53,24 @@
     play(test(), 40)
 
 
+def test_only_what_cannot_be_read_is_rejected(tmp_path: Path) -> None:
+    # A client that had said nothing was told that it was unreadable.
+    expected = {b"": b"", b"PI": NACK, b"odd\r\n": NACK, PING + b"PI": PONG + NACK}
+
+    async def test() -> None:
+        async with controller(tmp_path) as running:
+            clients = {said: await running.connect() for said in expected}
+            for said, (_, writer) in clients.items():
+                writer.write(said)
+            got = await asyncio.gather(*(heard(reader, OWED_S) for reader, _ in clients.values()))
+            ended = [reader.at_eof() for reader, _ in clients.values()]
+            for _, writer in clients.values():
+                writer.close()
+            assert dict(zip(expected, got, strict=True)) == expected and all(ended)
+
+    play(test())
+
+
 def test_a_ping_in_pieces_is_answered_in_a_crowd(tmp_path: Path) -> None:
     # Whoever had sent half a PING was closed to make room for the next client, 2 ms later.
     async def client(running: Controller, seed: int) -> bytes:
@@ -140,3 +165,37 @@
             assert await running.ended() == 0
 
     play(test())
+
+
+def test_counters_have_no_names_of_a_strangers_choice(tmp_path: Path) -> None:
+    # One counter came for each line that a stranger had made up.
+    async def test() -> None:
+        async with controller(tmp_path) as running:
+            before = set(await running.counters())
+            for number in range(50):
+                reader, writer = await running.connect()
+                writer.write(b"SOURCE locality=made-up-%d\r\nodd-%d\r\n" % (number, number))
+                await heard(reader, 2)
+                writer.close()
+            more = set(await running.counters()) - before
+            assert 0 < len(more) < 10, more
+
+    play(test())
+
+
+def test_a_gate_tells_nothing_to_a_client_that_never_asked(tmp_path: Path) -> None:
+    # It was told 408: an answer that would pass for that to its next request.
+    async def test() -> None:
+        faults, address = Faults(tmp_path / "faults"), free_address()
+        file = tmp_path / "operator.textproto"
+        file.write_text(GATE_FILE.format(listen="{}:{}".format(*address)))
+        async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as gate:
+            silent, begun = await gate.connect(), await gate.connect()
+            begun[1].write(b"GET /board HTTP/1.1\r\n")
+            got = [await heard(reader, OWED_S) for reader, _ in (silent, begun)]
+            for _, writer in (silent, begun):
+                writer.close()
+            assert got[0] == b"" and silent[0].at_eof()
+            assert got[1].startswith(b"HTTP/1.1 408 ")
+
+    play(test())
