A soak of clients that ask until the kill; up to 512 connections where descriptors allow

The judge counts by the shim what the process has read from each client. Connections: 128 at most whatever the descriptors were, so 300 clients crowded each other out at 1,024; an idle client costs 6 KB (measured on a real process: 24,104, 24,468, 24,832 KB at 0, 60, 120). At 256 descriptors it stays 128.

--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -22,7 +22,7 @@
     unsent_bytes: int = 16 << 10  # answers to pings; while more wait to be read, no further ping is read
 
     # counts
-    connections: int = 128  # at the listening address, of the 256 descriptors that a start is sure of
+    connections: int = 512  # at the listening address, 6 KB each; half of the descriptors at most
     at_once: int = 32  # taken at once, beyond those
     backlog: int = 1024  # wait to be taken, in the system's hands
     probes: int = 64  # under way at once; the others wait in line, at most as many as there are servers
--- a/tests/fault_shim.c
+++ b/tests/fault_shim.c
@@ -4,12 +4,14 @@
  * faults can be switched while the process runs. A record holds how many calls still fail (-1: all), of how
  * many thousandths of the calls, and the errno they fail with. The errno SHORT makes a transfer move a single
  * byte. The record of the wall clock holds the seconds by which it is stepped. The record READ counts the
- * bytes that the process has read from the connections that it accepted.
+ * bytes that the process has read from the connections that it accepted; behind the records stands the same
+ * for each port of a client.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -27,6 +29,7 @@
 enum call { ACCEPT, SOCKET, CONNECT, SEND, RECEIVE, WAIT, WRITE, SYNC, BIND, OPEN, CLOCK, PIPE, READ, CALLS };
 
 #define DESCRIPTORS 4096
+#define PORTS 65536
 
 struct fault {
     int32_t left;
@@ -37,15 +40,19 @@
 
 static struct fault *faults;
 static uint32_t random_state = 1;
-static char accepted[DESCRIPTORS]; /* whether a descriptor is a connection that was accepted */
+static uint32_t *read_from; /* bytes, by the client's port */
+static int accepted[DESCRIPTORS]; /* the client's port, for descriptors of accepted connections */
 
 __attribute__((constructor)) static void map_faults(void) {
     const char *path = getenv("LAPISPASS_FAULTS");
     int descriptor = path ? (int)open(path, O_RDWR) : -1;
     if (descriptor < 0) return;
-    void *mapped = mmap(NULL, sizeof(struct fault) * CALLS, PROT_READ | PROT_WRITE, MAP_SHARED, descriptor, 0);
+    size_t size = sizeof(struct fault) * CALLS + sizeof(uint32_t) * PORTS;
+    void *mapped = mmap(NULL, size, PROT_READ | PROT_WRITE, MAP_SHARED, descriptor, 0);
     close(descriptor);
-    if (mapped != MAP_FAILED) faults = mapped;
+    if (mapped == MAP_FAILED) return;
+    faults = mapped;
+    read_from = (uint32_t *)(faults + CALLS);
 }
 
 /* The errno that this call fails with, SHORT, or 0. */
@@ -66,6 +73,16 @@
     return address.ss_family == AF_INET || address.ss_family == AF_INET6;
 }
 
+/* The port of the peer of a connection, 0 where it is unknown. */
+static int peer_port(int descriptor) {
+    struct sockaddr_storage address;
+    socklen_t size = sizeof address;
+    if (getpeername(descriptor, (struct sockaddr *)&address, &size)) return 0;
+    if (address.ss_family == AF_INET) return ntohs(((struct sockaddr_in *)&address)->sin_port);
+    if (address.ss_family == AF_INET6) return ntohs(((struct sockaddr_in6 *)&address)->sin6_port);
+    return 0;
+}
+
 static int is_file(int descriptor) {
     struct stat status;
     return !fstat(descriptor, &status) && S_ISREG(status.st_mode);
@@ -89,7 +106,7 @@
     NEXT(accept4);
     FAIL(ACCEPT, 1);
     int descriptor = next(listener, address, size, flags);
-    if (descriptor >= 0 && descriptor < DESCRIPTORS) accepted[descriptor] = 1;
+    if (descriptor >= 0 && descriptor < DESCRIPTORS) accepted[descriptor] = peer_port(descriptor);
     return descriptor;
 }
 
@@ -131,7 +148,10 @@
         return -1;
     }
     ssize_t got = next(descriptor, bytes, error && size ? 1 : size, flags);
-    if (got > 0 && faults && descriptor < DESCRIPTORS && accepted[descriptor]) faults[READ].injected += got;
+    if (got > 0 && faults && descriptor < DESCRIPTORS && accepted[descriptor]) {
+        faults[READ].injected += got;
+        read_from[accepted[descriptor]] += got;
+    }
     return got;
 }
 
--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -28,6 +28,8 @@
 SHORT = 10000  # a transfer of one byte, in place of an errno
 RECORD = struct.Struct("=4i")
 ALWAYS = 1000  # thousandths
+PORT_COUNT = struct.Struct("=I")  # the bytes read from a client, by its port, behind the records
+PORTS = 1 << 16
 SETTINGS = {
     "grades": [{"name": "pay", "target-us": 10, "hard-limit-us": 20, "worth": 2.0}],
     "extra": {"key-ranges": 2, "data-plane-size": 3},
@@ -65,7 +67,7 @@
 
     def __init__(self, path: Path) -> None:
         self.path = path
-        path.write_bytes(bytes(RECORD.size * len(Call)))
+        path.write_bytes(bytes(RECORD.size * len(Call) + PORT_COUNT.size * PORTS))
         with path.open("r+b") as file:
             self.records = mmap.mmap(file.fileno(), 0)
 
@@ -89,6 +91,10 @@
         """How much the process has read from the connections that it accepted."""
         return self.injected(Call.READ)
 
+    def bytes_read_from(self, port: int) -> int:
+        """How much the process has read from all clients that have had this port."""
+        return PORT_COUNT.unpack_from(self.records, RECORD.size * len(Call) + PORT_COUNT.size * port)[0]
+
 
 class Controller:
     """A running controller process."""
@@ -173,10 +179,11 @@
     relay: Relay | None = None,
     book: Party | None = None,
     environment: Mapping[str, str] | None = None,
+    address: tuple[str, int] | None = None,
 ) -> AsyncIterator[Controller]:
     """The platform's controller, with its stand-ins."""
     faults = faults or Faults(folder / "faults")
-    address = free_address()
+    address = address or free_address()
     async with relay or Relay() as store, book or Book() as registry:
         config = {
             "name": "n",
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,347 @@
+"""Days of clients that use a real controller process until it is killed, judged by what was answered.
+
+Each day draws from its seed: faults of system calls, steps of the wall clock, pauses, signals in series, a
+crowd. Clients keep their connections and go on asking until the kill, which comes `KILL_S` after SIGTERM; a
+second process takes the same address. The judge counts, by the shim, what the process has read from each
+client: whatever was read and not answered is lost.
+
+By hand: `PYTHONPATH=. python tests/soak.py --seeds 50 --seed 1000 --at-once 3`; status 1 where one is broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import errno
+import random
+import signal
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from faulty_process import SHORT, Call, Controller, Faults, controller, free_address
+
+PING, PONG, NACK = b"PING\r\n", b"PONG\r\n", b"NACK why=unreadable\r\n"
+KILL_S = 0.7  # from SIGTERM to SIGKILL
+READY_S = 10.0  # for a start
+LIFE_S = 4.0  # of each of the two processes
+DUE_S = 0.5  # for an answer, of time in which the process runs
+CROWD_DUE_S = 2.5  # where more clients come than there are places
+OWED_S = 3.0  # for a rejection or a close
+CLIENTS, CROWD, BAD = 12, 300, 40
+PAUSE_S = 0.3
+MENU = (
+    *((Call.ACCEPT, error) for error in (errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EINTR)),
+    *((Call.SOCKET, error) for error in (errno.ENFILE, errno.ENOBUFS)),
+    *((Call.CONNECT, error) for error in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EINTR)),
+    *((Call.SEND, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
+    *((Call.RECEIVE, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
+    (Call.WAIT, errno.EINTR),
+    *((Call.PIPE, error) for error in (SHORT, errno.EAGAIN, errno.ENOSPC)),
+)
+DURING = (signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP, signal.SIGWINCH)
+ENDING = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT, signal.SIGTERM)
+GARBAGE = (b"", b"PI", b"odd\r\n", b"\x16\x03\x01", b"GET / HTTP/1.1\r\n\r\n", PING + b"PI", b"x" * 9000)
+
+
+@dataclass
+class Verdict:
+    """What a day has shown."""
+
+    seed: int
+    breaches: list[str] = field(default_factory=list)
+    asked: int = 0
+    answered: int = 0
+    killed: int = 0  # processes that had not ended by the kill
+    slowest_s: float = 0.0  # answer, pauses left out
+
+    def __str__(self) -> str:
+        figures = f"{self.asked} asked, {self.answered} answered, {self.killed} killed"
+        return f"seed {self.seed}: {figures}, slowest {self.slowest_s:.3f} s, breaches {self.breaches[:5]}"
+
+
+@dataclass
+class Day:
+    """One process's life, as its clients and its judge see it."""
+
+    running: Controller
+    chance: random.Random
+    verdict: Verdict
+    is_crowded: bool
+    pauses: list[tuple[float, float]] = field(default_factory=list)
+    told_to_end: bool = False
+
+    def paused_s(self, since: float) -> float:
+        """For how long the process was stopped from then on."""
+        now = asyncio.get_running_loop().time()
+        return sum(max(0.0, min(now, end) - max(since, begin)) for begin, end in self.pauses)
+
+    def breach(self, text: str) -> None:
+        self.verdict.breaches.append(text)
+
+    def breach_lines(self) -> None:
+        """Faults of the program's own, by its log."""
+        for line in self.running.lines:
+            if "trace=" in line:
+                self.breach(line[:2000])
+
+
+class Client:
+    """One connection of a sound client."""
+
+    def __init__(self, day: Day) -> None:
+        self.day, self.answered = day, 0
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+
+    async def connect(self) -> None:
+        self.reader, self.writer = await self.day.running.connect()
+        self.port = self.writer.get_extra_info("sockname")[1]
+        self.read_before = self.day.running.faults.bytes_read_from(self.port)
+
+    async def ask(self, count: int, due_s: float) -> bool:
+        """So many requests in pieces, and their answers; False where the connection has ended."""
+        day, loop, chance = self.day, asyncio.get_running_loop(), self.day.chance
+        message, expected = PING * count, PONG * count
+        cut = chance.randrange(len(message))
+        begun = loop.time()
+        day.verdict.asked += count
+        got = b""
+        try:
+            self.writer.write(message[:cut])
+            await asyncio.sleep(chance.choice((0, 0, 0.05)))
+            begun = loop.time()
+            self.writer.write(message[cut:])
+            while len(got) < len(expected):
+                piece = await self.reader.read(len(expected) - len(got))
+                if not piece:
+                    raise EOFError
+                got += piece
+        except (EOFError, OSError):
+            self.judge_end(got)
+            return False
+        finally:
+            self.answered += got.count(PONG)
+            day.verdict.answered += got.count(PONG)
+        if got != expected:
+            day.breach(f"unasked: {got[:40]!r}")
+            return False
+        took_s = loop.time() - begun - day.paused_s(begun)
+        day.verdict.slowest_s = max(day.verdict.slowest_s, took_s)
+        if took_s > due_s:
+            day.breach(f"late: {took_s:.3f} s")
+        return True
+
+    def judge_end(self, got: bytes) -> None:
+        """The connection has ended before its answer."""
+        day = self.day
+        if not day.told_to_end and not day.is_crowded:
+            day.breach(f"ended without a reason, {got!r} had come")
+        if got.count(PONG) * len(PONG) != len(got):
+            day.breach(f"half an answer, or another: {got[-40:]!r}")
+
+    def judge(self) -> None:
+        """Whatever was read is answered; called when the connection has ended."""
+        read = self.day.running.faults.bytes_read_from(self.port) - self.read_before
+        if read // len(PING) > self.answered:
+            self.day.breach(f"lost: {read // len(PING)} requests read, {self.answered} answered")
+        self.writer.close()
+
+    async def hears_nothing(self, for_s: float) -> bool:
+        """Silent for a while; False where the connection has ended, or something unasked has come."""
+        try:
+            async with asyncio.timeout(for_s):
+                piece = await self.reader.read(100)
+        except TimeoutError:
+            return True
+        except OSError:
+            piece = b""
+        if piece:
+            self.day.breach(f"unasked: {piece!r}")
+        elif not self.day.told_to_end and not self.day.is_crowded:
+            self.day.breach("an idle connection was ended")
+        return False
+
+
+async def converse(day: Day, rounds: int, last_s: float) -> None:
+    """One client after the other, each on a connection that it keeps for some rounds."""
+    chance, due_s = day.chance, CROWD_DUE_S if day.is_crowded else DUE_S
+    while not day.told_to_end:
+        client = Client(day)
+        try:
+            await client.connect()
+        except OSError:
+            if day.told_to_end:
+                return
+            await asyncio.sleep(0.01)
+            continue
+        for _ in range(rounds):
+            if not await client.ask(chance.choice((1, 1, 1, 50)), due_s):
+                break
+            pause_s = chance.choice((0, 0, 0.01, 0.1, 0.5, 0.99, 1.0, 1.01, 1.99, 2.01))
+            if not await client.hears_nothing(min(pause_s, last_s) + 0.001):
+                break
+        client.judge()
+
+
+async def crowd(day: Day) -> None:
+    """Hundreds at once, each with a request and some silence."""
+
+    async def one() -> None:
+        await asyncio.sleep(day.chance.uniform(0, 0.3))
+        client = Client(day)
+        try:
+            await client.connect()
+        except OSError:
+            return
+        if await client.ask(1, CROWD_DUE_S):
+            await client.hears_nothing(day.chance.uniform(0, 1.0))
+        client.judge()
+
+    while not day.told_to_end:
+        await asyncio.gather(*(one() for _ in range(CROWD)))
+
+
+async def misbehave(day: Day) -> None:
+    """Clients that send what nobody can read, or nothing: each is owed a rejection or a close."""
+
+    async def one(said: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            reader, writer = await day.running.connect()
+        except OSError:
+            return
+        begun, got, at_end = loop.time(), b"", False
+        try:
+            writer.write(said)
+            async with asyncio.timeout(OWED_S + 2 * PAUSE_S):
+                while NACK not in got:
+                    piece = await reader.read(1000)
+                    got += piece
+                    if not piece:
+                        at_end = True
+                        break
+        except OSError as error:
+            at_end = not isinstance(error, TimeoutError)
+        if not (at_end or NACK in got) or loop.time() - begun - day.paused_s(begun) > OWED_S + 0.2:
+            day.breach(f"owed to {said[:20]!r}: neither rejection nor close, {got[:40]!r}")
+        writer.close()
+
+    while not day.told_to_end:
+        await asyncio.gather(*(one(day.chance.choice(GARBAGE)) for _ in range(BAD)))
+
+
+async def trouble(day: Day, until: float) -> None:
+    """A few faults at a time, clock steps, signals and short pauses."""
+    loop, running, chance = asyncio.get_running_loop(), day.running, day.chance
+    while loop.time() < until:
+        chosen = chance.sample(MENU, 3)
+        for call, error in chosen:
+            running.faults.set(call, error, thousandths=chance.choice((50, 300, 600)))
+        running.faults.step_clock(chance.choice((0, 0, 3600, -3600, 5, -5)))
+        if chance.random() < 0.3:
+            await pause(day)
+        if chance.random() < 0.5:
+            for number in chance.sample(DURING, 2):
+                running.signal(number)
+        await asyncio.sleep(0.25)
+        if chance.random() < 0.8:  # some go on until the next ones, or the end
+            for call, _ in chosen:
+                running.faults.clear(call)
+
+
+async def pause(day: Day) -> None:
+    """The process stands still for a while."""
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    day.running.signal(signal.SIGSTOP)
+    day.pauses.append((begun, begun + PAUSE_S))
+    await asyncio.sleep(PAUSE_S)
+    day.running.signal(signal.SIGCONT)
+    day.pauses[-1] = (begun, loop.time())
+
+
+async def end(day: Day) -> None:
+    """SIGTERM with other signals around it, and the kill at the earliest."""
+    loop, running = asyncio.get_running_loop(), day.running
+    day.told_to_end = True
+    begun = loop.time()
+    for number in ENDING:
+        if running.process.returncode is None:
+            running.signal(number)
+        await asyncio.sleep(day.chance.choice((0, 0, 0.01, 0.05)))
+    await asyncio.sleep(max(0.0, begun + KILL_S - loop.time()))
+    if running.process.returncode is None:
+        day.verdict.killed += 1
+        running.process.kill()
+    status = await running.ended()
+    if status not in (0, -signal.SIGKILL):
+        day.breach(f"status {status}")
+    day.breach_lines()
+
+
+async def life(day: Day) -> None:
+    """One process, from its start to its end."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + LIFE_S
+    rounds = (day.chance.randint(1, 4), 1000)
+    clients = [converse(day, day.chance.choice(rounds), 1.2) for _ in range(CLIENTS)]
+    clients += [misbehave(day)]
+    if day.is_crowded:
+        clients += [crowd(day)]
+    reading = asyncio.create_task(read_log(day))
+    tasks = [asyncio.create_task(client) for client in clients]
+    await trouble(day, until)
+    reading.cancel()
+    await asyncio.gather(reading, return_exceptions=True)
+    await end(day)
+    await asyncio.gather(*tasks)
+
+
+async def read_log(day: Day) -> None:
+    """Keeps the log's pipe empty."""
+    while line := await day.running.process.stderr.readline():
+        day.running.lines.append(line.decode().rstrip("\n"))
+
+
+async def play_day(seed: int, folder: Path) -> Verdict:
+    """A day, with two processes at one address."""
+    chance, verdict = random.Random(seed), Verdict(seed)
+    faults, address = Faults(folder / "faults"), free_address()
+    is_crowded = chance.random() < 0.4
+    for _ in range(2):
+        begun = time.monotonic()
+        async with controller(folder, faults=faults, address=address) as running:
+            if time.monotonic() - begun > READY_S:
+                verdict.breaches.append(f"ready after {time.monotonic() - begun:.1f} s")
+            await life(Day(running, chance, verdict, is_crowded))
+    return verdict
+
+
+def play_seed(seed: int) -> Verdict:
+    """A day on a loop of its own."""
+    with TemporaryDirectory(prefix="lapispass-soak-") as folder:
+        return asyncio.run(play_day(seed, Path(folder)))
+
+
+def main() -> int:
+    """The long run, by hand."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--seed", type=int, default=1000)
+    parser.add_argument("--at-once", type=int, default=3)
+    given = parser.parse_args()
+    broken = 0
+    with ProcessPoolExecutor(given.at_once) as pool:
+        for verdict in pool.map(play_seed, range(given.seed, given.seed + given.seeds)):
+            print(verdict, flush=True)
+            broken += bool(verdict.breaches)
+    print(f"{given.seeds} days, {broken} broken")
+    return min(1, broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
