--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -14,6 +13,7 @@
 from lapispass.net.codec import Codec, Listing, WireError
 from lapispass.net.http import split
 from lapispass.net.limits import Limits
+from lapispass.retry import RetryWindow, retry
 
 
 class BadStart(Exception):
@@ -27,6 +27,11 @@
         self.may_pass = may_pass
 
 
+def may_pass(error: Exception) -> bool:
+    """Whether a further attempt may succeed."""
+    return isinstance(error, BadStart) and error.may_pass
+
+
 @dataclass(frozen=True, slots=True)
 class Launch:
     """All that a `Service` needs; read at the start, and again when the file has been replaced."""
@@ -41,17 +46,11 @@
     limits: Limits
 
     @classmethod
-    async def read_again(cls, environment: Mapping[str, str]) -> Launch:
+    async def read_with_retries(cls, environment: Mapping[str, str]) -> Launch:
         """As `read`, which is tried again for `Limits.bind_us` while the file cannot be read."""
-        limits, loop = Limits(), asyncio.get_running_loop()
-        until = loop.time() + limits.bind_us / 1e6
-        while True:
-            try:
-                return cls.read(environment)
-            except BadStart as error:
-                if not error.may_pass or loop.time() >= until:
-                    raise
-            await asyncio.sleep(limits.again_least_us / 1e6)
+        limits = Limits()
+        window = RetryWindow(limits.bind_us / 1e6, limits.again_least_us / 1e6)
+        return await retry(lambda: cls.read(environment), may_pass, window)
 
     @classmethod
     def read(cls, environment: Mapping[str, str]) -> Launch:
--- a/lapispass/net/process.py
+++ b/lapispass/net/process.py
@@ -6,18 +6,13 @@
 import logging
 import signal
 import sys
-import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from lapispass.core import momentary
 from lapispass.net import log, signals
 from lapispass.net.log import Part
-
-LOOP_WAIT_S = 3.0
-LOOP_AGAIN_S = 0.05
-REREAD_ATTEMPTS = 60
-REREAD_AFTER_S = 0.05
+from lapispass.retry import START, retry_blocking
 
 
 def on_signals(
@@ -29,9 +24,9 @@
     """
     loop = asyncio.get_running_loop()
 
-    def reread(attempts: int = REREAD_ATTEMPTS) -> None:
+    def reread(attempts: int = round(START.wait_s / START.pause_s)) -> None:
         if not read_again() and attempts > 1:
-            loop.call_later(REREAD_AFTER_S, reread, attempts - 1)
+            loop.call_later(START.pause_s, reread, attempts - 1)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
@@ -59,14 +54,10 @@
 
 def new_loop() -> asyncio.AbstractEventLoop:
     """An event loop. Its descriptors may not be had for a moment; a start must not fail for that."""
-    until = time.monotonic() + LOOP_WAIT_S
-    while True:
-        try:
-            return asyncio.new_event_loop()
-        except OSError as error:
-            if error.errno not in momentary.LOCAL or time.monotonic() >= until:
-                raise
-        time.sleep(LOOP_AGAIN_S)
+    return retry_blocking(
+        asyncio.new_event_loop,
+        lambda error: isinstance(error, OSError) and error.errno in momentary.LOCAL,
+    )
 
 
 def status(
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -242,7 +242,7 @@
     loop.add_signal_handler(
         signal.SIGHUP, replaced.set
     )  # first: a file replaced while it is read is read again
-    service = Service(joined(await Launch.read_again(environment)))
+    service = Service(joined(await Launch.read_with_retries(environment)))
     attach(service)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.stop)
@@ -264,7 +264,7 @@
     while await replaced.wait():
         replaced.clear()
         try:
-            await service.follow(joined(await Launch.read_again(environment)))
+            await service.follow(joined(await Launch.read_with_retries(environment)))
         except BadStart as error:
             service.counters["service.reloads_refused"] += 1
             service.log.warn("configuration refused", why=error)
--- a/lapispass/operator/read.py
+++ b/lapispass/operator/read.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-import time
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,13 +14,12 @@
 from lapispass.interface import Deployment, VisitClass
 from lapispass.operator.operator_pb2 import Gate, Node, Operator
 from lapispass.operator.places import lines_of
+from lapispass.retry import retry_blocking
 
 FILE_BYTES = 4 << 20
 ADDRESS = re.compile(r"(?:\[[0-9a-fA-F:]+\]|[\w.-]+):(\d{1,5})\Z")
 NAME = re.compile(r"[\w.:-]{1,64}\Z")
 MS = 1000
-START_WAIT_S = 3.0
-START_AGAIN_S = 0.05
 
 
 class BadFile(Exception):
@@ -52,15 +50,8 @@
 
 
 def read_at_start(path: str | Path) -> Source:
-    """As `read`, which is tried again for `START_WAIT_S` while the file cannot be read."""
-    until = time.monotonic() + START_WAIT_S
-    while True:
-        try:
-            return read(path)
-        except BadFile as error:
-            if not error.may_pass or time.monotonic() >= until:
-                raise
-        time.sleep(START_AGAIN_S)
+    """As `read`, which is tried again for a while where the file cannot be read."""
+    return retry_blocking(lambda: read(path), lambda error: isinstance(error, BadFile) and error.may_pass)
 
 
 def read(path: str | Path) -> Source:
--- a/lapispass/xds/host.py
+++ b/lapispass/xds/host.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Coroutine, Sequence
 from pathlib import Path
 from typing import Any
@@ -27,14 +26,14 @@
 from lapispass.operator import read as operator
 from lapispass.operator.operator_pb2 import Node
 from lapispass.operator.read import BadFile, Source
+from lapispass.retry import RetryWindow, retry_blocking
 from lapispass.store.assignments import Assignments, NotWritten, Spoilt
 from lapispass.xds.desk import desk_for, load_keys, tls_of
 
 STATES = {Node.READY: "ready", Node.DRAINING: "draining", Node.GONE: "gone"}
 STORE = 0  # the number of the store as a proxy
 COMPACT_EVERY = 1000  # turns
-OPEN_WAIT_S = 5.0  # for a store on a disk that fails
-OPEN_AGAIN_S = 0.05
+OPENING = RetryWindow(wait_s=5.0)  # of a store on a disk that fails
 
 
 class Host:
@@ -65,27 +64,26 @@
     def open_store(self, source: Source) -> None:
         """The store's table is kept; the module starts no handover there for one lease.
 
-        A disk that fails for a moment is tried again for `OPEN_WAIT_S`.
+        A disk that fails for a moment is tried again for a while.
         """
         path = Path(source.path).parent / source.told.alone.store_file
-        until = time.monotonic() + OPEN_WAIT_S
-        while True:
-            try:
-                self.store = Assignments(path, self.told.slices)
-                break
-            except Spoilt as error:
-                raise BadFile([source.at("alone.store_file", str(error))]) from None
-            except NotWritten as error:
-                if time.monotonic() >= until:
-                    raise BadFile([source.at("alone.store_file", str(error))]) from None
-                self.log.rate_limited("store not opened", why=error)
-                time.sleep(OPEN_AGAIN_S)
+        try:
+            self.store = retry_blocking(lambda: Assignments(path, self.told.slices), self.may_open, OPENING)
+        except (Spoilt, NotWritten) as error:
+            raise BadFile([source.at("alone.store_file", str(error))]) from None
         owners = self.store.owners()
         for number in range(self.told.slices):
             self.inbox.append(interface.Given(number, True))
             if owner := owners.get(number):
                 self.inbox.append(interface.Held(number, owner))
 
+    def may_open(self, error: Exception) -> bool:
+        """Whether the store may open at a further attempt."""
+        if not isinstance(error, NotWritten):
+            return False
+        self.log.rate_limited("store not opened", why=error)
+        return True
+
     def list_nodes(self, source: Source) -> None:
         """The nodes of the file, as a list that is whole."""
         self.nodes = {node.id: node for node in source.told.node}
--- a/tests/test_scale_stand_ins.py
+++ b/tests/test_scale_stand_ins.py
@@ -10,6 +10,8 @@
 from statistics import median
 from typing import Any
 
+import pytest
+
 from lapispass.lab.scale.messages import Change, Told, WatchLeft
 from lapispass.lab.scale.stand_in import CountedRelay, RegistryStandIn, RelayStandIn
 from lapispass.standins.collectors import Collectors, Load
@@ -156,6 +158,28 @@
     assert 150 < seen <= 200
 
 
+def phase_of(times: list[float], interval: float) -> float:
+    """The middle of times that are taken modulo an interval, 0.199 and 0.001 being neighbours."""
+    first = times[0]
+    offsets = [(at - first + interval / 2) % interval - interval / 2 for at in times]
+    return (first + median(offsets)) % interval
+
+
+@pytest.mark.parametrize(
+    ("times", "middle"),
+    [
+        ([0.001, 0.199, 0.0, 0.198, 0.002], 0.0),
+        ([0.198, 0.001, 0.199, 0.002, 0.199, 0.001], 0.0),  # a plain median gives 0.1
+        ([0.11, 0.1, 0.12], 0.11),
+    ],
+)
+def test_the_middle_of_times_around_the_end_of_an_interval_lies_there(
+    times: list[float], middle: float
+) -> None:
+    apart = abs(phase_of(times, 0.2) - middle)
+    assert min(apart, 0.2 - apart) < 1e-9
+
+
 def test_zones_report_at_their_own_times_also_after_the_process_stood_still() -> None:
     async def test() -> None:
         writers: list[asyncio.StreamWriter] = []
@@ -180,7 +204,7 @@
         taken.close()
         for writer in writers:
             writer.transport.abort()
-        phases = sorted(median(times) for times in sent.values())
+        phases = sorted(phase_of(times, 0.2) for times in sent.values())
         gaps = [after - before for before, after in pairwise([*phases, phases[0] + 0.2])]
         assert min(gaps) > 0.02, phases  # 0.05 each where nothing is late; 0 where all report together
 
