Log where the event loop came back late, whatever the process was doing

Wanted by the diagnosis: a stand-still while a relay call is under way left no line (turn late looks between turns only). A look each 0.25 s; nothing is decided by it. Test: SIGSTOP while calls are unsettled.

--- /dev/null
+++ b/lapispass/net/loop_lag.py
@@ -0,0 +1,31 @@
+"""How late the event loop is: where a process stands still, everything that it owes is late by as much."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lapispass.net.counters import Counters
+from lapispass.net.log import Part
+
+LOOK_S = 0.25
+
+
+class LoopLag:
+    """Logs each time the loop was late, whatever it was doing; nothing is decided by it."""
+
+    def __init__(self, late_us: int, log: Part, counters: Counters) -> None:
+        self.late_us, self.log, self.counters = late_us, log, counters
+
+    async def run(self) -> None:
+        """Until it is cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LOOK_S
+            await asyncio.sleep(LOOK_S)
+            self.note(int((loop.time() - due) * 1e6))
+
+    def note(self, late_us: int) -> None:
+        """The loop came back so late."""
+        if late_us > self.late_us:
+            self.counters["service.loop_stalls"] += 1
+            self.log.rate_limited("event loop stalled", late_us=late_us)
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -21,6 +21,7 @@
 from lapispass.net.http import Overfull
 from lapispass.net.launch import BadStart, Launch
 from lapispass.net.log import Part, lost
+from lapispass.net.loop_lag import LoopLag
 from lapispass.net.probes import Probes
 from lapispass.net.process import to_the_end
 from lapispass.net.registry import Registry
@@ -93,6 +94,7 @@
                 self.registry.run(),
                 self.turns(),
                 self.ended.wait(),
+                LoopLag(self.limits.late_us, self.log, self.counters).run(),
                 *(front.run() for front in self.beside),
             )
         ]
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from faulty_process import Call, Faults, controller, free_address, names, process
-from parties import play
+from parties import Relay, play
 
 PING, PONG = b"PING\r\n", b"PONG\r\n"
 LOCAL_ERRORS = (errno.EADDRNOTAVAIL, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -114,3 +114,20 @@
             assert (await gate.counters())["gate.reloads_refused"] == 1
 
     play(test())
+
+
+def test_a_process_that_stood_still_says_so_whatever_it_was_doing(tmp_path: Path) -> None:
+    # While a relay call was under way a stand-still left no line.
+    async def test() -> None:
+        relay = Relay()
+        relay.faults += ["silent before"] * 99
+        async with controller(tmp_path, relay=relay) as running:
+            await running.says("news open")
+            after = len(running.lines)
+            running.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.6)
+            running.signal(signal.SIGCONT)
+            line = await running.says("event loop stalled", after)
+            assert 150_000 < int(line.partition("late_us=")[2].split()[0]) < 5_000_000
+
+    play(test())
