--- a/lapispass/gate/ears.py
+++ b/lapispass/gate/ears.py
@@ -6,9 +6,10 @@
 from collections.abc import Awaitable, Callable
 
 from lapispass.net.http import split
+from lapispass.net.streams import Reader
 
 
-class Ear(asyncio.StreamReader):
+class Ear(Reader):
     """A stream reader that sets an event when there is something to read, or its peer has ended."""
 
     def __init__(self, limit: int, wake: asyncio.Event) -> None:
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -135,7 +135,8 @@
         finally:
             for life in lives:
                 life.cancel()
-            self.server.close()
+            self.server.close(self.limits.shaking)
+            await asyncio.gather(*self.server.tasks, return_exceptions=True)
             await self.leave()
             await asyncio.gather(*lives, return_exceptions=True)
             self.print_counters()
@@ -172,10 +173,13 @@
         self.tasks.add(task)
         tunnel = Tunnel(self, reader, writer)
         try:
+            if self.ended.is_set():  # accepted in the instant of the end
+                await tunnel.refuse_unread("the gate ends")
+                return
             if len(self.upgrading) >= self.limits.shaking:  # Guards against never-ending handshakes.
                 self.counters["screens.crowded_out"] += 1
                 if len(self.tasks) - len(self.tunnels) <= 2 * self.limits.shaking:
-                    await tunnel.crowded_out()
+                    await tunnel.refuse_unread("too many upgrades at once")
                 else:  # Guards descriptors: so many are being refused already.
                     writer.transport.abort()
                 return
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -320,11 +320,22 @@
         await flush(self.writer, self.limits.flush_us)
         self.writer.transport.abort()
 
-    async def crowded_out(self) -> None:
-        """Refuses it before it is read: too many upgrades are under way."""
-        await self.refuse(
-            h11.Connection(h11.SERVER), Refusal(503, "too many upgrades at once", self.return_us())
-        )
+    async def refuse_unread(self, why: str) -> None:
+        """Refuses it before it is read; who asks nothing within a moment is closed without a word."""
+        if not await self.asks_soon():
+            self.gate.counters["screens.never_asked"] += 1
+            self.writer.transport.abort()
+            return
+        await self.refuse(h11.Connection(h11.SERVER), Refusal(503, why, self.return_us()))
+
+    async def asks_soon(self) -> bool:
+        """Whether something comes within `Limits.flush_us`; it stays unread."""
+        until = self.clock.now() + self.limits.flush_us
+        while not has_input(self.ear, self.writer):
+            if self.ear.over or self.clock.now() >= until:
+                return False
+            await asyncio.sleep(self.limits.tick_us / 1e6 / 10)
+        return True
 
     def return_us(self) -> int:
         """When it may come back, counted from now: others are given other times."""
--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -10,6 +10,7 @@
 import json
 import mmap
 import os
+import random
 import signal
 import socket
 import struct
@@ -54,6 +55,18 @@
     READ = 12  # fails never: counts the bytes read from connections that were accepted
 
 
+# What passes, by Linux's pages, and harms no connection.
+MOMENTARY = (
+    *((Call.ACCEPT, error) for error in (errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EINTR)),
+    *((Call.SOCKET, error) for error in (errno.ENFILE, errno.ENOBUFS)),
+    *((Call.CONNECT, error) for error in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EINTR)),
+    *((Call.SEND, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
+    *((Call.RECEIVE, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
+    (Call.WAIT, errno.EINTR),
+    *((Call.PIPE, error) for error in (SHORT, errno.EAGAIN, errno.ENOSPC)),
+)
+
+
 @cache
 def shim() -> Path:
     """The compiled library."""
@@ -83,6 +96,14 @@
         """The wall clock is ahead by so many seconds from now on."""
         self.set(Call.CLOCK, seconds, times=0)
 
+    def draw(self, chance: random.Random) -> list[Call]:
+        """A few calls fail for a moment from now on, and the wall clock may be stepped; which calls."""
+        chosen = chance.sample(MOMENTARY, 3)
+        for call, error in chosen:
+            self.set(call, error, thousandths=chance.choice((50, 300, 600)))
+        self.step_clock(chance.choice((0, 0, 3600, -3600, 5, -5)))
+        return [call for call, _ in chosen]
+
     def injected(self, call: Call) -> int:
         """How many calls have failed so far."""
         return RECORD.unpack_from(self.records, call * RECORD.size)[3]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,7 +12,6 @@
 
 import argparse
 import asyncio
-import errno
 import random
 import signal
 import sys
@@ -22,7 +21,7 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from faulty_process import SHORT, Call, Controller, Faults, controller, free_address
+from faulty_process import Controller, Faults, controller, free_address
 
 PING, PONG, NACK = b"PING\r\n", b"PONG\r\n", b"NACK why=unreadable\r\n"
 KILL_S = 0.7  # from SIGTERM to SIGKILL
@@ -33,15 +32,6 @@
 OWED_S = 3.0  # for a rejection or a close
 CLIENTS, CROWD, BAD = 12, 300, 40
 PAUSE_S = 0.3
-MENU = (
-    *((Call.ACCEPT, error) for error in (errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EINTR)),
-    *((Call.SOCKET, error) for error in (errno.ENFILE, errno.ENOBUFS)),
-    *((Call.CONNECT, error) for error in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EINTR)),
-    *((Call.SEND, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
-    *((Call.RECEIVE, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
-    (Call.WAIT, errno.EINTR),
-    *((Call.PIPE, error) for error in (SHORT, errno.EAGAIN, errno.ENOSPC)),
-)
 DURING = (signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP, signal.SIGWINCH)
 ENDING = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT, signal.SIGTERM)
 GARBAGE = (b"", b"PI", b"odd\r\n", b"\x16\x03\x01", b"GET / HTTP/1.1\r\n\r\n", PING + b"PI", b"x" * 9000)
@@ -238,10 +228,7 @@
     """A few faults at a time, clock steps, signals and short pauses."""
     loop, running, chance = asyncio.get_running_loop(), day.running, day.chance
     while loop.time() < until:
-        chosen = chance.sample(MENU, 3)
-        for call, error in chosen:
-            running.faults.set(call, error, thousandths=chance.choice((50, 300, 600)))
-        running.faults.step_clock(chance.choice((0, 0, 3600, -3600, 5, -5)))
+        chosen = running.faults.draw(chance)
         if chance.random() < 0.3:
             await pause(day)
         if chance.random() < 0.5:
@@ -249,7 +236,7 @@
                 running.signal(number)
         await asyncio.sleep(0.25)
         if chance.random() < 0.8:  # some go on until the next ones, or the end
-            for call, _ in chosen:
+            for call in chosen:
                 running.faults.clear(call)
 
 
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -9,22 +9,13 @@
 from pathlib import Path
 
 import pytest
-from faulty_process import SHORT, Call, Controller, controller, names
+from faulty_process import Call, Controller, controller, names
 from parties import play
 
 PING, PONG = b"PING\r\n", b"PONG\r\n"
 DAY_S = 6.0
 PAUSE_S = 0.3
 DUE_S = 0.5 + 2 * PAUSE_S  # of half a second in which the process runs: two pauses may fall into it
-MENU = (
-    *((Call.ACCEPT, error) for error in (errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EINTR)),
-    *((Call.SOCKET, error) for error in (errno.ENFILE, errno.ENOBUFS)),
-    *((Call.CONNECT, error) for error in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EINTR)),
-    *((Call.SEND, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
-    *((Call.RECEIVE, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
-    (Call.WAIT, errno.EINTR),
-    *((Call.PIPE, error) for error in (SHORT, errno.EAGAIN, errno.ENOSPC)),
-)
 
 
 async def client(running: Controller, chance: random.Random, until: float, lost: list[str]) -> int:
@@ -57,16 +48,13 @@
     """A few faults at a time, clock steps and short pauses."""
     loop = asyncio.get_running_loop()
     while loop.time() < until:
-        chosen = chance.sample(MENU, 3)
-        for call, error in chosen:
-            running.faults.set(call, error, thousandths=chance.choice((50, 300, 600)))
-        running.faults.step_clock(chance.choice((0, 0, 3600, -3600, 5, -5)))
+        chosen = running.faults.draw(chance)
         if chance.random() < 0.3:
             running.signal(signal.SIGSTOP)
             await asyncio.sleep(PAUSE_S)
             running.signal(signal.SIGCONT)
         await asyncio.sleep(0.25)
-        for call, _ in chosen:
+        for call in chosen:
             running.faults.clear(call)
 
 
--- a/tests/test_stream_timers.py
+++ b/tests/test_stream_timers.py
@@ -105,3 +105,38 @@
                 assert said.startswith(b"HTTP/1.1 403"), said
 
     play(test())
+
+
+def test_a_head_that_has_come_is_read_though_its_time_is_over(tmp_path: Path) -> None:
+    # It was told 408, though all of it had come.
+    async def test() -> None:
+        async with world(tmp_path, {"n0": "127.0.0.1:1"}) as gate:
+            reader, writer = await asyncio.open_connection(*gate.address.split(":"))
+            writer.write(UPGRADE[:40])
+            await asyncio.sleep(QUICK.handshake_us / 2e6)
+            writer.write(UPGRADE[40:])
+            time.sleep(QUICK.handshake_us / 1e6)  # noqa: ASYNC251
+            said = await asyncio.wait_for(reader.read(), 3)
+            writer.transport.abort()
+            assert said.startswith(b"HTTP/1.1 503"), said  # its node refuses connections
+
+    play(test())
+
+
+def test_an_upgrade_that_waits_to_be_accepted_is_refused_before_the_end(tmp_path: Path) -> None:
+    # It was reset with the listening socket.
+    async def test() -> None:
+        async with world(tmp_path, {"n0": "127.0.0.1:1"}) as gate:
+            address = gate.address.split(":")
+            clients = [socket.create_connection((address[0], int(address[1]))) for _ in range(900)]
+            for client in clients[:-1]:
+                client.sendall(UPGRADE)
+            gate.stop()
+            streams = [await asyncio.open_connection(sock=client) for client in clients]
+            said = await asyncio.gather(*(asyncio.wait_for(reader.read(), 3) for reader, _ in streams))
+            for _, writer in streams:
+                writer.transport.abort()
+            assert {answer[:12] for answer in said[:-1]} == {b"HTTP/1.1 503"}
+            assert said[-1] == b""
+
+    play(test())
