Random drops: a thawed client's grace and a write's life begin when they begin

Both judgements begin where the rule does now: a test each, with the bound still broken where it should be.

--- a/lapispass/lab/drops.py
+++ b/lapispass/lab/drops.py
@@ -127,6 +127,7 @@
         self.started: dict[str, int] = {}
         self.file = folder / "operator.textproto"
         self.clients: list[XdsClient] = []
+        self.thawed: dict[str, int] = {}  # when each client last went on
         self.sent = 0
         self.in_flight: set[asyncio.Task[None]] = set()
         self.host: Host
@@ -195,8 +196,7 @@
             while not self.duration.is_over(clock() - begun, verdict, len(self.checker.carried)):
                 await asyncio.sleep(chance.uniform(0.02, 0.15))
                 await self.trouble()
-            for client in self.clients:
-                client.frozen = False
+            self.thaw()
             await asyncio.sleep(LEASE_MS / 500)
         finally:
             writing.cancel()
@@ -238,10 +238,9 @@
                 self.file.write_text(file_of(self.states, "store", self.started))
                 self.host.read_again()
             case "freeze":
-                chance.choice(self.clients).frozen = True
+                self.freeze(chance.choice(self.clients))
             case "thaw":
-                for client in self.clients:
-                    client.frozen = False
+                self.thaw()
             case "kill":
                 self.verdict.restarts += 1
                 self.note("controller killed")
@@ -249,6 +248,19 @@
                 await asyncio.sleep(chance.uniform(0.0, 0.3))
                 await self.start()
 
+    def freeze(self, client: XdsClient) -> None:
+        """It stands still from now on."""
+        client.frozen = True
+        self.note(f"froze {client.name}")
+
+    def thaw(self) -> None:
+        """Whoever stood still goes on, and begins by reading what has come meanwhile."""
+        for client in self.clients:
+            if client.frozen:
+                client.frozen = False
+                self.thawed[client.name] = clock_us()
+                self.note(f"thawed {client.name}")
+
     async def write(self) -> None:
         """Writes of every client, each numbered, each sent once."""
         while True:
@@ -258,13 +270,15 @@
             node = client.writes_to(slice_of(key, SLICES))
             if node is not None:
                 self.sent += 1
-                task = asyncio.create_task(self.carry(node, key, f"{client.name}-{self.sent}"))
+                task = asyncio.create_task(self.carry(node, key, f"{client.name}-{self.sent}", clock_us()))
                 self.in_flight.add(task)
                 task.add_done_callback(self.in_flight.discard)
 
-    async def carry(self, node: str, key: str, number: str) -> None:
-        """A node carries a write out at some time of its life, or never: also where this process was late."""
-        sent = clock_us()
+    async def carry(self, node: str, key: str, number: str, sent: int) -> None:
+        """A node carries a write out at some time of its life, or never: also where this process was late.
+
+        Its life runs from the client's decision: this task may begin much later, behind a blocking commit.
+        """
         await asyncio.sleep(self.chance.uniform(0, LIFE_MS * 0.8) / 1000)
         if clock_us() - sent > LIFE_MS * 1000:
             return
@@ -281,6 +295,7 @@
                     self.checker.parted(client.name)
                     continue
                 joined = now - (self.host.clock.now() - standing[0].begun)
+                joined = max(joined, self.thawed.get(client.name, 0))
                 for number in range(SLICES):
                     self.checker.pick(now, client.name, number, client.reads_from(number), joined)
                 waiting = sum(len(watch.out.items) for watch in standing[0].watches.values() if watch.out)
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -24,6 +25,7 @@
 from lapispass.operator import read as operator
 from lapispass.operator.read import BadFile
 from lapispass.rules.held import Breach
+from lapispass.standins.nodes import clock_us
 from lapispass.standins.xds_client import Faults, XdsClient
 from lapispass.xds.host import Host
 from lapispass.xds.server import ClosingServer
@@ -486,3 +488,45 @@
     twice = writes([*good, Carried(30, "b", "k", "1")], steps, lambda key: 0)
     assert [breach.rule for breach in late + twice] == ["2", "2"]
     assert slice_of("k", 1) == 0
+
+
+def test_a_client_that_stood_still_has_the_grace_of_a_drain_from_when_it_goes_on(tmp_path: Path) -> None:
+    # In the instant in which it went on it counted as late by all the time that it had stood still.
+    async def test() -> None:
+        day = drops.Day(1, tmp_path, drops.Duration())
+        begun = clock_us() - 5_000_000
+        client = SimpleNamespace(
+            name="c0", faults=drops.Faults(), frozen=True, reads_from=lambda number: "n2"
+        )
+        standing = SimpleNamespace(watches={"lds": SimpleNamespace(out=None)}, begun=begun)
+        day.clients = [client]
+        day.host = SimpleNamespace(
+            desk=SimpleNamespace(clients={"c0": (standing,)}), clock=SimpleNamespace(now=clock_us)
+        )
+        day.checker.drains(clock_us() - 1_200_000, "n2", True)
+        day.thaw()
+
+        async def sampled() -> int:
+            sampling = asyncio.create_task(day.sample())
+            await asyncio.sleep(0.1)
+            sampling.cancel()
+            await asyncio.gather(sampling, return_exceptions=True)
+            return len(day.checker.verdict())
+
+        assert await sampled() == 0
+        day.thawed["c0"] -= 1_100_000
+        assert await sampled() > 0
+
+    play(test())
+
+
+def test_the_life_of_a_write_runs_from_its_decision(tmp_path: Path) -> None:
+    # It ran from the first step of its task, which may come long after, behind a commit that blocks.
+    async def test() -> None:
+        day = drops.Day(1, tmp_path, drops.Duration())
+        await day.carry("n0", "k1", "c0-1", clock_us() - 160_000)
+        assert not day.checker.carried
+        await day.carry("n0", "k1", "c0-2", clock_us())
+        assert [write.number for write in day.checker.carried] == ["c0-2"]
+
+    play(test())
