--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -201,6 +201,7 @@
     book: Party | None = None,
     environment: Mapping[str, str] | None = None,
     address: tuple[str, int] | None = None,
+    limits: Mapping[str, int] | None = None,
 ) -> AsyncIterator[Controller]:
     """The platform's controller, with its stand-ins."""
     faults = faults or Faults(folder / "faults")
@@ -214,6 +215,7 @@
             "settings": settings,
             "store": {"address": store.address},
             "known": {"revision": 1, "complete": True, "members": list(members)},
+            "limits": dict(limits or {}),
         }
         path = folder / "config.json"
         path.write_text(json.dumps(config))
--- a/tests/test_unasked_answers.py
+++ b/tests/test_unasked_answers.py
@@ -97,6 +97,31 @@
     play(test(), 40)
 
 
+def test_clients_with_half_a_message_keep_nobody_waiting(tmp_path: Path) -> None:
+    # Where all places were theirs, one of them went each 250 ms; hundreds waited behind them.
+    async def asks(running: Controller) -> float:
+        begun = asyncio.get_running_loop().time()
+        reader, writer = await running.connect()
+        writer.write(PING)
+        assert await reader.readexactly(len(PONG)) == PONG
+        writer.close()
+        return asyncio.get_running_loop().time() - begun
+
+    async def test() -> None:
+        async with controller(tmp_path, limits={"sockets": 256}) as running:
+            halves = [await running.connect() for _ in range(400)]
+            for _, writer in halves:
+                writer.write(b"PIN")
+            waits = await asyncio.gather(*(asks(running) for _ in range(20)))
+            ended = await asyncio.gather(*(heard(reader, OWED_S) for reader, _ in halves))
+            for _, writer in halves:
+                writer.close()
+            assert max(waits) < 1.5, waits
+            assert set(ended) <= {b"", NACK} and all(reader.at_eof() for reader, _ in halves)
+
+    play(test(), 40)
+
+
 @dataclass
 class Count:
     """Of all clients of a process."""
