--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -234,22 +234,30 @@
     def make_room(self) -> bool:
         """Ends a client for the one that waits to be accepted; False where none can go just now.
 
-        Guards against clients that connect and stay. Guards those, too, that have just come or are in the
-        midst of a message: where all are such, the next one waits, for `Limits.room_us` at most.
+        Guards against clients that connect and stay, with half a message too. Guards those that have just
+        come or whose message comes in pieces: where all are such, the next one waits, for `Limits.room_us`
+        at most.
         """
         if self.standing() >= self.limits.connections + self.limits.at_once:
             return False  # those that are being ended still hold their descriptors
         now = asyncio.get_running_loop().time()
         if self.full_since is None:
             self.full_since = now
-        idle = next((connection for connection in self.candidates() if self.is_idle(connection)), None)
-        if idle is not None:
-            self.crowd_out(idle)
+        if (leaving := self.who_may_leave()) is not None:
+            self.crowd_out(leaving)
         elif now - self.full_since < self.limits.room_us / 1e6 or not self.end_longest_silent():
             return False
         self.full_since = None
         return True
 
+    def who_may_leave(self) -> ClientConnection | None:
+        """An idle client, or one whose message has been left unfinished; the longest silent first."""
+        idle = next((connection for connection in self.candidates() if self.is_idle(connection)), None)
+        if idle is not None:
+            return idle
+        silent = next(self.candidates(), None)
+        return silent if silent is not None and silent.silent_us() >= self.limits.room_us else None
+
     def candidates(self) -> Iterator[ClientConnection]:
         """Clients that may be ended, the longest silent first."""
         return (one for one in self.open if one.zone is None and one.closing is None)
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -43,7 +43,7 @@
     join_us: int = 2_000_000  # from connecting until a client has joined or asked
     message_us: int = 2_000_000  # for a message that comes in pieces
     fresh_us: int = 100_000  # in which a client is not closed for lack of room, after it has said something
-    room_us: int = 250_000  # for which a client waits where nobody is idle, before one is closed all the same
+    room_us: int = 150_000  # for which an unfinished message is waited for, and a client where nobody is idle
     unread_us: int = 2_000_000  # for a client to read the answers that wait for it
     flush_us: int = 250_000  # for what is unsent when a connection ends
     linger_us: int = 200_000  # from a rejection until the close, for the client to read it
