Log how late answers, orders and owners were, each 10 s, and each late answer by number

Change: IntervalFigures gathers from events and orders (pure), IntervalReport writes a line each 10 s and at the end; the age of a request is read from tcp_info, so that time in the accept queue and in the socket counts too.

--- a/lapispass/net/client_connection.py
+++ b/lapispass/net/client_connection.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from enum import StrEnum
 
+from lapispass.net import tcp_info
 from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines
 from lapispass.net.streams import has_input, unread
@@ -138,6 +139,14 @@
         self.expired = self.closing is not None
         self.writer.write(b"PONG\r\n")
 
+    def since_last_data_us(self) -> int | None:
+        """How long ago its last bytes came to this machine; None where the system does not tell."""
+        return tcp_info.since_last_data_us(self.writer.get_extra_info("socket"))
+
+    def unsent(self) -> int:
+        """Bytes that were written and are not in the system's hands yet."""
+        return self.writer.transport.get_write_buffer_size()
+
     def fields(self) -> dict[str, object]:
         """What a log line says of it."""
         now = self.loop.time()
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterator
 
 from lapispass import interface
+from lapispass.core.interval_figures import IntervalFigures
+from lapispass.net import tcp_info
 from lapispass.net.acceptor import Acceptor, listener_at, streams
 from lapispass.net.client_connection import ClientConnection, CloseReason, Ended
 from lapispass.net.codec import Codec, WireError
@@ -40,9 +42,15 @@
     """Takes connections at one address; each is in the hands of one task from its first byte to its end."""
 
     def __init__(
-        self, tell: Callable[[interface.Event], None], codec: Codec, limits: Limits, counters: Counters
+        self,
+        tell: Callable[[interface.Event], None],
+        codec: Codec,
+        limits: Limits,
+        counters: Counters,
+        figures: IntervalFigures | None = None,
     ) -> None:
         self.tell, self.codec, self.limits, self.counters = tell, codec, limits, counters
+        self.figures = figures or IntervalFigures(limits.late_us)
         self.log = Part("collectors", limits.log_every_us)
         self.open: dict[ClientConnection, None] = {}  # in the order of last use
         self.tasks: set[asyncio.Task[None]] = set()
@@ -118,7 +126,10 @@
         try:
             while piece := await connection.read():
                 self.used(connection)
+                answered = connection.pings
                 self.take_piece(piece, connection)
+                if connection.pings > answered:
+                    self.note_answer(connection)
                 await self.let_it_read(connection)
         except Ended as end:
             return end
@@ -177,6 +188,23 @@
         if odd:
             raise Ended(CloseReason.UNREADABLE, f"byte {odd[0][0]}, which no message holds")
 
+    def note_answer(self, connection: ClientConnection) -> None:
+        """Measures how long ago the bytes came that were just answered, in the system's queues too."""
+        took_us = connection.since_last_data_us()
+        if took_us is not None and self.figures.answered(took_us):
+            self.counters["collectors.answered_late"] += 1
+            self.log.rate_limited(
+                "answer late", took_us=took_us, unsent=connection.unsent(), **connection.fields()
+            )
+
+    def unsent_bytes(self) -> int:
+        """Answers that wait in this process, on all connections."""
+        return sum(connection.unsent() for connection in self.open)
+
+    def waiting_to_be_accepted(self) -> int | None:
+        """Connections in the listening socket's queue; None where that is not known."""
+        return tcp_info.waiting_to_be_accepted(self.server.listener) if self.server else None
+
     async def let_it_read(self, connection: ClientConnection) -> None:
         """Reads no further while answers wait to be read; whoever leaves them for too long is cut off."""
         transport = connection.writer.transport
--- /dev/null
+++ b/lapispass/net/interval_report.py
@@ -0,0 +1,39 @@
+"""A line of the log every few seconds: what was slow since the last one, and what waits."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lapispass.core.interval_figures import IntervalFigures
+from lapispass.net.clock import Clock
+from lapispass.net.collectors import Collectors
+from lapispass.net.log import Part
+
+
+class IntervalReport:
+    """Writes the figures of each interval, and those of the last one when it is cancelled."""
+
+    def __init__(
+        self, figures: IntervalFigures, clock: Clock, every_us: int, log: Part, collectors: Collectors
+    ) -> None:
+        self.figures, self.clock, self.every_us = figures, clock, every_us
+        self.log, self.collectors = log, collectors
+
+    async def run(self) -> None:
+        """Until it is cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(self.every_us / 1e6)
+                self.write()
+        finally:
+            self.write()
+
+    def write(self) -> None:
+        """One line; figures that are zero are left out."""
+        waiting = {
+            "connections": len(self.collectors.open),
+            "accept_queue": self.collectors.waiting_to_be_accepted(),
+            "unsent_bytes": self.collectors.unsent_bytes(),
+        }
+        shown = self.figures.take(self.clock.now()).shown()
+        self.log.say("interval", **{name: value for name, value in waiting.items() if value}, **shown)
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -13,12 +13,14 @@
 from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core import momentary
+from lapispass.core.interval_figures import IntervalFigures
 from lapispass.net import log
 from lapispass.net.clock import Clock
 from lapispass.net.codec import MARKS, Codec
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
 from lapispass.net.http import Overfull
+from lapispass.net.interval_report import IntervalReport
 from lapispass.net.launch import BadStart, Launch
 from lapispass.net.log import Part, lost
 from lapispass.net.loop_lag import LoopLag
@@ -53,7 +55,8 @@
         self.news = News(launch.relay, self.calls, self.tell, *common)
         self.probes = Probes(self.tell, *common)
         self.registry = Registry(launch.registry, launch.known, self.tell, *common, self.probes.forget)
-        self.collectors = Collectors(self.tell, *common)
+        self.figures = IntervalFigures(self.limits.late_us)
+        self.collectors = Collectors(self.tell, *common, self.figures)
         self.controller = Controller(launch.told, launch.seed, self.clock.now())
         self.beside: list[Beside] = []
 
@@ -95,6 +98,9 @@
                 self.turns(),
                 self.ended.wait(),
                 LoopLag(self.limits.late_us, self.log, self.counters).run(),
+                IntervalReport(
+                    self.figures, self.clock, self.limits.report_us, self.log, self.collectors
+                ).run(),
                 *(front.run() for front in self.beside),
             )
         ]
@@ -174,12 +180,23 @@
                 events.append(interface.Woken(token))
             orders = self.controller.turn(now, events)
             self.note_time(now)
-            self.counters["service.turns"] += 1
-            self.counters["service.events"] += len(events)
+            self.note_turn(now, events, orders)
             for front in self.beside:
                 front.turned(events, orders)
             await self.carry_out(orders)
 
+    def note_turn(
+        self, now: int, events: Sequence[interface.Event], orders: Sequence[interface.Order]
+    ) -> None:
+        """Counts what a turn was told and ordered."""
+        self.counters["service.turns"] += 1
+        self.counters["service.events"] += len(events)
+        self.figures.turn_took(self.clock.now() - now)
+        for event in events:
+            self.figures.event(now, event)
+        for order in orders:
+            self.figures.order(now, order)
+
     def note_time(self, began: int) -> None:
         """Logs what a reader of the log must know of time: a turn that took long, a wall clock that was
         stepped. Nothing is decided by it."""
@@ -228,7 +245,9 @@
                 case _:
                     for_proxies.append(order)
         if for_proxies:
+            began = self.clock.now()
             await self.calls.carry_out(for_proxies)
+            self.figures.call_took(self.clock.now() - began)
 
 
 async def serve(
