Fault layer: epoll_ctl, close, socket options and names, shutdown, poll and more can fail

The shim now interposes what a running process calls and Linux lets fail, and lists it; calls that are left out have their reason in its comment. A test compares the list with the dynamic symbols that the objects loaded by a controller, a gate and an xDS controller import: it failed on a list without epoll_ctl. New members stand at the end of `Call` and of the C enum, READ keeps its place, and the ports' table stands behind all records.

A socket whose close fails is closed all the same; files and the shim's own descriptors are left alone. A close of a descriptor that is not open is counted.

--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -53,6 +53,27 @@
     CLOCK = 10
     PIPE = 11
     READ = 12  # fails never: counts the bytes read from connections that were accepted
+    EPOLL_CTL = 13  # with ENOSPC additions alone, with another error all of them
+    CLOSE = 14  # of sockets, which are closed all the same
+    SETSOCKOPT = 15
+    GETSOCKOPT = 16
+    GETPEERNAME = 17
+    GETSOCKNAME = 18
+    SHUTDOWN = 19
+    LISTEN = 20
+    IOCTL = 21  # FIONBIO: how the interpreter makes a socket non-blocking
+    FCNTL = 22  # F_SETLK, the locks of files
+    POLL = 23
+    SOCKETPAIR = 24
+    EPOLL_CREATE = 25
+    READ_FILE = 26  # of the file at `LAPISPASS_FAULTS_OPEN`
+    READ_STORE = 27
+    TRUNCATE = 28
+    STAT = 29  # of open files, and of the file at `LAPISPASS_FAULTS_OPEN` by its path
+    UNLINK = 30
+    SLEEP = 31
+    RANDOM = 32
+    CLOSED_TWICE = 33  # fails never: counts the calls of close with a descriptor that was not open
 
 
 # What passes, by Linux's pages, and harms no connection.
@@ -108,6 +129,10 @@
         """How many calls have failed so far."""
         return RECORD.unpack_from(self.records, call * RECORD.size)[3]
 
+    def closed_twice(self) -> int:
+        """How often the process has closed a descriptor that was not open."""
+        return self.injected(Call.CLOSED_TWICE)
+
     def bytes_read(self) -> int:
         """How much the process has read from the connections that it accepted."""
         return self.injected(Call.READ)
