Answers no longer wait for the client's delayed ACK: TCP_NODELAY on accepted connections

Callers saw: of two requests that come together on one connection, the second was answered 42 ms (median of 60; 46 ms at the 95th) after it was sent, however idle the process was; nothing in any log. Cause: listener_at makes its socket without naming the protocol, accept(2)'s sockets carry protocol 0, and asyncio sets TCP_NODELAY only on sockets that say IPPROTO_TCP. Nagle's algorithm then holds every answer but the first until the client's delayed ACK.

--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from lapispass.core import momentary
 from lapispass.net.counters import Counters
@@ -149,6 +150,8 @@
             self._pause()
 
     def _begin(self, connection: socket.socket) -> None:
+        with suppress(OSError):  # asyncio does so for sockets that name their protocol, which accept's do not
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         task = self.loop.create_task(self._run(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/tests/test_acceptor.py
@@ -0,0 +1,45 @@
+"""What a connection has when it is handed to its protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from parties import play
+
+from lapispass.net.acceptor import Acceptor, listener_at, streams
+from lapispass.net.counters import Counters
+from lapispass.net.log import Part
+
+
+def test_answers_do_not_wait_for_the_client_to_acknowledge_earlier_ones() -> None:
+    """Guards against Nagle's algorithm: a second answer waited 40 ms for the client's delayed ACK."""
+
+    async def test() -> None:
+        taken: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Queue()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            taken.put_nowait((reader, writer))
+
+        listener = listener_at("127.0.0.1:0", 8)
+        acceptor = Acceptor(
+            listener,
+            streams(serve, 1000),
+            name="test",
+            at_once=8,
+            pause_us=1000,
+            log=Part("test"),
+            counters=Counters(),
+        )
+        try:
+            _, client = await asyncio.open_connection(*listener.getsockname())
+            async with asyncio.timeout(5):
+                _, writer = await taken.get()
+            accepted = writer.get_extra_info("socket")
+            assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            client.close()
+            writer.close()
+        finally:
+            acceptor.close()
+
+    play(test())
