No system call that fails for a moment costs an accepted connection or the process

A close that fails (EIO) left 40 traces and status 1. Cause: asyncio takes every error but EAGAIN and EINTR for the end of a connection, drops what is unsent, and registers a connection in a callback whose error nobody hears. Class: a step of asyncio between accept and the last byte of an answer, of which our code is not told. Change: one layer below asyncio.

--- a/lapispass/gate/ears.py
+++ b/lapispass/gate/ears.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from lapispass.net.dial import open_transport
 from lapispass.net.http import split
 from lapispass.net.streams import Reader
 
@@ -67,5 +68,5 @@
     loop = asyncio.get_running_loop()
     ear = Ear(limit, wake)
     wire = Wire(ear)
-    transport, _ = await loop.create_connection(lambda: wire, *split(address))
+    transport = await open_transport(lambda: wire, *split(address))
     return ear, asyncio.StreamWriter(transport, wire, ear, loop)
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -16,7 +16,7 @@
 from lapispass.gate.lone import Lone
 from lapispass.gate.tunnel import Tunnel
 from lapispass.gate.uplink import Uplink
-from lapispass.net import log, process
+from lapispass.net import call_failures, log, process
 from lapispass.net.acceptor import Acceptor, listener_at
 from lapispass.net.clock import Clock
 from lapispass.net.counters import Counters
@@ -221,7 +221,8 @@
                     tunnel.wake.set()
 
     def print_counters(self) -> None:
-        self.log.say("counters", held=len(self.tunnels), **self.counters.fields(), **{"log.lost": log.lost()})
+        counted = {**self.counters.fields(), **call_failures.counted(), "log.lost": log.lost()}
+        self.log.say("counters", held=len(self.tunnels), **counted)
 
     def read_again(self) -> bool:
         """SIGHUP: a gate that stands alone takes its nodes and lines anew; a bad file changes nothing."""
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -4,17 +4,16 @@
 
 import asyncio
 import errno
-import select
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 
 from lapispass.core import momentary
 from lapispass.net.counters import Counters
 from lapispass.net.http import split
 from lapispass.net.log import Part
-from lapispass.net.streams import Reader
+from lapispass.net.resilient_socket import ResilientSocket
+from lapispass.net.streams import Reader, is_readable
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
@@ -27,7 +26,7 @@
     """A socket that listens at `host:port`; a ValueError where that is no address."""
     host, port = split(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=backlog)
+    return ResilientSocket.adopt(socket.create_server((host, port), family=family, backlog=backlog))
 
 
 def streams(serve: Serve, read_bytes: int) -> ProtocolFactory:
@@ -118,9 +117,7 @@
 
     def _waits(self) -> bool:
         """Whether a connection waits in the queue."""
-        poll = select.poll()
-        poll.register(self.listener.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return is_readable(self.listener.fileno())
 
     def _ready(self) -> None:
         """Connections wait in the queue: takes so many of them, that other work has its turn."""
@@ -150,9 +147,7 @@
             self._pause()
 
     def _begin(self, connection: socket.socket) -> None:
-        with suppress(OSError):  # asyncio does so for sockets that name their protocol, which accept's do not
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        task = self.loop.create_task(self._run(connection))
+        task = self.loop.create_task(self._run(ResilientSocket.adopt(connection)))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- /dev/null
+++ b/lapispass/net/call_failures.py
@@ -0,0 +1,25 @@
+"""System calls of this process that failed for a moment and were made good: counted, and logged by kind."""
+
+from __future__ import annotations
+
+import errno
+
+from lapispass.net.counters import Counters
+from lapispass.net.log import Part
+
+LOG_EVERY_US = 1_000_000
+
+_counted = Counters()
+_log = Part("system", LOG_EVERY_US)
+
+
+def note(call: str, error: OSError) -> None:
+    """One call has failed; nothing is owed for it."""
+    name = errno.errorcode.get(error.errno or 0, str(error.errno))
+    _counted[f"system.{call}.{name}"] += 1
+    _log.rate_limited("call failed", kind=f"{call} {name}", call=call, why=name)
+
+
+def counted() -> dict[str, int]:
+    """How many have failed since the process began, by call and errno."""
+    return _counted.fields()
--- a/lapispass/net/http.py
+++ b/lapispass/net/http.py
@@ -11,6 +11,7 @@
 import h11
 
 from lapispass.core import momentary
+from lapispass.net.dial import open_transport
 from lapispass.net.limits import Limits
 from lapispass.net.streams import Reader
 
@@ -158,9 +159,8 @@
         """One attempt."""
         loop = asyncio.get_running_loop()
         reader = Reader(limit=limits.read_bytes, loop=loop)
-        transport, protocol = await loop.create_connection(
-            lambda: asyncio.StreamReaderProtocol(reader, loop=loop), *split(address)
-        )
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        transport = await open_transport(lambda: protocol, *split(address))
         link = cls(reader, asyncio.StreamWriter(transport, protocol, reader, loop), address, limits)
         if never_began(transport):
             link.close()
--- a/lapispass/net/process.py
+++ b/lapispass/net/process.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from lapispass.core import momentary
 from lapispass.net import log, signals
+from lapispass.net.event_loop import new_event_loop
 from lapispass.net.log import Part
-from lapispass.retry import START, retry_blocking
+from lapispass.retry import START
 
 
 def on_signals(
@@ -48,18 +48,10 @@
         finally:
             signals.hold()
 
-    with signals.kept(), asyncio.Runner(loop_factory=new_loop) as runner:
+    with signals.kept(), asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(whole())
 
 
-def new_loop() -> asyncio.AbstractEventLoop:
-    """An event loop. Its descriptors may not be had for a moment; a start must not fail for that."""
-    return retry_blocking(
-        asyncio.new_event_loop,
-        lambda error: isinstance(error, OSError) and error.errno in momentary.LOCAL,
-    )
-
-
 def status(
     life: Coroutine[Any, Any, None],
     bad: type[Exception],
--- /dev/null
+++ b/lapispass/net/resilient_socket.py
@@ -0,0 +1,84 @@
+"""A socket for asyncio's transports, of which a system call that fails for a moment costs no connection.
+
+asyncio ends a connection for each error of recv and send but EAGAIN and EINTR, and drops what was not sent;
+it gives a connection up where TCP_NODELAY cannot be set; an error of close ends in a trace of the log.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from lapispass.core import momentary
+from lapispass.net import call_failures
+
+
+@contextmanager
+def _again(call: str) -> Iterator[None]:
+    """Raises BlockingIOError, as for EAGAIN, in place of a shortage that may pass."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno not in momentary.EXHAUSTED:
+            raise
+        call_failures.note(call, error)
+        raise BlockingIOError(error.errno, error.strerror) from None
+
+
+class ResilientSocket(socket.socket):
+    """A non-blocking stream socket.
+
+    Reading and writing raise BlockingIOError for a shortage of memory: asyncio tries again. `setsockopt` and
+    `close` raise no OSError: an option is a wish, and a descriptor is closed whatever close(2) says.
+    """
+
+    @classmethod
+    def adopt(cls, plain: socket.socket) -> ResilientSocket:
+        """Takes the descriptor over; `plain` is detached."""
+        family, kind, protocol = plain.family, plain.type, plain.proto
+        adopted = cls(family, kind, protocol, fileno=plain.detach())
+        adopted.setblocking(False)
+        if family in (socket.AF_INET, socket.AF_INET6):
+            # asyncio does so for sockets that name their protocol, which accept's do not
+            adopted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return adopted
+
+    def setblocking(self, flag: bool) -> None:
+        try:
+            super().setblocking(flag)
+        except OSError as error:
+            call_failures.note("ioctl", error)
+            status = fcntl.fcntl(self, fcntl.F_GETFL) & ~os.O_NONBLOCK
+            fcntl.fcntl(self, fcntl.F_SETFL, status if flag else status | os.O_NONBLOCK)
+
+    def recv(self, *arguments: Any) -> bytes:
+        with _again("recv"):
+            return super().recv(*arguments)
+
+    def recv_into(self, *arguments: Any) -> int:
+        with _again("recv"):
+            return super().recv_into(*arguments)
+
+    def send(self, *arguments: Any) -> int:
+        with _again("send"):
+            return super().send(*arguments)
+
+    def sendmsg(self, *arguments: Any) -> int:
+        with _again("send"):
+            return super().sendmsg(*arguments)
+
+    def setsockopt(self, *arguments: Any) -> None:
+        try:
+            super().setsockopt(*arguments)
+        except OSError as error:
+            call_failures.note("setsockopt", error)
+
+    def close(self) -> None:
+        try:
+            super().close()
+        except OSError as error:
+            call_failures.note("close", error)
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -14,7 +14,7 @@
 from lapispass.controller import Controller
 from lapispass.core import momentary
 from lapispass.core.interval_figures import IntervalFigures
-from lapispass.net import log
+from lapispass.net import call_failures, log
 from lapispass.net.clock import Clock
 from lapispass.net.codec import MARKS, Codec
 from lapispass.net.collectors import Collectors
@@ -84,7 +84,8 @@
         self.ended.set()
 
     def print_counters(self) -> None:
-        self.log.say("counters", **self.counters.fields(), **{"log.lost": lost()})
+        failed = call_failures.counted()
+        self.log.say("counters", **self.counters.fields(), **failed, **{"log.lost": lost()})
 
     async def run(self) -> None:
         """Serves until `stop()`; a fault in the module is raised."""
--- a/lapispass/net/streams.py
+++ b/lapispass/net/streams.py
@@ -5,6 +5,8 @@
 import asyncio
 import select
 
+from lapispass.net import call_failures
+
 
 class Reader(asyncio.StreamReader):
     """A stream that can tell whether something waits to be read."""
@@ -38,9 +40,18 @@
     connection = writer.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
         return False
+    return is_readable(connection.fileno())
+
+
+def is_readable(descriptor: int) -> bool:
+    """Whether a read or an accept would find something; True where poll(2) is refused and nobody knows."""
     poll = select.poll()
-    poll.register(connection.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    poll.register(descriptor, select.POLLIN)
+    try:
+        return bool(poll.poll(0))
+    except OSError as error:
+        call_failures.note("poll", error)
+        return True
 
 
 async def flush(writer: asyncio.StreamWriter, wait_us: int) -> int:
