--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -104,6 +104,15 @@
         self.step_clock(chance.choice((0, 0, 3600, -3600, 5, -5)))
         return [call for call, _ in chosen]
 
+    def standing(self) -> list[str]:
+        """The calls that fail from now on, each with its error and how many of a thousand."""
+        found = []
+        for call in Call:
+            left, thousandths, error, injected = RECORD.unpack_from(self.records, call * RECORD.size)
+            if left:
+                found.append(f"{call.name} {names(error)} {thousandths} ({injected} so far)")
+        return found
+
     def injected(self, call: Call) -> int:
         """How many calls have failed so far."""
         return RECORD.unpack_from(self.records, call * RECORD.size)[3]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,12 +16,17 @@
 import signal
 import sys
 import time
+from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
 from faulty_process import Controller, Faults, controller, free_address
+from process_times import ProcessTimes
+
+from lapispass.net import tcp_info
 
 PING, PONG, NACK = b"PING\r\n", b"PONG\r\n", b"NACK why=unreadable\r\n"
 KILL_S = 0.7  # from SIGTERM to SIGKILL
@@ -47,9 +52,11 @@
     answered: int = 0
     killed: int = 0  # processes that had not ended by the kill
     slowest_s: float = 0.0  # answer, pauses left out
+    figures: dict[str, int] = field(default_factory=dict)  # further ones, by name
 
     def __str__(self) -> str:
         figures = f"{self.asked} asked, {self.answered} answered, {self.killed} killed"
+        figures += "".join(f", {name} {value}" for name, value in self.figures.items())
         return f"seed {self.seed}: {figures}, slowest {self.slowest_s:.3f} s, breaches {self.breaches[:5]}"
 
 
@@ -63,6 +70,9 @@
     is_crowded: bool
     pauses: list[tuple[float, float]] = field(default_factory=list)
     told_to_end: bool = False
+    due_s: float = DUE_S
+    is_faulty: bool = True  # system calls fail, and the clock is stepped
+    times: ProcessTimes | None = None
 
     def paused_s(self, since: float) -> float:
         """For how long the process was stopped from then on."""
@@ -72,6 +82,15 @@
     def breach(self, text: str) -> None:
         self.verdict.breaches.append(text)
 
+    def late(self, took_s: float, begun: float, unread_s: float, about: str) -> None:
+        """An answer came after its time; `unread_s` before it was read, it had come."""
+        spent = f"; {self.times.since(begun)}" if self.times else ""
+        faults = ", ".join(self.running.faults.standing())
+        self.breach(
+            f"late: {took_s:.3f} s and {self.paused_s(begun):.3f} s of pauses, had come {unread_s:.3f} s before it "
+            f"was read, at {datetime.now(UTC):%T.%f}, {about}; faults: {faults}{spent}"
+        )
+
     def breach_lines(self) -> None:
         """Faults of the program's own, by its log."""
         for line in self.running.lines:
@@ -92,7 +111,7 @@
         self.port = self.writer.get_extra_info("sockname")[1]
         self.read_before = self.day.running.faults.bytes_read_from(self.port)
 
-    async def ask(self, count: int, due_s: float) -> bool:
+    async def ask(self, count: int) -> bool:
         """So many requests in pieces, and their answers; False where the connection has ended."""
         day, loop, chance = self.day, asyncio.get_running_loop(), self.day.chance
         message, expected = PING * count, PONG * count
@@ -121,10 +140,14 @@
             return False
         took_s = loop.time() - begun - day.paused_s(begun)
         day.verdict.slowest_s = max(day.verdict.slowest_s, took_s)
-        if took_s > due_s:
-            day.breach(f"late: {took_s:.3f} s")
+        if took_s > day.due_s:
+            day.late(took_s, begun, self.unread_s(), f"port {self.port}, {count} asked after {self.answered}")
         return True
 
+    def unread_s(self) -> float:
+        """How long ago the last bytes came to this machine."""
+        return (tcp_info.since_last_data_us(self.writer.get_extra_info("socket")) or 0) / 1e6
+
     def judge_end(self, got: bytes) -> None:
         """The connection has ended before its answer."""
         day = self.day
@@ -158,7 +181,7 @@
 
 async def converse(day: Day, rounds: int, last_s: float) -> None:
     """One client after the other, each on a connection that it keeps for some rounds."""
-    chance, due_s = day.chance, CROWD_DUE_S if day.is_crowded else DUE_S
+    chance = day.chance
     while not day.told_to_end:
         client = Client(day)
         try:
@@ -169,7 +192,7 @@
             await asyncio.sleep(0.01)
             continue
         for _ in range(rounds):
-            if not await client.ask(chance.choice((1, 1, 1, 50)), due_s):
+            if not await client.ask(chance.choice((1, 1, 1, 50))):
                 break
             pause_s = chance.choice((0, 0, 0.01, 0.1, 0.5, 0.99, 1.0, 1.01, 1.99, 2.01))
             if not await client.hears_nothing(min(pause_s, last_s) + 0.001):
@@ -187,7 +210,7 @@
             await client.connect()
         except OSError:
             return
-        if await client.ask(1, CROWD_DUE_S):
+        if await client.ask(1):
             await client.hears_nothing(day.chance.uniform(0, 1.0))
         client.judge()
 
@@ -228,7 +251,7 @@
     """A few faults at a time, clock steps, signals and short pauses."""
     loop, running, chance = asyncio.get_running_loop(), day.running, day.chance
     while loop.time() < until:
-        chosen = running.faults.draw(chance)
+        chosen = running.faults.draw(chance) if day.is_faulty else []
         if chance.random() < 0.3:
             await pause(day)
         if chance.random() < 0.5:
@@ -251,12 +274,13 @@
     day.pauses[-1] = (begun, loop.time())
 
 
-async def end(day: Day) -> None:
-    """SIGTERM with other signals around it, and the kill at the earliest."""
+async def end(day: Day, ending: Sequence[signal.Signals] = ENDING) -> None:
+    """SIGTERM with other signals around it, and the kill `KILL_S` after the first one."""
     loop, running = asyncio.get_running_loop(), day.running
-    day.told_to_end = True
     begun = loop.time()
-    for number in ENDING:
+    for number in ending:
+        if number is signal.SIGTERM and not day.told_to_end:
+            day.told_to_end, begun = True, loop.time()
         if running.process.returncode is None:
             running.signal(number)
         await asyncio.sleep(day.chance.choice((0, 0, 0.01, 0.05)))
@@ -270,10 +294,12 @@
     day.breach_lines()
 
 
-async def life(day: Day) -> None:
+async def life(day: Day, life_s: float = LIFE_S, ending: Sequence[signal.Signals] = ENDING) -> None:
     """One process, from its start to its end."""
     loop = asyncio.get_running_loop()
-    until = loop.time() + LIFE_S
+    until = loop.time() + life_s
+    day.times = ProcessTimes(day.running.process.pid)
+    watching = asyncio.create_task(day.times.run())
     rounds = (day.chance.randint(1, 4), 1000)
     clients = [converse(day, day.chance.choice(rounds), 1.2) for _ in range(CLIENTS)]
     clients += [misbehave(day)]
@@ -284,8 +310,10 @@
     await trouble(day, until)
     reading.cancel()
     await asyncio.gather(reading, return_exceptions=True)
-    await end(day)
+    await end(day, ending)
     await asyncio.gather(*tasks)
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
 
 
 async def read_log(day: Day) -> None:
@@ -299,12 +327,13 @@
     chance, verdict = random.Random(seed), Verdict(seed)
     faults, address = Faults(folder / "faults"), free_address()
     is_crowded = chance.random() < 0.4
+    due_s = CROWD_DUE_S if is_crowded else DUE_S
     for _ in range(2):
         begun = time.monotonic()
         async with controller(folder, faults=faults, address=address) as running:
             if time.monotonic() - begun > READY_S:
                 verdict.breaches.append(f"ready after {time.monotonic() - begun:.1f} s")
-            await life(Day(running, chance, verdict, is_crowded))
+            await life(Day(running, chance, verdict, is_crowded, due_s=due_s))
     return verdict
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,9 +23,9 @@
     play(test(), 90)
 
 
-def day(faults: Faults, *, is_crowded: bool = False) -> Day:
+def day(faults: Faults, due_s: float = 1.0) -> Day:
     running = SimpleNamespace(faults=faults, lines=[])
-    return Day(running, random.Random(1), Verdict(1), is_crowded)  # type: ignore[arg-type]
+    return Day(running, random.Random(1), Verdict(1), False, due_s=due_s)  # type: ignore[arg-type]
 
 
 def test_the_judge_sees_a_request_that_was_read_and_not_answered(tmp_path: Path) -> None:
@@ -60,13 +60,13 @@
             await reader.read()
 
     async def test() -> None:
-        judged = day(Faults(tmp_path / "faults"))
+        judged = day(Faults(tmp_path / "faults"), due_s)
         async with Party(serve) as server:
             address = server.address.split(":")
             judged.running.connect = lambda: asyncio.open_connection(*address)  # type: ignore[method-assign]
             client = Client(judged)
             await client.connect()
-            if await client.ask(1, due_s):
+            if await client.ask(1):
                 await client.hears_nothing(0.05)
             client.judge()
         found = " ".join(judged.verdict.breaches)
--- /dev/null
+++ b/tests/two_controllers.py
@@ -0,0 +1,311 @@
+"""Days of two real controllers side by side, judged by what clients, proxies and the store have seen.
+
+Each has a relay of its own, with the proxies' streams; both follow one registry, where a server is replaced
+each second or so. Collectors report, clients ask and stay until the kill, as in `soak.py`; faults of system
+calls, clock steps, pauses and a crowd come by the day's seed. What is judged beside the answers: the rules on
+what the proxies hold, and how soon a server that drains is withdrawn, or has lost its slices.
+
+By hand: `PYTHONPATH=. python tests/two_controllers.py --seeds 20 --seed 1000 --logs FOLDER`; status 1 where
+one is broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+from collections import deque
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import nullcontext
+from functools import partial
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from faulty_process import Controller, Faults, controller, free_address
+from rule_world import changed
+from soak import DUE_S, Day, Verdict, life
+
+from lapispass import deployment
+from lapispass.lab.scale import settings
+from lapispass.lab.scale.size import Size
+from lapispass.rules.five import Bounds, Checker
+from lapispass.standins.collectors import Collectors, Load
+from lapispass.standins.nodes import clock_us
+from lapispass.standins.platform import Member, Registry, Relay, event
+from lapispass.standins.servers import Servers
+
+SIZE = Size(servers=30, services=1, slices=60, held=30, zones=2, proxies=150, real=2, hollow=0)
+ZONES = SIZE.zone_names
+SETTINGS = json.loads(settings.configuration(SIZE, 1, "127.0.0.1:1"))["settings"]
+TOLD = deployment.read(SETTINGS)
+ENDING = (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGTERM)
+LIVES, LIFE_S = 2, 5.0
+READY_S = 10.0  # for a start
+REPLACED_S = 1.0  # between two servers that are replaced
+DRAINS_S = 3.0  # until a server that drains is gone
+REPORTS = Load(3000.0, tuple(kind.name for kind in TOLD.classes), interval_s=2.0)
+ANSWER_S = 0.02  # until proxies have applied what is ordered
+WITHDRAWN_US = 1_500_000  # for a server that drains to be withdrawn
+SLACK_US = 300_000  # for proxies, by the protocol's page
+GRACE_AT_START_S = 1.0  # after a start, before time limits run
+LOOK_S = 0.05
+REJOINS_S = 0.1  # between proxies that join anew
+
+
+class Proxies(Relay):
+    """One controller's proxies and store; a zone's proxies hold the same tables."""
+
+    def __init__(self, slices: range) -> None:
+        super().__init__(SIZE.slices, SIZE.proxies, ANSWER_S, ZONES)
+        self.charges[""] = slices
+        self.checker = Checker(Bounds(TOLD.bare_us + SLACK_US, WITHDRAWN_US + SLACK_US), int)
+        self.tables: dict[str, dict[int, tuple[str | None, bool]]] = {zone: {} for zone in ZONES}
+        self.out: dict[str, set[str]] = {zone: set() for zone in ZONES}
+        self.steps: dict[str, dict[int, int]] = {zone: dict.fromkeys(slices, 0) for zone in ZONES}
+        self.under_way: dict[str, deque[list[str]]] = {zone: deque() for zone in ZONES}
+        self.ordered_out: set[str] = set()
+        self.drained: set[str] = set()  # servers whose withdrawal came late, told once
+        self.slowest_withdrawal_us = 0
+
+    def own(self, servers: list[str]) -> None:
+        """What stands before the first controller."""
+        for number in self.charges[""]:
+            self.owners[number] = servers[number % len(servers)]
+            for zone in ZONES:
+                self.tables[zone][number] = self.owners[number], True
+
+    def carry_out(self, order: list[str], client: str = "") -> None:
+        loop = asyncio.get_running_loop()
+        for place, zone in enumerate(ZONES):
+            self.under_way[zone].append(order)
+            loop.call_later(self.answer_s * (1 + place / len(ZONES)), self.apply, zone)
+        match order:
+            case ["OUT", server]:
+                self.ordered_out.add(server)
+            case ["IN", server]:
+                self.ordered_out.discard(server)
+        super().carry_out(order, client)
+
+    def apply(self, zone: str) -> None:
+        """The next order reaches the proxies of a zone."""
+        order = self.under_way[zone].popleft()
+        changed(self.tables[zone], self.out[zone], ",".join(order))
+        if order[0] in ("SET", "DEL"):
+            self.steps[zone][int(order[1])] += 1
+
+    def rejoin(self, chance: random.Random) -> None:
+        """A proxy's stream breaks and is made again."""
+        proxy = chance.randrange(self.proxies)
+        self.say([event("CLOSED", node=proxy), self.joining(proxy, cold=chance.choice((0, 1)))])
+
+    def look(self, told_us: dict[str, int], since_us: int) -> None:
+        """Judges what proxies hold now; no time limit runs before `since_us`."""
+        now, checker = clock_us(), self.checker
+        for server, at_us in told_us.items():
+            if server not in checker.told:
+                checker.drains(at_us, server, True)
+            self.judge_withdrawal(now, server, max(at_us, since_us))
+        for zone in ZONES:
+            for number, (owner, is_open) in self.tables[zone].items():
+                reached = owner if owner not in self.out[zone] else None
+                checker.pick(now, zone, number, reached, since_us)
+                if reached is not None and is_open:
+                    until_us = now + TOLD.linger_us
+                    checker.write(now, zone, number, reached, self.steps[zone][number], until_us)
+
+    def judge_withdrawal(self, now: int, server: str, since_us: int) -> None:
+        """A server that drains is withdrawn in time where it owns a slice; since when is as told."""
+        if server in self.ordered_out or server not in self.owners.values() or server in self.drained:
+            return
+        self.slowest_withdrawal_us = max(self.slowest_withdrawal_us, now - since_us)
+        if now - since_us > WITHDRAWN_US:
+            self.drained.add(server)
+            self.checker.breach("drain", server, now, f"not withdrawn {now - since_us} us after it was told")
+
+    def stop_judging(self) -> None:
+        """The controller ends: proxies go elsewhere."""
+        for zone in ZONES:
+            self.checker.parted(zone)
+
+
+class Fleet:
+    """The servers of a day, and the registry that lists them."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.registry, self.servers = Registry(), Servers()
+        self.told_us: dict[str, int] = {}  # servers that drain: since when the list says so
+        self.started = 0
+
+    async def open(self) -> None:
+        await self.registry.start()
+        for _ in range(SIZE.servers):
+            member = await self.server()
+            self.registry.members[member.id] = member
+
+    async def server(self, up_since_ms: int = 0) -> Member:
+        """A further one, which listens."""
+        name, zone = f"s-{self.started}", ZONES[self.started % len(ZONES)]
+        self.started += 1
+        return Member(name, await self.servers.listen(name), zone, up_since_ms=up_since_ms)
+
+    def names(self) -> list[str]:
+        return list(self.registry.members)
+
+    async def replace(self) -> None:
+        """One server after the other drains and is followed by a new one, all day."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self.chance.uniform(0.3, 1.6) * REPLACED_S)
+            ready = [one for one in self.registry.members.values() if one.phase == "Ready"]
+            leaving = self.chance.choice(ready[: SIZE.servers // 2])
+            new = await self.server(up_since_ms=time.time_ns() // 1_000_000)
+            leaving.phase = "Terminating"
+            self.told_us[leaving.id] = clock_us()
+            self.registry.change(leaving, new)
+            loop.call_later(DRAINS_S, self.gone, leaving)
+
+    def gone(self, member: Member) -> None:
+        """A server that drained has ended."""
+        member.phase = "Gone"
+        self.registry.change(member)
+
+    def close(self) -> None:
+        self.registry.stop()
+        self.servers.stop()
+
+
+class Side:
+    """One of the two controllers, through all its lives."""
+
+    def __init__(self, fleet: Fleet, place: int, seed: int, verdict: Verdict, folder: Path) -> None:
+        self.fleet, self.chance, self.verdict, self.folder = fleet, random.Random(seed), verdict, folder
+        self.is_crowded = self.chance.random() < 0.3
+        self.is_faulty = self.chance.random() < 0.6
+        self.proxies = Proxies(range(place, SIZE.slices, SIZE.real))
+        self.address = free_address()
+        folder.mkdir(parents=True, exist_ok=True)
+        self.faults = Faults(folder / "faults")
+        self.collectors = Collectors(self.proxies, REPORTS, seed)
+
+    async def live(self, after_s: float, life_s: float) -> None:
+        """Its lives, one after the other at one address."""
+        await self.proxies.start()
+        self.proxies.own(self.fleet.names())
+        known = [member.told() for member in self.fleet.registry.members.values()]
+        self.collectors.report_to("", "{}:{}".format(*self.address))
+        loop = asyncio.get_running_loop()
+        try:
+            await asyncio.sleep(after_s)
+            for number in range(LIVES):
+                begun = loop.time()
+                async with controller(
+                    self.folder,
+                    faults=self.faults,
+                    settings=SETTINGS,
+                    members=known,
+                    relay=nullcontext(self.proxies),  # type: ignore[arg-type]
+                    book=nullcontext(self.fleet.registry),  # type: ignore[arg-type]
+                    address=self.address,
+                ) as running:
+                    if loop.time() - begun > READY_S:
+                        self.verdict.breaches.append(f"ready after {loop.time() - begun:.1f} s")
+                    await self.one_life(running, life_s)
+                    self.keep_log(running, number)
+        finally:
+            self.collectors.stop()
+            await asyncio.gather(*self.collectors.lives, return_exceptions=True)
+            self.proxies.stop()
+
+    async def one_life(self, running: Controller, life_s: float) -> None:
+        """One process, from its start to its end."""
+        day = Day(running, self.chance, self.verdict, self.is_crowded, due_s=DUE_S, is_faulty=self.is_faulty)
+        judging = [asyncio.create_task(one) for one in (self.judge(day), self.churn())]
+        try:
+            await life(day, life_s, ENDING)
+        finally:
+            for task in judging:
+                task.cancel()
+            await asyncio.gather(*judging, return_exceptions=True)
+            self.proxies.stop_judging()
+
+    async def judge(self, day: Day) -> None:
+        """Looks at what proxies hold until the process is told to end."""
+        ready_us = clock_us() + int(GRACE_AT_START_S * 1e6)
+        while not day.told_to_end:
+            paused = [int(end * 1e6) for _, end in day.pauses]
+            self.proxies.look(self.fleet.told_us, max([ready_us, *paused]))
+            await asyncio.sleep(LOOK_S)
+
+    async def churn(self) -> None:
+        """Proxies join anew all the time."""
+        while True:
+            await asyncio.sleep(self.chance.uniform(0, 2 * REJOINS_S))
+            self.proxies.rejoin(self.chance)
+
+    def keep_log(self, running: Controller, number: int) -> None:
+        """For whoever traces a breach."""
+        (self.folder / f"life-{number}.log").write_text("\n".join(running.lines) + "\n")
+
+    def judge_all(self) -> None:
+        """The breaches of the rules."""
+        name = self.folder.name
+        for breach in self.proxies.checker.verdict():
+            self.verdict.breaches.append(f"{name}: rule {breach.rule}: {breach.whose}: {breach.what}")
+
+
+async def play_day(seed: int, folder: Path, life_s: float = LIFE_S) -> Verdict:
+    """A day of both; the second one starts half a life after the first."""
+    chance, verdict = random.Random(seed), Verdict(seed)
+    fleet = Fleet(chance)
+    await fleet.open()
+    sides = [Side(fleet, place, chance.randrange(1 << 30), verdict, folder / f"n{place}") for place in (0, 1)]
+    replacing = asyncio.create_task(fleet.replace())
+    try:
+        await asyncio.gather(*(side.live(life_s / 2 * place, life_s) for place, side in enumerate(sides)))
+    finally:
+        replacing.cancel()
+        await asyncio.gather(replacing, return_exceptions=True)
+        fleet.close()
+        await asyncio.sleep(0)
+    for side in sides:
+        side.judge_all()
+    verdict.figures["moves"] = sum(len(side.proxies.published) for side in sides)
+    verdict.figures["slowest withdrawal ms"] = max(s.proxies.slowest_withdrawal_us for s in sides) // 1000
+    verdict.figures["crowds"] = sum(side.is_crowded for side in sides)
+    verdict.figures["faulty"] = sum(side.is_faulty for side in sides)
+    return verdict
+
+
+def play_seed(seed: int, logs: Path | None, life_s: float) -> Verdict:
+    """A day on a loop of its own; the logs are kept where a folder is given."""
+    with TemporaryDirectory(prefix="lapispass-two-") as temporary:
+        folder = logs / str(seed) if logs else Path(temporary)
+        return asyncio.run(play_day(seed, folder, life_s))
+
+
+def main() -> int:
+    """The long run, by hand."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--seed", type=int, default=1000)
+    parser.add_argument("--at-once", type=int, default=1)
+    parser.add_argument("--life", type=float, default=LIFE_S, help="seconds of each process")
+    parser.add_argument("--logs", type=Path, help="folder for the logs of the controllers")
+    given = parser.parse_args()
+    broken = 0
+    play = partial(play_seed, logs=given.logs, life_s=given.life)
+    with ProcessPoolExecutor(given.at_once) as pool:
+        for verdict in pool.map(play, range(given.seed, given.seed + given.seeds)):
+            print(verdict, flush=True)
+            broken += bool(verdict.breaches)
+    print(f"{given.seeds} days, {broken} broken")
+    return min(1, broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
