Processes under test listen at a host of their own

Ruled out: a client that connects to itself (60,000 attempts at such a port made none). At a host of their own, processes under test share ports only with each other.

--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -31,6 +31,7 @@
 ALWAYS = 1000  # thousandths
 PORT_COUNT = struct.Struct("=I")  # the bytes read from a client, by its port, behind the records
 PORTS = 1 << 16
+HOST = "127.0.0.2"  # of processes under test; stand-ins have another one
 SETTINGS = {
     "grades": [{"name": "pay", "target-us": 10, "hard-limit-us": 20, "worth": 2.0}],
     "extra": {"key-ranges": 2, "data-plane-size": 3},
@@ -194,8 +195,11 @@
 
 
 def free_address() -> tuple[str, int]:
-    """An address of this machine that nobody listens at."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
+    """An address of this machine that nobody listens at.
+
+    Stand-ins listen at 127.0.0.1, where one of them may be given the port while a controller is restarted.
+    """
+    with socket.create_server((HOST, 0)) as free:
         return free.getsockname()
 
 
