--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from faulty_process import Controller, Faults, controller, free_address
+from faulty_process import Call, Controller, Faults, controller, free_address
 from process_times import ProcessTimes
 
 from lapispass.net import tcp_info
@@ -87,8 +87,8 @@
         spent = f"; {self.times.since(begun)}" if self.times else ""
         faults = ", ".join(self.running.faults.standing())
         self.breach(
-            f"late: {took_s:.3f} s and {self.paused_s(begun):.3f} s of pauses, had come {unread_s:.3f} s before it "
-            f"was read, at {datetime.now(UTC):%T.%f}, {about}; faults: {faults}{spent}"
+            f"late: {took_s:.3f} s and {self.paused_s(begun):.3f} s of pauses, had come {unread_s:.3f} s "
+            f"before it was read, at {datetime.now(UTC):%T.%f}, {about}; faults: {faults}{spent}"
         )
 
     def breach_lines(self) -> None:
@@ -107,6 +107,8 @@
         self.writer: asyncio.StreamWriter
 
     async def connect(self) -> None:
+        self.opened_at = asyncio.get_running_loop().time()
+        self.accept_failed = self.day.running.faults.injected(Call.ACCEPT)
         self.reader, self.writer = await self.day.running.connect()
         self.port = self.writer.get_extra_info("sockname")[1]
         self.read_before = self.day.running.faults.bytes_read_from(self.port)
@@ -141,9 +143,18 @@
         took_s = loop.time() - begun - day.paused_s(begun)
         day.verdict.slowest_s = max(day.verdict.slowest_s, took_s)
         if took_s > day.due_s:
-            day.late(took_s, begun, self.unread_s(), f"port {self.port}, {count} asked after {self.answered}")
+            day.late(took_s, begun, self.unread_s(), self.about())
         return True
 
+    def about(self) -> str:
+        """What a trace of its answers needs."""
+        now, faults = asyncio.get_running_loop().time(), self.day.running.faults
+        failed = faults.injected(Call.ACCEPT) - self.accept_failed
+        return (
+            f"port {self.port}, {self.answered} answered on it, {now - self.opened_at:.3f} s old, "
+            f"{failed} calls of accept failed meanwhile"
+        )
+
     def unread_s(self) -> float:
         """How long ago the last bytes came to this machine."""
         return (tcp_info.since_last_data_us(self.writer.get_extra_info("socket")) or 0) / 1e6
