--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -31,6 +31,7 @@
 ALWAYS = 1000  # thousandths
 PORT_COUNT = struct.Struct("=I")  # the bytes read from a client, by its port, behind the records
 PORTS = 1 << 16
+HOST = "127.0.0.2"  # of processes under test; stand-ins have another one
 SETTINGS = {
     "grades": [{"name": "pay", "target-us": 10, "hard-limit-us": 20, "worth": 2.0}],
     "extra": {"key-ranges": 2, "data-plane-size": 3},
@@ -125,6 +126,15 @@
         self.step_clock(chance.choice((0, 0, 3600, -3600, 5, -5)))
         return [call for call, _ in chosen]
 
+    def standing(self) -> list[str]:
+        """The calls that fail from now on, each with its error and how many of a thousand."""
+        found = []
+        for call in Call:
+            left, thousandths, error, injected = RECORD.unpack_from(self.records, call * RECORD.size)
+            if left:
+                found.append(f"{call.name} {names(error)} {thousandths} ({injected} so far)")
+        return found
+
     def injected(self, call: Call) -> int:
         """How many calls have failed so far."""
         return RECORD.unpack_from(self.records, call * RECORD.size)[3]
@@ -210,8 +220,11 @@
 
 
 def free_address() -> tuple[str, int]:
-    """An address of this machine that nobody listens at."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
+    """An address of this machine that nobody listens at.
+
+    Stand-ins listen at 127.0.0.1, where one of them may be given the port while a controller is restarted.
+    """
+    with socket.create_server((HOST, 0)) as free:
         return free.getsockname()
 
 
