Accept again at once after a failure: the last ones of a queue wait for few pauses

Callers saw: 40 clients that come together while 600 of 1000 calls of accept fail were answered after up to 0.92 s (ENFILE), 0.80 s (ENOBUFS), 1.21 s (ENOMEM); 0.5 s are due. Cause: Acceptor paused the listening socket at each failure, for 5 ms doubling to 50 ms, and each client behind waited for every pause. Change: the next attempt follows at once; after eight failures in a row it follows 5 ms later, always. Descriptors that have run out for 0.3 s cost a client (as before after ten attempts), at most one each 0.3 s. The queue is accepted at the end although a call fails.

--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -33,7 +33,6 @@
     unsent_bytes: int = 8 << 20  # to a gate that does not read; it is cut, and joins anew with what stands
     connections: int = 256
     at_once: int = 32  # accepted at once
-    again_us: int = 50_000  # until the next attempt, where accept fails for a moment
     join_us: int = 2_000_000
     quiet_us: int = 1_500_000  # a gate beats every 0.3 s
     look_us: int = 100_000
@@ -117,7 +116,6 @@
             streams(self.serve, self.limits.line_bytes),
             name="gates",
             at_once=self.limits.at_once,
-            pause_us=self.limits.again_us,
             log=self.log,
             counters=self.counters,
         )
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -118,7 +118,6 @@
             self.take,
             name="screens",
             at_once=self.limits.at_once,
-            pause_us=self.limits.again_least_us,
             log=self.log,
             counters=self.counters,
         )
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -8,7 +8,6 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
-from lapispass.core import momentary
 from lapispass.net.counters import Counters
 from lapispass.net.http import split
 from lapispass.net.log import Part
@@ -18,8 +17,9 @@
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
-FIRST_PAUSE_US = 5_000
-PATIENT_ATTEMPTS = 10  # without a descriptor, before `exhausted` is called
+PAUSE_US = 5_000  # before the next attempt, where there is no room or accept fails again and again
+ATTEMPTS = 8  # that fail in a row, before a pause
+DESCRIPTOR_WAIT_US = 300_000  # without a descriptor, before `exhausted` is called, and between two such calls
 
 
 def listener_at(address: str, backlog: int) -> socket.socket:
@@ -43,9 +43,10 @@
     """Gives each connection a protocol.
 
     asyncio's own server accepts nothing for a second where descriptors or memory have run out for a moment,
-    and answers on new connections come that late. Here the next attempt follows after `FIRST_PAUSE_US`, later
-    ones after twice the pause each, up to `pause_us`. Any other error of `accept` is that of one connection,
-    which the system has dropped already (accept(2) asks to treat such errors like EAGAIN).
+    and answers on new connections come that late. Here the next attempt follows at once, and after `ATTEMPTS`
+    in a row `PAUSE_US` later: the last ones of a long queue wait for every pause before them. An error that
+    is no shortage is that of one connection, which the system has dropped already (accept(2) asks to treat
+    such errors like EAGAIN).
     """
 
     def __init__(
@@ -55,7 +56,6 @@
         *,
         name: str,
         at_once: int,
-        pause_us: int,
         log: Part,
         counters: Counters,
         has_room: Callable[[], bool] = lambda: True,
@@ -68,14 +68,14 @@
         descriptor of this process, once it has had none for a while."""
         listener.setblocking(False)
         self.listener, self.protocol, self.name, self.tls = listener, protocol, name, tls
-        self.at_once, self.pause_us = at_once, pause_us
+        self.at_once = at_once
         self.log, self.counters, self.exhausted = log, counters, exhausted
         self.has_room, self.make_room = has_room, make_room
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.pause: asyncio.TimerHandle | None = None
-        self.pauses = 0  # in a row
-        self.without_descriptor = 0  # attempts in a row
+        self.failed = 0  # attempts in a row
+        self.exhausted_since: float | None = None  # without a descriptor, and nothing was freed since
         self.closed = False
         self.loop.add_reader(listener.fileno(), self._ready)
 
@@ -106,13 +106,17 @@
 
     def _accept_waiting(self, most: int) -> None:
         """So many of the connections in the queue, whether there is room or not."""
-        for _ in range(most):
+        failed = 0
+        while most > 0 and failed < ATTEMPTS:
             try:
                 connection, _ = self.listener.accept()
+            except BlockingIOError:
+                return
             except OSError as error:
-                if isinstance(error, BlockingIOError) or error.errno in momentary.EXHAUSTED:
-                    return
+                self._note(error)
+                failed += 1
                 continue
+            most, failed = most - 1, 0
             self._begin(connection)
 
     def _waits(self) -> bool:
@@ -121,7 +125,6 @@
 
     def _ready(self) -> None:
         """Connections wait in the queue: takes so many of them, that other work has its turn."""
-        failed = 0
         for _ in range(self.at_once):
             if not self.has_room():
                 if not self._waits():
@@ -135,36 +138,45 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                failed += 1
                 self._failed(error)
-                if error.errno in momentary.EXHAUSTED:
+                if self.failed % ATTEMPTS == 0:
                     self._pause()
                     return
                 continue
-            self.pauses = self.without_descriptor = 0
+            self.failed, self.exhausted_since = 0, None
             self._begin(connection)
-        if failed == self.at_once:  # an error that stays must not take the whole processor
-            self._pause()
 
     def _begin(self, connection: socket.socket) -> None:
         task = self.loop.create_task(self._run(ResilientSocket.adopt(connection)))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _failed(self, error: OSError) -> None:
+    def _note(self, error: OSError) -> None:
         self.counters[f"{self.name}.accept_failed"] += 1
         name = errno.errorcode.get(error.errno or 0, str(error.errno))
         self.log.rate_limited("accept failed", why=name)
-        # A shortage that passes must not cost other clients their connections.
-        self.without_descriptor = self.without_descriptor + 1 if error.errno == errno.EMFILE else 0
-        if self.without_descriptor > PATIENT_ATTEMPTS:
+
+    def _failed(self, error: OSError) -> None:
+        """accept(2) has failed, perhaps not for the first time in a row."""
+        self._note(error)
+        self.failed += 1
+        if error.errno == errno.EMFILE:
+            self._without_descriptor()
+        else:
+            self.exhausted_since = None
+
+    def _without_descriptor(self) -> None:
+        """A shortage that passes must not cost other clients their connections."""
+        now = self.loop.time()
+        if self.exhausted_since is None:
+            self.exhausted_since = now
+        elif now - self.exhausted_since >= DESCRIPTOR_WAIT_US / 1e6:
+            self.exhausted_since = now
             self.exhausted()
 
     def _pause(self) -> None:
         self.loop.remove_reader(self.listener.fileno())
-        pause_us = min(self.pause_us, FIRST_PAUSE_US << min(self.pauses, 10))
-        self.pauses += 1
-        self.pause = self.loop.call_later(pause_us / 1e6, self._resume)
+        self.pause = self.loop.call_later(PAUSE_US / 1e6, self._resume)
 
     def _resume(self) -> None:
         self.pause = None
@@ -176,4 +188,4 @@
             await self.loop.connect_accepted_socket(self.protocol, connection, ssl=self.tls)
         except OSError as error:  # it is gone already, or its TLS handshake failed
             connection.close()
-            self._failed(error)
+            self._note(error)
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -65,7 +65,6 @@
             streams(self.serve, self.limits.read_bytes),
             name="collectors",
             at_once=self.limits.at_once,
-            pause_us=self.limits.again_least_us,
             log=self.log,
             counters=self.counters,
             has_room=self.has_room,
--- a/lapispass/xds/server.py
+++ b/lapispass/xds/server.py
@@ -26,7 +26,6 @@
 
 BACKLOG = 1024
 AT_ONCE = 128
-PAUSE_US = 50_000  # until the next attempt, where accept fails for a moment
 SETTLE_S = 1.0  # for connections that were accepted just before the end
 
 
@@ -58,7 +57,6 @@
             self._protocol_factory,
             name="xds",
             at_once=AT_ONCE,
-            pause_us=PAUSE_US,
             log=log,
             counters=counters,
             tls=tls,
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -27,7 +27,6 @@
             streams(serve, 1000),
             name="test",
             at_once=8,
-            pause_us=1000,
             log=Part("test"),
             counters=Counters(),
         )
