xDS: the write listener lets nothing through until its write routes are opened

Cause, from the events of that failure: client c3 stood still from 797.127 to 799.715 s. Its stream was cut at 797.271 with the write listener (with content) received and unread. The program counted it as gone 1.5 s (`late_ms`) and one lease later, the slice went to n2 at 799.567, then c3 read the listener: its time to live began only then, and it wrote to n1 by its old assignments. A renewal revives nothing, but a listener with content does, however late it is read. The program is at fault; stand-in and checker did what they should.

Mend: a stream begins with closed write routes (RDS `writes` without a route). The listener is granted once a client is known to hold no open routes, and they are opened once the listener is acknowledged in time. A listener that is read late finds closed routes; routes that are read late find no listener. The stand-in client routes by its write routes now, and keeps them when the listener has run out, as a client with a cache would.

Evidence: tests/test_xds_late_readers.py stops a client between the arrival and the reading of its grant.

--- a/lapispass/standins/xds_client.py
+++ b/lapispass/standins/xds_client.py
@@ -1,8 +1,8 @@
 """A client that speaks xDS as the public specification has it, on grpclib, with faults that can be scripted.
 
 It applies a response whole and in order, acknowledges it, lets resources whose time to live has run out go,
-and writes to the endpoint of a slice's write assignment while it has the write listener. What it does wrong
-is in `faults`.
+and writes to the endpoint of a slice's write assignment while it has the write listener and write routes,
+which it keeps when the listener has run out. What it does wrong is in `faults`.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 
 import h2.exceptions
 from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.config.route.v3 import route_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 from grpclib.client import Channel, StreamStreamMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -70,6 +71,7 @@
     )  # name: version
     endpoints: dict[str, tuple[str, ...]] = field(default_factory=dict)  # assignment: nodes
     drops: dict[str, int] = field(default_factory=dict)
+    routed: dict[str, int] = field(default_factory=dict)  # route configuration: how many routes it has
     expires: dict[str, float] = field(default_factory=dict)  # listener: when its time to live runs out
     updates: int = 0
     streams: int = 0
@@ -227,6 +229,10 @@
                 one.endpoint.hostname for locality in assignment.endpoints for one in locality.lb_endpoints
             )
             self.drops[name] = sum(d.drop_percentage.numerator for d in assignment.policy.drop_overloads)
+        elif kind == "rds":
+            routes = route_pb2.RouteConfiguration()
+            wrapped.Unpack(routes)
+            self.routed[name] = sum(len(host.routes) for host in routes.virtual_hosts)
 
     def forget(self, kind: str, name: str) -> None:
         self.held[kind].pop(name, None)
@@ -234,6 +240,8 @@
         self.removed.append(name)
         if kind == "eds":
             self.endpoints.pop(name, None)
+        elif kind == "rds":
+            self.routed.pop(name, None)
 
     def expire(self) -> None:
         """What has outlived its time is let go, before anything else is done."""
@@ -244,7 +252,7 @@
     def writes_to(self, number: int) -> str | None:
         """The node that a write of a slice goes to now, or none."""
         self.expire()
-        if self.frozen or "writes" not in self.held["lds"]:
+        if self.frozen or "writes" not in self.held["lds"] or not self.routed.get("writes"):
             return None
         nodes = self.endpoints.get(f"{number}.w", ())
         return nodes[0] if nodes else None
--- a/lapispass/xds/desk.py
+++ b/lapispass/xds/desk.py
@@ -27,6 +27,7 @@
 from lapispass.operator.read import BadFile, Source
 from lapispass.xds import codec
 from lapispass.xds.server import ClosingServer
+from lapispass.xds.write_routes import WriteRoutes
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
@@ -66,6 +67,7 @@
         self.shelf = Shelf()
         self.picture = Picture(deployment.slices, deployment.classes, deployment.admits == "share")
         resources.fixed(self.shelf, deployment.slices, max(1, deployment.usual_retry), terms.ttl_us)
+        self.write_routes = WriteRoutes(self.shelf)
         self.numbers = Numbers(first_number, terms.lease_us)
         self.clients: dict[str, tuple[Client, asyncio.Event]] = {}
         self.probation: dict[str, int] = {}  # names of clients that lapsed: until when they only read
@@ -253,7 +255,8 @@
         while client.name:
             wake.clear()
             now = self.awake()
-            step = client.look(now, self.turn, self.marks, self.numbers, self.fence(now))
+            self.write_routes.follow(client)
+            step = client.look(now, self.turn, self.marks, self.numbers, self.may_write(client, now))
             self.report(client, step)
             for update in step.updates:
                 yield update
@@ -265,6 +268,10 @@
                     pass
         raise GRPCError(Status.ABORTED, "another stream of this node")
 
+    def may_write(self, client: Client, now: int) -> bool:
+        """Whether a client may go on writing, or be granted writing where it only reads."""
+        return self.fence(now) and (client.state != "reads" or self.write_routes.may_grant(client))
+
     def report(self, client: Client, step: Step) -> None:
         """A client's news for the module."""
         if step.note:
@@ -289,6 +296,8 @@
         if kind is None:
             raise GRPCError(Status.INVALID_ARGUMENT, f"no resources of type {message.type_url[:200]!r}")
         known = kind in client.watches
+        if kind == "rds":
+            self.write_routes.watch(client)
         watch = client.watch(kind)
         if message.response_nonce:
             refused = message.HasField("error_detail")
