xDS: what came while the process stood still is read before a time limit ends a stream

What callers saw: a stream whose first message came while the process stood still across its limit of 10 s was ended with status UNKNOWN ("Internal Server Error"), though the message had come; the log got a raw trace.

Cause: asyncio runs the callback of the limit in the same turn of the loop as the one that reads the socket, so the waiting task is cancelled before it can take the message. The same limit stood around the sending of a response.

Mend: both wait by `within`, as the other streams do, which reads what has come where the process was late. A limit that passes ends the stream with DEADLINE_EXCEEDED and its reason, and counts as `xds.stuck`.

Evidence: tests/test_xds_first_message.py stops a real process (SIGSTOP) across the limit; that test and the one of the status failed before and pass now. The sending of a response has no test of its own.

--- a/lapispass/xds/desk.py
+++ b/lapispass/xds/desk.py
@@ -5,9 +5,9 @@
 import asyncio
 import ssl
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import h2.exceptions
 from envoy.service.discovery.v3 import discovery_pb2
@@ -23,6 +23,7 @@
 from lapispass.core.picture import Picture
 from lapispass.core.versions import Shelf, Update
 from lapispass.net.counters import Counters
+from lapispass.net.http import within
 from lapispass.net.log import Part
 from lapispass.operator.read import BadFile, Source
 from lapispass.xds import codec
@@ -35,6 +36,8 @@
 STILL_US = 300_000
 NAME_MOST = 256
 STUCK_S = 10.0
+LATE_US = 100_000  # a process later than this stood still
+T = TypeVar("T")
 Message = Any  # a DiscoveryRequest or a DeltaDiscoveryRequest; the types are generated
 
 
@@ -177,8 +180,7 @@
         if wait := self.doorway.ask(self.now(), len(self.clients)):
             self.counters["xds.refused"] += 1
             raise GRPCError(Status.UNAVAILABLE, f"come back in {wait // 1000} ms")
-        async with asyncio.timeout(STUCK_S):
-            first = await stream.recv_message()
+        first = await self.in_time(stream.recv_message(), "no first message")
         if first is None:
             return
         name = first.node.id
@@ -229,6 +231,17 @@
             self.part(name, client)
             await asyncio.gather(sending, *([reading] if reading else []), return_exceptions=True)
 
+    async def in_time(self, work: Awaitable[T], what_is_late: str) -> T:
+        """What the work gives within `STUCK_S`; a client that takes longer costs its own stream.
+
+        Where this process stood still, what has come meanwhile is read first.
+        """
+        try:
+            return await within(int(STUCK_S * 1e6), work, LATE_US)
+        except TimeoutError:
+            self.counters["xds.stuck"] += 1
+            raise GRPCError(Status.DEADLINE_EXCEEDED, f"{what_is_late} within {STUCK_S:g} s") from None
+
     def part(self, name: str, client: Client) -> None:
         """The stream has ended, from whichever side."""
         if self.clients.get(name, (None,))[0] is client:
@@ -247,8 +260,7 @@
             self.counters["xds.responses"] += 1
             self.counters["xds.resources"] += len(update.items)
             self.counters["xds.bytes"] += message.ByteSize()
-            async with asyncio.timeout(STUCK_S):  # a client that does not read costs its own stream
-                await stream.send_message(message)
+            await self.in_time(stream.send_message(message), "a response is not read")
 
     async def due(self, client: Client, wake: asyncio.Event) -> AsyncIterator[Update]:
         """One look after the other; ends where another stream has taken the client's name."""
--- /dev/null
+++ b/tests/test_xds_first_message.py
@@ -0,0 +1,82 @@
+"""The first message of an xDS stream, and a process that stood still while it came."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from envoy.service.discovery.v3 import discovery_pb2
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from parties import play
+from test_xds import controller
+from xds_process import xds_controller
+
+from lapispass.standins.xds_client import ADS, URLS
+from lapispass.xds import desk
+
+
+@asynccontextmanager
+async def opened_stream(address: str) -> AsyncIterator[Any]:
+    """A stream whose request headers were sent, and no message yet."""
+    host, _, port = address.rpartition(":")
+    channel = Channel(host, int(port))
+    method: Any = StreamStreamMethod(
+        channel,
+        ADS + "DeltaAggregatedResources",
+        discovery_pb2.DeltaDiscoveryRequest,
+        discovery_pb2.DeltaDiscoveryResponse,
+    )
+    stream = method.open()
+    try:
+        async with stream:
+            await stream.send_request()
+            await asyncio.sleep(0.2)
+            yield stream
+            await stream.cancel()
+    finally:
+        channel.close()
+
+
+def first_message() -> discovery_pb2.DeltaDiscoveryRequest:
+    request = discovery_pb2.DeltaDiscoveryRequest(type_url=URLS["cds"])
+    request.node.id = "c0"
+    return request
+
+
+def test_a_first_message_that_came_while_the_process_stood_still_is_answered(tmp_path: Path) -> None:
+    """The time limit of the first message won over the message that had come: the stream was ended."""
+
+    async def test() -> None:
+        async with (
+            xds_controller(tmp_path) as running,
+            opened_stream("{}:{}".format(*running.address)) as stream,
+        ):
+            running.signal(signal.SIGSTOP)
+            await stream.send_message(first_message())
+            await asyncio.sleep(desk.STUCK_S + 0.3)
+            running.signal(signal.SIGCONT)
+            response = await asyncio.wait_for(stream.recv_message(), 3)
+            assert response.type_url == URLS["cds"] and len(response.resources) == 12
+
+    play(test())
+
+
+def test_a_stream_without_a_first_message_is_ended_with_its_reason(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # It ended with an unknown status, and a raw trace in the log.
+    async def test() -> None:
+        monkeypatch.setattr(desk, "STUCK_S", 0.3)
+        async with controller(tmp_path) as host, opened_stream(host.desk.address) as stream:
+            with pytest.raises(GRPCError) as caught:
+                await asyncio.wait_for(stream.recv_message(), 3)
+            assert caught.value.status is Status.DEADLINE_EXCEEDED
+
+    play(test())
--- /dev/null
+++ b/tests/xds_process.py
@@ -0,0 +1,44 @@
+"""A real xDS controller process, and its operator file."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from faulty_process import Controller, Faults, free_address, process
+
+SLICES = 6
+FILE = """
+xds {{ listen: "{listen}" late_ms: 400 new_per_s: {per_s} burst: {per_s} }}
+alone {{ store_file: "store" slices: 6 lease_ms: 400 write_life_ms: 100 bare_ms: 4000
+  visit_class {{ name: "look" agreed_ms: 500 patience_ms: 1000 benefit: 1 }}
+  visit_class {{ name: "trade-order" agreed_ms: 500 patience_ms: 1000 benefit: 3 writes: true }} }}
+node {{ id: "n0" address: "127.0.0.1:9000" zone: "east" state: {n0} }}
+node {{ id: "n1" address: "127.0.0.1:9001" zone: "west" }}
+"""
+
+
+def write_file(folder: Path, address: tuple[str, int], n0: str = "READY", per_s: int = 1000) -> Path:
+    """The operator file, with the state of one of the two servers."""
+    file = folder / "operator.textproto"
+    file.write_text(FILE.format(listen="{}:{}".format(*address), n0=n0, per_s=per_s))
+    return file
+
+
+def set_state(running: Controller, folder: Path, state: str) -> None:
+    """Tells the running process that a server drains, or is ready."""
+    write_file(folder, running.address, state)
+    running.signal(signal.SIGHUP)
+
+
+@asynccontextmanager
+async def xds_controller(
+    folder: Path, faults: Faults | None = None, address: tuple[str, int] | None = None
+) -> AsyncIterator[Controller]:
+    """The process, once it listens."""
+    faults, address = faults or Faults(folder / "faults"), address or free_address()
+    file = write_file(folder, address)
+    async with process(("run", "-o", str(file)), faults, address, "listening", {}) as running:
+        yield running
