--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -60,3 +60,13 @@
         now += 3 * SECOND
         controller.turn(now, [interface.Listed("changes", (again._replace(weight=1.0 + now % 7),))])
     assert warmth(controller, now + SECOND) == 1.0
+
+
+def test_a_clock_that_is_behind_at_the_start_has_servers_cold_for_their_warming_at_most() -> None:
+    """Guards against servers that stay cold for an hour after a start on a machine that is an hour behind."""
+    for behind_us in (20 * SECOND, HOUR):
+        for age_us in (2 * SECOND, HOUR // 2, 2 * HOUR):
+            controller = Controller(TOLD, 1, BEGUN)
+            started = BEGUN - age_us + behind_us
+            controller.turn(BEGUN, [interface.Listed("whole", (entry("s-1", None), entry("s-2", started)))])
+            assert warmth(controller, BEGUN + TOLD.cold_us) == 1.0, (behind_us, age_us)
