xDS: a start waits for an address that cannot be had for a moment

What callers saw: a controller for xDS clients ended with status 2 at its start where socket(2) or bind(2) failed for a moment (ENFILE, ENOBUFS, EADDRNOTAVAIL, or EADDRINUSE while its predecessor ends). The platform's controller tries for 3 s.

Mend: the listening address is tried as long as other starts are (`retry`).

--- a/lapispass/xds/server.py
+++ b/lapispass/xds/server.py
@@ -17,9 +17,11 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
+from lapispass.core import momentary
 from lapispass.net.acceptor import Acceptor, listener_at
 from lapispass.net.counters import Counters
 from lapispass.net.log import Part
+from lapispass.retry import retry
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
@@ -30,6 +32,11 @@
 SETTLE_S = 1.0  # for connections that were accepted just before the end
 
 
+def may_pass(error: Exception) -> bool:
+    """Whether an address may be had by a further attempt."""
+    return isinstance(error, OSError) and error.errno in momentary.LOCAL
+
+
 class ClosingServer(Server):
     """A server that closes its connections in `close`."""
 
@@ -49,8 +56,11 @@
             transport.abort()
 
     async def listen(self, address: str, tls: ssl.SSLContext | None, log: Part, counters: Counters) -> str:
-        """Listens at `host:port`; the address that it has got."""
-        listener = listener_at(address, BACKLOG)
+        """Listens at `host:port`; the address that it has got.
+
+        An address that cannot be had for a moment, as while a former process ends, is tried for a while.
+        """
+        listener = await retry(lambda: listener_at(address, BACKLOG), may_pass)
         await self.start(sock=listener, ssl=tls)
         asyncio.get_running_loop().remove_reader(listener.fileno())
         self.acceptor = Acceptor(
