Gates and the stream of gates wait for an address that cannot be had for a moment

Cause: listener_at without a further attempt; xDS had the same and was mended for itself. Test of an xDS stream without a first message: with TCP_NODELAY the end of the stream comes in two segments, and grpclib raises the status again where the stream is left; the expectation now stands around the whole stream.

--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -17,7 +17,7 @@
 from lapispass.core.picture import Picture
 from lapispass.core.plans import Plan, Version
 from lapispass.gate import wire
-from lapispass.net.acceptor import Acceptor, listener_at, streams
+from lapispass.net.acceptor import Acceptor, listener_in_time, streams
 from lapispass.net.http import within
 from lapispass.net.log import Part
 from lapispass.net.service import Service
@@ -110,7 +110,7 @@
 
     async def run(self) -> None:
         """Listens, and looks after plans."""
-        listener = listener_at(self.told.listen, self.limits.connections)
+        listener = await listener_in_time(self.told.listen, self.limits.connections)
         server = Acceptor(
             listener,
             streams(self.serve, self.limits.line_bytes),
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -17,7 +17,7 @@
 from lapispass.gate.tunnel import Tunnel
 from lapispass.gate.uplink import Uplink
 from lapispass.net import call_failures, log, process
-from lapispass.net.acceptor import Acceptor, listener_at
+from lapispass.net.acceptor import Acceptor, listener_in_time
 from lapispass.net.clock import Clock
 from lapispass.net.counters import Counters
 from lapispass.net.log import Part
@@ -112,7 +112,7 @@
     async def run(self) -> None:
         """Serves until `stop()`, then closes what it holds in order."""
         loop = asyncio.get_running_loop()
-        listener = listener_at(self.told.listen, self.limits.backlog)
+        listener = await listener_in_time(self.told.listen, self.limits.backlog)
         self.server = Acceptor(
             listener,
             self.take,
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -8,11 +8,13 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
+from lapispass.core import momentary
 from lapispass.net.counters import Counters
 from lapispass.net.http import split
 from lapispass.net.log import Part
 from lapispass.net.resilient_socket import ResilientSocket
 from lapispass.net.streams import Reader, is_readable
+from lapispass.retry import retry
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
@@ -29,6 +31,17 @@
     return ResilientSocket.adopt(socket.create_server((host, port), family=family, backlog=backlog))
 
 
+async def listener_in_time(address: str, backlog: int) -> socket.socket:
+    """As `listener_at`. An address that cannot be had for a moment, as while a former process ends, is tried
+    for a while."""
+    return await retry(lambda: listener_at(address, backlog), _may_be_had)
+
+
+def _may_be_had(error: Exception) -> bool:
+    """Whether a further attempt at an address may succeed."""
+    return isinstance(error, OSError) and error.errno in momentary.LOCAL
+
+
 def streams(serve: Serve, read_bytes: int) -> ProtocolFactory:
     """A factory of protocols that serve each connection by its streams, in a task of its own."""
 
--- a/lapispass/xds/server.py
+++ b/lapispass/xds/server.py
@@ -17,11 +17,9 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
-from lapispass.core import momentary
-from lapispass.net.acceptor import Acceptor, listener_at
+from lapispass.net.acceptor import Acceptor, listener_in_time
 from lapispass.net.counters import Counters
 from lapispass.net.log import Part
-from lapispass.retry import retry
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
@@ -31,11 +29,6 @@
 SETTLE_S = 1.0  # for connections that were accepted just before the end
 
 
-def may_pass(error: Exception) -> bool:
-    """Whether an address may be had by a further attempt."""
-    return isinstance(error, OSError) and error.errno in momentary.LOCAL
-
-
 class ClosingServer(Server):
     """A server that closes its connections in `close`."""
 
@@ -59,7 +52,7 @@
 
         An address that cannot be had for a moment, as while a former process ends, is tried for a while.
         """
-        listener = await retry(lambda: listener_at(address, BACKLOG), may_pass)
+        listener = await listener_in_time(address, BACKLOG)
         await self.start(sock=listener, ssl=tls)
         asyncio.get_running_loop().remove_reader(listener.fileno())
         self.acceptor = Acceptor(
--- a/tests/test_xds_first_message.py
+++ b/tests/test_xds_first_message.py
@@ -74,9 +74,10 @@
     # It ended with an unknown status, and a raw trace in the log.
     async def test() -> None:
         monkeypatch.setattr(desk, "STUCK_S", 0.3)
-        async with controller(tmp_path) as host, opened_stream(host.desk.address) as stream:
-            with pytest.raises(GRPCError) as caught:
-                await asyncio.wait_for(stream.recv_message(), 3)
+        async with controller(tmp_path) as host:
+            with pytest.raises(GRPCError) as caught:  # by the read, and again where the stream is left
+                async with opened_stream(host.desk.address) as stream:
+                    await asyncio.wait_for(stream.recv_message(), 3)
             assert caught.value.status is Status.DEADLINE_EXCEEDED
 
     play(test())
