Count a gate's unread bytes once, in the stream that all connections use

Ear counted in `waiting` what Reader counts in `unread`; one of the two could be forgotten in a change. Ear now reads by `read`, as every stream does, and ends without an error after a reset, as its `take` did.

--- a/lapispass/gate/ears.py
+++ b/lapispass/gate/ears.py
@@ -14,10 +14,9 @@
 
     def __init__(self, limit: int, wake: asyncio.Event) -> None:
         super().__init__(limit=limit, loop=asyncio.get_running_loop())
-        self.wake, self.waiting, self.over = wake, 0, False
+        self.wake, self.over = wake, False
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]
-        self.waiting += len(data)
         super().feed_data(data)
         self.wake.set()
 
@@ -31,15 +30,13 @@
         super().set_exception(exc)
         self.wake.set()
 
-    async def take(self, most: int) -> bytes:
+    async def read(self, n: int = -1) -> bytes:
         """What has come, without waiting where something has; nothing at the end, also after a reset."""
         try:
-            piece = await self.read(most)
+            return await super().read(n)
         except OSError:
-            self.waiting = 0
+            self.unread = 0
             return b""
-        self.waiting -= len(piece)
-        return piece
 
 
 class Wire(asyncio.StreamReaderProtocol):
--- a/lapispass/gate/frames.py
+++ b/lapispass/gate/frames.py
@@ -120,7 +120,7 @@
     @property
     def lost(self) -> bool:
         """Ended by the peer, or broken, and all that came has been read."""
-        return self.ear.over and not self.ear.waiting
+        return self.ear.over and not self.ear.unread
 
     def cut(self) -> None:
         """Ends it so that nothing more reaches the peer: unsent bytes are dropped here and in the kernel."""
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -212,13 +212,13 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout_at(until):
-                piece = await self.ear.take(self.limits.read_bytes)
+                piece = await self.ear.read(self.limits.read_bytes)
         except TimeoutError:
             if not has_input(self.ear, self.writer):
                 raise self.head_is_late() from None
             try:
                 async with asyncio.timeout_at(loop.time() + self.limits.flush_us / 1e6):
-                    piece = await self.ear.take(self.limits.read_bytes)
+                    piece = await self.ear.read(self.limits.read_bytes)
             except TimeoutError:
                 raise self.head_is_late() from None
         if not piece:
@@ -313,7 +313,7 @@
             # is on its way be lost (RFC 9112 9.6). What still comes is thrown away, for a while.
             async with asyncio.timeout(self.limits.close_us / 1e6):
                 for _ in range(EVENTS_MOST):
-                    if not await self.ear.take(self.limits.read_bytes):
+                    if not await self.ear.read(self.limits.read_bytes):
                         break
         except (h11.LocalProtocolError, OSError):
             pass  # what came was no HTTP, or it is gone: nothing can be answered to it
@@ -351,8 +351,8 @@
                 return
             event: Event | None = self.kept or screen.event()
             if event is None:
-                if screen.ear.waiting and not screen.got_close:
-                    screen.take_in(await screen.ear.take(self.limits.read_bytes), now)
+                if screen.ear.unread and not screen.got_close:
+                    screen.take_in(await screen.ear.read(self.limits.read_bytes), now)
                     continue
                 if screen.lost and not screen.got_close:
                     self.screen_lost(now)
@@ -410,8 +410,8 @@
                 return
             event = node.event()
             if event is None:
-                if node.ear.waiting and not node.got_close:
-                    node.take_in(await node.ear.take(self.limits.read_bytes), now)
+                if node.ear.unread and not node.got_close:
+                    node.take_in(await node.ear.read(self.limits.read_bytes), now)
                     continue
                 if node.lost and not node.got_close:
                     self.node_lost("ended without a close", now)
@@ -752,7 +752,7 @@
 async def answer_of(towards: Towards, ear: Ear, read_bytes: int) -> upgrade.Answer:
     """A node's whole answer to an upgrade."""
     while True:
-        piece = await ear.take(read_bytes)
+        piece = await ear.read(read_bytes)
         if (answer := towards.read(piece)) is not None:
             return answer
         if not piece:
