--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -20,7 +20,7 @@
 from lapispass.gate.host import GateHost
 from lapispass.gate.upgrade import BadUpgrade, Opening, Towards
 from lapispass.net.http import within
-from lapispass.net.streams import flush, has_input
+from lapispass.net.streams import flush, has_input, read_arrived
 
 FIRST_PRIVATE_CODE = 3000  # of a close frame (RFC 6455 7.4.2)
 EVENTS_MOST = 64  # passed on from one side before the other one has its turn
@@ -204,23 +204,16 @@
                 raise BadUpgrade(400, "an upgrade has no body")
 
     async def piece_of_head(self, until: float) -> bytes:
-        """The next bytes by this time of the loop's clock.
-
-        Guards against the timer that wins over what has come: where the process stood still, both are due in
-        the same round.
-        """
-        loop = asyncio.get_running_loop()
+        """The next bytes by this time of the loop's clock, and those that have come although it is over."""
+        limits = self.limits
+        piece: bytes | None
         try:
             async with asyncio.timeout_at(until):
-                piece = await self.ear.read(self.limits.read_bytes)
+                piece = await self.ear.read(limits.read_bytes)
         except TimeoutError:
-            if not has_input(self.ear, self.writer):
-                raise self.head_is_late() from None
-            try:
-                async with asyncio.timeout_at(loop.time() + self.limits.flush_us / 1e6):
-                    piece = await self.ear.read(self.limits.read_bytes)
-            except TimeoutError:
-                raise self.head_is_late() from None
+            piece = await read_arrived(self.ear, self.writer, limits.read_bytes, limits.late_us)
+        if piece is None:
+            raise self.head_is_late()
         if not piece:
             raise EOFError("ended before its head was whole") if self.has_asked else NothingAsked
         self.has_asked = True
--- a/lapispass/net/client_connection.py
+++ b/lapispass/net/client_connection.py
@@ -9,7 +9,7 @@
 from lapispass.net import tcp_info
 from lapispass.net.limits import Limits
 from lapispass.net.lines import Lines
-from lapispass.net.streams import has_input, unread
+from lapispass.net.streams import read_arrived, unread
 
 
 class CloseReason(StrEnum):
@@ -49,7 +49,7 @@
         self.pings = 0  # asked, and answered
         self.opened_at = self.heard_at = self.begun_at = self.loop.time()
         self.closing: CloseReason | None = None  # why it is to end as soon as what has come is answered
-        self.expired = False  # its time was over while something had come that was not read yet
+        self.expired = False  # its time was over once, and what had come then was read
         self.rejected = False  # it has been told so, and has a moment to read it
         self.waiting: asyncio.Timeout | None = None
 
@@ -87,8 +87,7 @@
     async def read(self) -> bytes:
         """The next bytes; none at the end of the stream.
 
-        Raises `Ended` once its time is over, and nothing has come meanwhile. Guards against the timer that
-        wins over what was read: where the process stood still, both are due in the same round.
+        Raises `Ended` once its time is over, and nothing has come meanwhile.
         """
         waiting = asyncio.timeout_at(self.deadline())
         try:
@@ -105,20 +104,17 @@
         return piece
 
     async def _read_last(self) -> bytes:
-        """What has come although its time is over; the system may not have handed it over yet.
+        """What has come although its time is over, once; then it ends.
 
         Guards against a request that is read and dropped: it may come between this decision and the close.
         From here on what comes stays in the system's buffer, and what was read already is handled.
         """
-        if not self.expired and has_input(self.reader, self.writer):
+        if not self.expired:
             self.expired = True
-            waiting = asyncio.timeout(self.limits.late_us / 1e6)
-            try:
-                async with waiting:
-                    return await self.reader.read(self.limits.read_bytes)
-            except TimeoutError:
-                if not waiting.expired():
-                    raise  # the connection's own (ETIMEDOUT)
+            limits = self.limits
+            piece = await read_arrived(self.reader, self.writer, limits.read_bytes, limits.late_us)
+            if piece is not None:
+                return piece
         self.writer.transport.pause_reading()  # type: ignore[attr-defined]
         if unread(self.reader):
             return await self.reader.read(self.limits.read_bytes)
--- a/lapispass/net/streams.py
+++ b/lapispass/net/streams.py
@@ -43,6 +43,26 @@
     return bool(poll.poll(0))
 
 
+async def read_arrived(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, most: int, late_us: int
+) -> bytes | None:
+    """What has come although the time to wait for it is over; None where nothing has.
+
+    Guards against the timer that wins over what has come: where the process stood still, both are due in the
+    same round. The system may not have handed the bytes over yet; that is waited for, `late_us` at most.
+    """
+    if not has_input(reader, writer):
+        return None
+    waiting = asyncio.timeout(late_us / 1e6)
+    try:
+        async with waiting:
+            return await reader.read(most)
+    except TimeoutError:
+        if not waiting.expired():
+            raise  # the connection's own (ETIMEDOUT)
+        return None
+
+
 async def flush(writer: asyncio.StreamWriter, wait_us: int) -> int:
     """Waits until all that was written is in the system's hands; how many bytes are not, after that time.
 
