Retry by one loop whether the wait blocks or not

retry and retry_blocking differed by their wait alone and each had its own window and check of the error.

--- a/lapispass/retry.py
+++ b/lapispass/retry.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 T = TypeVar("T")
 MayPass = Callable[[Exception], bool]
@@ -23,29 +23,40 @@
 START = RetryWindow()
 
 
+class _Attempts(Generic[T]):
+    """Attempts up to the end of a window; between two of them the caller waits."""
+
+    result: T
+
+    def __init__(self, attempt: Callable[[], T], may_pass: MayPass, window: RetryWindow) -> None:
+        self.attempt, self.may_pass = attempt, may_pass
+        self.until = time.monotonic() + window.wait_s
+
+    def succeeded(self) -> bool:
+        """Makes an attempt; raises its error where the window is over or the error is none that may pass."""
+        try:
+            self.result = self.attempt()
+        except Exception as error:
+            if not self.may_pass(error) or time.monotonic() >= self.until:
+                raise
+            return False
+        return True
+
+
 def retry_blocking(attempt: Callable[[], T], may_pass: MayPass, window: RetryWindow = START) -> T:
     """What the attempt gives; it blocks between attempts, so it is for a process that does nothing else yet.
 
     Raises the error of the last attempt, at once where it is none that may pass.
     """
-    until = time.monotonic() + window.wait_s
-    while True:
-        try:
-            return attempt()
-        except Exception as error:
-            if not may_pass(error) or time.monotonic() >= until:
-                raise
+    attempts = _Attempts(attempt, may_pass, window)
+    while not attempts.succeeded():
         time.sleep(window.pause_s)
+    return attempts.result
 
 
 async def retry(attempt: Callable[[], T], may_pass: MayPass, window: RetryWindow = START) -> T:
     """As `retry_blocking`, on a loop that goes on meanwhile."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + window.wait_s
-    while True:
-        try:
-            return attempt()
-        except Exception as error:
-            if not may_pass(error) or loop.time() >= until:
-                raise
+    attempts = _Attempts(attempt, may_pass, window)
+    while not attempts.succeeded():
         await asyncio.sleep(window.pause_s)
+    return attempts.result
