Give both messages of a gate's handshake one deadline

A controller that was slow with each of its two messages (challenge, welcome) held a gate for twice `connect_us` before the gate looked elsewhere: each message had that time for itself. Both now share one deadline, counted from the connection.

--- a/lapispass/gate/uplink.py
+++ b/lapispass/gate/uplink.py
@@ -67,6 +67,7 @@
             lambda streams: streams[1].transport.abort(),
         )
         try:
+            deadline = gate.clock.now() + limits.connect_us  # for both messages of the handshake
             challenge = await self.hear(reader, limits.connect_us)
             if not isinstance(challenge, wire.Challenge) or challenge.protocol != wire.PROTOCOL:
                 raise ValueError("it speaks another protocol")
@@ -83,7 +84,7 @@
                 steering.drains(now),
             )
             writer.write(wire.line(hello))
-            welcome = await self.hear(reader, limits.connect_us)
+            welcome = await self.hear(reader, deadline - gate.clock.now())
             if isinstance(welcome, wire.Refusal):
                 raise ValueError(f"refused: {welcome.why}")
             if not isinstance(welcome, wire.Welcome) or not wire.proven(
