Say process_ends, not fault, of a connection that the end of the process cancels

Cause: serve's reason was set by converse alone; a cancelled connection left converse without one and kept the first value, FAULT. Its counter was collectors.ended.fault, its log line a warning, and asyncio wrote a trace of the cancelled task beside it. The cancellation is the end of the process, so it is named so, and the task ends in order.

--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -112,6 +112,8 @@
         end = Ended(CloseReason.FAULT)
         try:
             end = await self.converse(connection)
+        except asyncio.CancelledError:  # asyncio would log a trace of a task that was cancelled
+            end = Ended(CloseReason.PROCESS_ENDS)
         finally:
             try:
                 await self.finish(connection, end)
