Split the opening of a held connection from the tunnel: handshake and node connection

The client's upgrade is now in handshake.py, the node's side of it in node_connection.py; a tunnel is made of an accepted upgrade and so is never half filled.

--- /dev/null
+++ b/lapispass/gate/handshake.py
@@ -0,0 +1,220 @@
+"""The opening of a held connection: its upgrade is read, a node takes it, or it is refused."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+from urllib.parse import parse_qsl
+
+import h11
+
+from lapispass.core.admission import Refused
+from lapispass.core.facts import ConnectionClass
+from lapispass.core.steering import TRIES_MOST, Go, Unfit
+from lapispass.gate import upgrade
+from lapispass.gate.ears import Ear
+from lapispass.gate.frames import Side
+from lapispass.gate.host import GateHost
+from lapispass.gate.node_connection import NodeOpener, NoNode
+from lapispass.gate.upgrade import BadUpgrade, Opening
+from lapispass.net.streams import flush, has_input, read_arrived
+
+READS_AFTER_REFUSAL = 64  # of what still comes, thrown away
+
+
+class Refusal(Exception):
+    """The upgrade is answered with a status instead of a tunnel."""
+
+    def __init__(self, status: int, why: str, retry_after_us: int = 0) -> None:
+        super().__init__(why)
+        self.status, self.retry_after_us = status, retry_after_us
+
+
+class NothingAsked(Exception):
+    """The connection ends before its first byte: nobody waits for an answer on it."""
+
+
+class HandshakeHost(GateHost, Protocol):
+    """What a handshake needs of its gate."""
+
+    key_parameter: str
+
+    def answered(self) -> None:
+        """The task's upgrade has its final answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """An upgrade that a node has taken, and that its client has been told of."""
+
+    kind: ConnectionClass
+    key: str | None
+    go: Go
+    node: Side
+    protocol: str | None
+    opener: NodeOpener
+    early: bytes  # what came behind the head
+
+
+class Handshake:
+    """The upgrade of one client."""
+
+    def __init__(self, gate: HandshakeHost, ear: Ear, writer: asyncio.StreamWriter) -> None:
+        self.gate, self.limits, self.clock = gate, gate.limits, gate.clock
+        self.ear, self.writer = ear, writer
+        self.state = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_bytes)
+        self.has_asked = False  # whether a byte has come
+        name = writer.get_extra_info("peername")
+        self.peer = str(name[0]) if name else "unknown"
+
+    async def run(self) -> Accepted | None:
+        """From the first byte to the answer; None where the connection has ended with it, or before."""
+        gate = self.gate
+        try:
+            opening = await self.read_head()
+            kind, key = self.asked(opening)
+            opener = NodeOpener(gate, opening, self.peer, self.ear.wake)
+            go, node, protocol = await self.enter(kind, key, opener)
+        except NothingAsked:
+            gate.counters["screens.never_asked"] += 1
+            self.writer.transport.abort()
+            return None
+        except (Refusal, BadUpgrade) as error:
+            await self.refuse(error)
+            return None
+        except (OSError, EOFError, h11.RemoteProtocolError) as error:
+            gate.counters["screens.unfit"] += 1
+            gate.log.rate_limited("no upgrade", peer=self.peer, why=error)
+            await self.refuse(BadUpgrade(400, "unreadable"))
+            return None
+        except asyncio.CancelledError:  # the gate ends; who has asked is answered first
+            if self.has_asked or has_input(self.ear, self.writer):
+                await self.refuse(Refusal(503, "the gate ends", return_us(gate)))
+            raise
+        if self.ear.over or self.writer.transport.is_closing():  # gone while its node was opened
+            gate.steering.fail(go.node)
+            node.end(0.0)
+            gate.counters["screens.gone_early"] += 1
+            return None
+        self.writer.write(upgrade.answer(self.state, opening, protocol))
+        return Accepted(kind, key, go, node, protocol, opener, self.state.trailing_data[0])
+
+    async def read_head(self) -> Opening:
+        """The whole head of an upgrade, in time."""
+        until = asyncio.get_running_loop().time() + self.limits.handshake_us / 1e6
+        while True:
+            event = self.state.next_event()
+            if event is h11.NEED_DATA:
+                self.state.receive_data(await self.piece_of_head(until))
+            elif isinstance(event, h11.Request):
+                opening = upgrade.read_opening(event)
+            elif isinstance(event, h11.EndOfMessage):
+                return opening
+            else:
+                raise BadUpgrade(400, "an upgrade has no body")
+
+    async def piece_of_head(self, until: float) -> bytes:
+        """The next bytes by this time of the loop's clock, and those that have come although it is over."""
+        limits = self.limits
+        piece: bytes | None
+        try:
+            async with asyncio.timeout_at(until):
+                piece = await self.ear.read(limits.read_bytes)
+        except TimeoutError:
+            piece = await read_arrived(self.ear, self.writer, limits.read_bytes, limits.late_us)
+        if piece is None:
+            raise self.head_is_late()
+        if not piece:
+            raise EOFError("ended before its head was whole") if self.has_asked else NothingAsked
+        self.has_asked = True
+        return piece
+
+    def head_is_late(self) -> Exception:
+        """Only who has begun to ask is told so."""
+        if not self.has_asked:
+            return NothingAsked()
+        return BadUpgrade(408, "the head of the upgrade did not come in time")
+
+    def asked(self, opening: Opening) -> tuple[ConnectionClass, str | None]:
+        """Its class and its key."""
+        kind = self.gate.steering.class_of(opening.path)
+        if kind is None:
+            raise Refusal(404, "no class has this path")
+        name = self.gate.key_parameter
+        keys = [value for key, value in parse_qsl(opening.target.partition("?")[2]) if name and key == name]
+        if len(keys) > 1 or (keys and len(keys[0]) > self.limits.key_bytes):
+            raise Refusal(400, f"{name} stands twice, or is too long")
+        return kind, keys[0] if keys and keys[0] else None
+
+    async def enter(
+        self, kind: ConnectionClass, key: str | None, opener: NodeOpener
+    ) -> tuple[Go, Side, str | None]:
+        """A node that has taken the upgrade, or a `Refusal` with when to come back."""
+        steering, tried = self.gate.steering, []
+        choice = steering.arrive(self.clock.now(), kind, key)
+        while True:
+            if isinstance(choice, Unfit):
+                raise Refusal(400, choice.why)
+            if isinstance(choice, Refused):
+                raise Refusal(503, choice.why, choice.retry_after_us)
+            tried.append(choice.node)
+            try:
+                side, protocol = await opener.open(choice)
+                return choice, side, protocol
+            except NoNode as error:
+                steering.fail(choice.node)
+                self.gate.counters["nodes.refused"] += 1
+                self.gate.log.rate_limited("node took no upgrade", node=choice.node, why=error)
+                now = self.clock.now()
+                if error.final:
+                    raise Refusal(error.status, str(error)) from None
+                if key is not None or len(tried) >= TRIES_MOST:
+                    wait = steering.admission.refused(now, "node took no upgrade", error.retry_after_us)
+                    raise Refusal(503, wait.why, wait.retry_after_us) from None
+                choice = steering.place(now, tried)  # nothing was held or written: another node may be asked
+            except BaseException:
+                steering.fail(choice.node)
+                raise
+
+    async def refuse(self, error: Refusal | BadUpgrade) -> None:
+        """Answered at once, with when to come back where that is of use."""
+        self.gate.answered()
+        self.gate.counters[f"screens.refused_{error.status}"] += 1
+        headers = error.headers if isinstance(error, BadUpgrade) else ()
+        wait = error.retry_after_us if isinstance(error, Refusal) else 0
+        try:
+            self.writer.write(upgrade.refuse(self.state, error.status, str(error), headers, wait))
+            self.writer.write_eof()
+            # Guards the answer: closed with bytes unread, the kernel would reset the connection, and what
+            # is on its way be lost (RFC 9112 9.6). What still comes is thrown away, for a while.
+            async with asyncio.timeout(self.limits.close_us / 1e6):
+                for _ in range(READS_AFTER_REFUSAL):
+                    if not await self.ear.read(self.limits.read_bytes):
+                        break
+        except (h11.LocalProtocolError, OSError):
+            pass  # what came was no HTTP, or it is gone: nothing can be answered to it
+        await flush(self.writer, self.limits.flush_us)
+        self.writer.transport.abort()
+
+    async def refuse_unread(self, why: str) -> None:
+        """Refuses it before it is read; who asks nothing within a moment is closed without a word."""
+        if not await self.asks_soon():
+            self.gate.counters["screens.never_asked"] += 1
+            self.writer.transport.abort()
+            return
+        await self.refuse(Refusal(503, why, return_us(self.gate)))
+
+    async def asks_soon(self) -> bool:
+        """Whether something comes within `Limits.flush_us`; it stays unread."""
+        until = self.clock.now() + self.limits.flush_us
+        while not has_input(self.ear, self.writer):
+            if self.ear.over or self.clock.now() >= until:
+                return False
+            await asyncio.sleep(self.limits.tick_us / 1e6 / 10)
+        return True
+
+
+def return_us(gate: GateHost) -> int:
+    """When a client may come back, counted from now: others are given other times."""
+    return gate.steering.returns.delay_us(gate.clock.now())
--- /dev/null
+++ b/lapispass/gate/node_connection.py
@@ -0,0 +1,75 @@
+"""A connection to a node, from its address to the node's answer to the upgrade."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import h11
+
+from lapispass.core.steering import Go
+from lapispass.gate import upgrade
+from lapispass.gate.ears import Ear, connect
+from lapispass.gate.frames import Side
+from lapispass.gate.host import GateHost
+from lapispass.gate.upgrade import Opening, Towards
+from lapispass.net.http import within
+
+
+class NoNode(Exception):
+    """A node did not take the upgrade; `final` where another node would say the same."""
+
+    def __init__(self, why: str, status: int = 502, retry_after_us: int = 0) -> None:
+        super().__init__(why)
+        self.status, self.retry_after_us = status, retry_after_us
+        self.final = 400 <= status < 500 and status not in (408, 425, 429)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeOpener:
+    """Opens connections to nodes for one client's upgrade: at first, and for each move."""
+
+    gate: GateHost
+    opening: Opening
+    peer: str  # the client's address
+    wake: asyncio.Event
+
+    async def open(self, go: Go) -> tuple[Side, str | None]:
+        """A connection to a node that has answered 101, or `NoNode`."""
+        gate, limits = self.gate, self.gate.limits
+        address = gate.steering.tables.nodes.get(go.node)
+        if address is None:
+            raise NoNode("its address is not known")
+        towards = Towards(self.opening, address.address, self.peer, limits.head_bytes)
+        writer = None
+        stands = False
+        try:
+            ear, writer = await within(
+                limits.connect_us,
+                connect(address.address, limits.read_bytes, self.wake),
+                limits.late_us,
+                lambda streams: streams[1].transport.abort(),
+            )
+            writer.write(towards.ask())
+            waited = answer_of(towards, ear, limits.read_bytes)
+            answer = await within(limits.upgrade_us, waited, limits.late_us)
+            if answer.status != 101:
+                raise NoNode(answer.why, answer.status, answer.retry_after_us)
+            stands = True
+            side = Side("node", ear, writer, answer.early, gate.clock.now(), limits.buffer_bytes)
+            return side, answer.protocol
+        except (OSError, EOFError, h11.RemoteProtocolError, h11.LocalProtocolError) as error:
+            raise NoNode(f"{type(error).__name__} {error}") from None
+        finally:
+            if writer is not None and not stands:
+                writer.transport.abort()
+
+
+async def answer_of(towards: Towards, ear: Ear, read_bytes: int) -> upgrade.Answer:
+    """A node's whole answer to an upgrade."""
+    while True:
+        piece = await ear.read(read_bytes)
+        if (answer := towards.read(piece)) is not None:
+            return answer
+        if not piece:
+            raise EOFError("ended")
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -12,6 +12,7 @@
 from lapispass.core.plans import Plan
 from lapispass.core.steering import Steering
 from lapispass.gate.ears import Ear, Wire
+from lapispass.gate.handshake import Handshake
 from lapispass.gate.limits import Limits
 from lapispass.gate.lone import Lone
 from lapispass.gate.tunnel import Tunnel
@@ -171,20 +172,21 @@
         assert task is not None and isinstance(reader, Ear)
         self.counters["screens.came"] += 1
         self.tasks.add(task)
-        tunnel = Tunnel(self, reader, writer)
+        handshake = Handshake(self, reader, writer)
         try:
             if self.ended.is_set():  # accepted in the instant of the end
-                await tunnel.refuse_unread("the gate ends")
+                await handshake.refuse_unread("the gate ends")
                 return
             if len(self.upgrading) >= self.limits.shaking:  # Guards against never-ending handshakes.
                 self.counters["screens.crowded_out"] += 1
                 if len(self.tasks) - len(self.tunnels) <= 2 * self.limits.shaking:
-                    await tunnel.refuse_unread("too many upgrades at once")
+                    await handshake.refuse_unread("too many upgrades at once")
                 else:  # Guards descriptors: so many are being refused already.
                     writer.transport.abort()
                 return
             self.upgrading.add(task)
-            await tunnel.run()
+            if accepted := await handshake.run():
+                await Tunnel(self, reader, writer, accepted).run()
         except asyncio.CancelledError:
             writer.transport.abort()  # in order: the gate ends, and whoever has asked is answered
         except Exception:  # a fault of our own costs this connection, not the gate
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -1,26 +1,22 @@
-"""The life of one held connection, in one task: upgrade, passing on, moves, and its end in order."""
+"""The life of one held connection, in one task: passing on, moves, and its end in order."""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import dataclass
 from typing import Any, Protocol
-from urllib.parse import parse_qsl
 
-import h11
 from wsproto.events import CloseConnection, Event, Message, Ping, Pong
 
 from lapispass.core.admission import Refused
 from lapispass.core.connections import Held
-from lapispass.core.facts import NEVER, ConnectionClass
-from lapispass.core.steering import TRIES_MOST, Go, Unfit
-from lapispass.gate import upgrade
-from lapispass.gate.ears import Ear, connect
+from lapispass.core.facts import NEVER
+from lapispass.core.steering import Go
+from lapispass.gate.ears import Ear
 from lapispass.gate.frames import Side
+from lapispass.gate.handshake import Accepted, return_us
 from lapispass.gate.host import GateHost
-from lapispass.gate.upgrade import BadUpgrade, Opening, Towards
-from lapispass.net.http import within
-from lapispass.net.streams import flush, has_input, read_arrived
+from lapispass.gate.node_connection import NoNode
 
 FIRST_PRIVATE_CODE = 3000  # of a close frame (RFC 6455 7.4.2)
 EVENTS_MOST = 64  # passed on from one side before the other one has its turn
@@ -28,27 +24,6 @@
 PASSED_ON = {1000, 1001, 1002, 1003, 1007, 1008, 1009, 1010, 1011, 1012, 1013}
 
 
-class Refusal(Exception):
-    """The upgrade is answered with a status instead of a tunnel."""
-
-    def __init__(self, status: int, why: str, retry_after_us: int = 0) -> None:
-        super().__init__(why)
-        self.status, self.retry_after_us = status, retry_after_us
-
-
-class NothingAsked(Exception):
-    """The connection ends before its first byte: nobody waits for an answer on it."""
-
-
-class NoNode(Exception):
-    """A node did not take the upgrade; `final` where another node would say the same."""
-
-    def __init__(self, why: str, status: int = 502, retry_after_us: int = 0) -> None:
-        super().__init__(why)
-        self.status, self.retry_after_us = status, retry_after_us
-        self.final = 400 <= status < 500 and status not in (408, 425, 429)
-
-
 @dataclass(slots=True)
 class Move:
     """To another node, make before break. Steps: opening, stopping, proving, quieting, parting."""
@@ -72,11 +47,6 @@
 class TunnelHost(GateHost, Protocol):
     """What a connection needs of its gate."""
 
-    key_parameter: str
-
-    def answered(self) -> None:
-        """The task's upgrade has its final answer."""
-
     def stands(self, tunnel: Tunnel) -> None:
         """The connection has its node."""
 
@@ -93,19 +63,16 @@
     __slots__ = (
         "clock",
         "deaf",
-        "ear",
         "ending",
         "gate",
-        "has_asked",
         "held",
         "how",
         "kept",
         "limits",
         "move",
         "node",
-        "opening",
+        "opener",
         "over",
-        "peer",
         "proof",
         "proof_until",
         "proof_written",
@@ -113,68 +80,28 @@
         "release",
         "screen",
         "wake",
-        "writer",
     )
 
-    def __init__(self, gate: TunnelHost, ear: Ear, writer: asyncio.StreamWriter) -> None:
-        self.gate, self.limits, self.clock = gate, gate.limits, gate.clock
-        self.ear, self.writer, self.wake = ear, writer, ear.wake
-        name = writer.get_extra_info("peername")
-        self.peer = str(name[0]) if name else "unknown"
-        self.screen: Side
-        self.node: Side | None = None
-        self.held: Held
-        self.protocol: str | None = None
+    def __init__(self, gate: TunnelHost, ear: Ear, writer: asyncio.StreamWriter, accepted: Accepted) -> None:
+        self.gate, self.limits, self.clock, self.wake = gate, gate.limits, gate.clock, ear.wake
+        now = self.clock.now()
+        self.screen = Side("screen", ear, writer, accepted.early, now, self.limits.buffer_bytes)
+        self.node: Side | None = accepted.node
+        self.protocol, self.opener = accepted.protocol, accepted.opener
+        self.held: Held = gate.steering.stand(now, accepted.kind, accepted.go, accepted.key)
         self.kept: Message[Any] | None = None  # a message that may not begin yet
         self.move: Move | None = None
         self.ending: Ending | None = None
         self.over, self.how = False, "broken"
-        self.has_asked = False  # whether a byte has come
         self.deaf = False  # closed by us: messages that may not be sent any more are thrown away
         self.release = ""  # 'move' or 'close', as the steering has asked
-        self.proof, self.proof_until, self.proof_written = (
-            0,
-            0,
-            0,
-        )  # a ping whose answer proves that the node has read all
+        self.proof = 0  # a ping whose answer proves that the node has read all
+        self.proof_until = 0
+        self.proof_written = 0
 
     async def run(self) -> None:
-        """From the first byte to the last."""
-        gate, state = self.gate, h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_bytes)
-        try:
-            self.opening = await self.shake(state)
-            kind, key = self.asked(self.opening)
-            go, self.node, self.protocol = await self.enter(kind, key)
-        except NothingAsked:
-            gate.counters["screens.never_asked"] += 1
-            self.writer.transport.abort()
-            return
-        except (Refusal, BadUpgrade) as error:
-            await self.refuse(state, error)
-            return
-        except (OSError, EOFError, h11.RemoteProtocolError) as error:
-            gate.counters["screens.unfit"] += 1
-            gate.log.rate_limited("no upgrade", peer=self.peer, why=error)
-            await self.refuse(state, BadUpgrade(400, "unreadable"))
-            return
-        except asyncio.CancelledError:  # the gate ends; who has asked is answered first
-            if self.has_asked or has_input(self.ear, self.writer):
-                await self.refuse(state, Refusal(503, "the gate ends", self.return_us()))
-            raise
-        if (
-            self.ear.over or self.writer.transport.is_closing()
-        ):  # the screen has gone while its node was opened
-            gate.steering.fail(go.node)
-            self.node.end(0.0)
-            gate.counters["screens.gone_early"] += 1
-            return
-        now = self.clock.now()
-        self.writer.write(upgrade.answer(state, self.opening, self.protocol))
-        self.screen = Side(
-            "screen", self.ear, self.writer, state.trailing_data[0], now, self.limits.buffer_bytes
-        )
-        self.held = gate.steering.stand(now, kind, go, key)
-        gate.stands(self)
+        """From the upgrade to the last byte."""
+        self.gate.stands(self)
         try:
             while not self.over:
                 self.wake.clear()
@@ -187,153 +114,6 @@
         finally:
             self.part()
 
-    # the upgrade
-
-    async def shake(self, state: h11.Connection) -> Opening:
-        """The whole head of an upgrade, in time."""
-        until = asyncio.get_running_loop().time() + self.limits.handshake_us / 1e6
-        while True:
-            event = state.next_event()
-            if event is h11.NEED_DATA:
-                state.receive_data(await self.piece_of_head(until))
-            elif isinstance(event, h11.Request):
-                opening = upgrade.read_opening(event)
-            elif isinstance(event, h11.EndOfMessage):
-                return opening
-            else:
-                raise BadUpgrade(400, "an upgrade has no body")
-
-    async def piece_of_head(self, until: float) -> bytes:
-        """The next bytes by this time of the loop's clock, and those that have come although it is over."""
-        limits = self.limits
-        piece: bytes | None
-        try:
-            async with asyncio.timeout_at(until):
-                piece = await self.ear.read(limits.read_bytes)
-        except TimeoutError:
-            piece = await read_arrived(self.ear, self.writer, limits.read_bytes, limits.late_us)
-        if piece is None:
-            raise self.head_is_late()
-        if not piece:
-            raise EOFError("ended before its head was whole") if self.has_asked else NothingAsked
-        self.has_asked = True
-        return piece
-
-    def head_is_late(self) -> Exception:
-        """Only who has begun to ask is told so."""
-        if not self.has_asked:
-            return NothingAsked()
-        return BadUpgrade(408, "the head of the upgrade did not come in time")
-
-    def asked(self, opening: Opening) -> tuple[ConnectionClass, str | None]:
-        """Its class and its key."""
-        kind = self.gate.steering.class_of(opening.path)
-        if kind is None:
-            raise Refusal(404, "no class has this path")
-        name = self.gate.key_parameter
-        keys = [value for key, value in parse_qsl(opening.target.partition("?")[2]) if name and key == name]
-        if len(keys) > 1 or (keys and len(keys[0]) > self.limits.key_bytes):
-            raise Refusal(400, f"{name} stands twice, or is too long")
-        return kind, keys[0] if keys and keys[0] else None
-
-    async def enter(self, kind: ConnectionClass, key: str | None) -> tuple[Go, Side, str | None]:
-        """A node that has taken the upgrade, or a `Refusal` with when to come back."""
-        steering, tried = self.gate.steering, []
-        choice = steering.arrive(self.clock.now(), kind, key)
-        while True:
-            if isinstance(choice, Unfit):
-                raise Refusal(400, choice.why)
-            if isinstance(choice, Refused):
-                raise Refusal(503, choice.why, choice.retry_after_us)
-            tried.append(choice.node)
-            try:
-                side, protocol = await self.open_node(choice)
-                return choice, side, protocol
-            except NoNode as error:
-                steering.fail(choice.node)
-                self.gate.counters["nodes.refused"] += 1
-                self.gate.log.rate_limited("node took no upgrade", node=choice.node, why=error)
-                now = self.clock.now()
-                if error.final:
-                    raise Refusal(error.status, str(error)) from None
-                if key is not None or len(tried) >= TRIES_MOST:
-                    wait = steering.admission.refused(now, "node took no upgrade", error.retry_after_us)
-                    raise Refusal(503, wait.why, wait.retry_after_us) from None
-                choice = steering.place(now, tried)  # nothing was held or written: another node may be asked
-            except BaseException:
-                steering.fail(choice.node)
-                raise
-
-    async def open_node(self, go: Go) -> tuple[Side, str | None]:
-        """A connection to a node that has answered 101, or `NoNode`."""
-        address = self.gate.steering.tables.nodes.get(go.node)
-        if address is None:
-            raise NoNode("its address is not known")
-        towards = Towards(self.opening, address.address, self.peer, self.limits.head_bytes)
-        writer = None
-        stands = False
-        try:
-            ear, writer = await within(
-                self.limits.connect_us,
-                connect(address.address, self.limits.read_bytes, self.wake),
-                self.limits.late_us,
-                lambda streams: streams[1].transport.abort(),
-            )
-            writer.write(towards.ask())
-            waited = answer_of(towards, ear, self.limits.read_bytes)
-            answer = await within(self.limits.upgrade_us, waited, self.limits.late_us)
-            if answer.status != 101:
-                raise NoNode(answer.why, answer.status, answer.retry_after_us)
-            stands = True
-            side = Side("node", ear, writer, answer.early, self.clock.now(), self.limits.buffer_bytes)
-            return side, answer.protocol
-        except (OSError, EOFError, h11.RemoteProtocolError, h11.LocalProtocolError) as error:
-            raise NoNode(f"{type(error).__name__} {error}") from None
-        finally:
-            if writer is not None and not stands:
-                writer.transport.abort()
-
-    async def refuse(self, state: h11.Connection, error: Refusal | BadUpgrade) -> None:
-        """Answered at once, with when to come back where that is of use."""
-        self.gate.answered()
-        self.gate.counters[f"screens.refused_{error.status}"] += 1
-        headers = error.headers if isinstance(error, BadUpgrade) else ()
-        wait = error.retry_after_us if isinstance(error, Refusal) else 0
-        try:
-            self.writer.write(upgrade.refuse(state, error.status, str(error), headers, wait))
-            self.writer.write_eof()
-            # Guards the answer: closed with bytes unread, the kernel would reset the connection, and what
-            # is on its way be lost (RFC 9112 9.6). What still comes is thrown away, for a while.
-            async with asyncio.timeout(self.limits.close_us / 1e6):
-                for _ in range(EVENTS_MOST):
-                    if not await self.ear.read(self.limits.read_bytes):
-                        break
-        except (h11.LocalProtocolError, OSError):
-            pass  # what came was no HTTP, or it is gone: nothing can be answered to it
-        await flush(self.writer, self.limits.flush_us)
-        self.writer.transport.abort()
-
-    async def refuse_unread(self, why: str) -> None:
-        """Refuses it before it is read; who asks nothing within a moment is closed without a word."""
-        if not await self.asks_soon():
-            self.gate.counters["screens.never_asked"] += 1
-            self.writer.transport.abort()
-            return
-        await self.refuse(h11.Connection(h11.SERVER), Refusal(503, why, self.return_us()))
-
-    async def asks_soon(self) -> bool:
-        """Whether something comes within `Limits.flush_us`; it stays unread."""
-        until = self.clock.now() + self.limits.flush_us
-        while not has_input(self.ear, self.writer):
-            if self.ear.over or self.clock.now() >= until:
-                return False
-            await asyncio.sleep(self.limits.tick_us / 1e6 / 10)
-        return True
-
-    def return_us(self) -> int:
-        """When it may come back, counted from now: others are given other times."""
-        return self.gate.steering.returns.delay_us(self.clock.now())
-
     # passing on
 
     async def hear_screen(self, now: int) -> None:
@@ -595,7 +375,7 @@
             self.gate.steering.stay(self.held)
             return
         self.gate.steering.leave(self.held)
-        opening = asyncio.get_running_loop().create_task(self.open_node(target))
+        opening = asyncio.get_running_loop().create_task(self.opener.open(target))
         opening.add_done_callback(lambda _: self.wake.set())
         self.move = Move(target, opening)
 
@@ -687,7 +467,7 @@
 
     def close_for_later(self, code: int, now: int) -> None:
         """With when to come back: screens that are closed together are given different times."""
-        wait_us = self.return_us()
+        wait_us = return_us(self.gate)
         self.close(code, f"come-back-ms={wait_us // 1000}", now)
 
     # waiting, and the end
@@ -742,16 +522,6 @@
         self.gate.parted(self, steering.gone(self.held))
 
 
-async def answer_of(towards: Towards, ear: Ear, read_bytes: int) -> upgrade.Answer:
-    """A node's whole answer to an upgrade."""
-    while True:
-        piece = await ear.read(read_bytes)
-        if (answer := towards.read(piece)) is not None:
-            return answer
-        if not piece:
-            raise EOFError("ended")
-
-
 def cut_late(opening: asyncio.Task[tuple[Side, str | None]]) -> None:
     """A connection that a move no longer wants; whatever became of it has been heard."""
     if not opening.cancelled() and opening.exception() is None:
