Split moves, close codes and time limits of a peer from the tunnel

A move's steps are in move.py, the codes of close frames in close_codes.py, and what a peer that does not read or answer is told by is Side.check; the tunnel asks them, and its look at orders and times is five short functions in place of one of 60 lines.

--- a/lapispass/gate/frames.py
+++ b/lapispass/gate/frames.py
@@ -6,17 +6,27 @@
 import asyncio
 import socket
 import struct
+from enum import StrEnum
 from typing import Any
 
 from wsproto.connection import Connection, ConnectionState, ConnectionType
 from wsproto.events import CloseConnection, Event, Message, Ping, Pong
 from wsproto.utilities import LocalProtocolError
 
+from lapispass.core.facts import NEVER
 from lapispass.gate.ears import Ear
+from lapispass.gate.limits import Limits
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER with no time: what is unsent is dropped, the peer gets a reset
 
 
+class PeerFailure(StrEnum):
+    """Why a peer counts as gone. The names are those of the counters."""
+
+    STUCK = "never reads"
+    SILENT = "answers no ping"
+
+
 class Side:
     """A WebSocket connection to a screen ('screen') or to a node ('node')."""
 
@@ -117,6 +127,23 @@
         elif not self.full_since:
             self.full_since = now
 
+    def check(self, now: int, limits: Limits) -> PeerFailure | None:
+        """Why the peer counts as gone; one that has been silent for a while is sent a ping."""
+        self.watch(now)
+        if self.full_since and now - self.full_since > limits.stuck_us:
+            return PeerFailure.STUCK
+        if self.pinged_at and now - self.pinged_at > limits.pong_us:
+            return PeerFailure.SILENT
+        if now - self.heard_at > limits.ping_us and not self.pinged_at and not self.sent_close:
+            self.ping(now)
+        return None
+
+    def next_due(self, limits: Limits) -> int:
+        """When `check` has something to do without anything coming."""
+        ping_at = self.pinged_at + limits.pong_us if self.pinged_at else self.heard_at + limits.ping_us
+        stuck_at = self.full_since + limits.stuck_us if self.full_since else NEVER
+        return min(ping_at, stuck_at)
+
     @property
     def lost(self) -> bool:
         """Ended by the peer, or broken, and all that came has been read."""
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -11,29 +11,14 @@
 from lapispass.core.admission import Refused
 from lapispass.core.connections import Held
 from lapispass.core.facts import NEVER
-from lapispass.core.steering import Go
+from lapispass.gate import close_codes
 from lapispass.gate.ears import Ear
 from lapispass.gate.frames import Side
 from lapispass.gate.handshake import Accepted, return_us
 from lapispass.gate.host import GateHost
-from lapispass.gate.node_connection import NoNode
+from lapispass.gate.move import Move, MoveFailed
 
-FIRST_PRIVATE_CODE = 3000  # of a close frame (RFC 6455 7.4.2)
 EVENTS_MOST = 64  # passed on from one side before the other one has its turn
-GOING = (1001, 1012, 1013)  # codes by which a node says that it leaves, restarts or is too busy
-PASSED_ON = {1000, 1001, 1002, 1003, 1007, 1008, 1009, 1010, 1011, 1012, 1013}
-
-
-@dataclass(slots=True)
-class Move:
-    """To another node, make before break. Steps: opening, stopping, proving, quieting, parting."""
-
-    go: Go
-    opening: asyncio.Task[tuple[Side, str | None]]
-    step: str = "opening"
-    new: Side | None = None
-    token: int = 0
-    until: int = NEVER
 
 
 @dataclass(slots=True)
@@ -215,10 +200,10 @@
 
     def screen_closed(self, code: int, reason: str | None, now: int) -> None:
         """Its close is answered, and told to the node. A junk frame shows as a close, too, with its code."""
-        self.screen.close(code if code in PASSED_ON or 3000 <= code < 5000 else 1000)
+        self.screen.close(close_codes.forwarded(code, 1000))
         if self.ending is None:
-            self.how = "screen closed" if code not in (1002, 1007) else "screen sent junk"
-        self.close_node(code if code in PASSED_ON or 3000 <= code < 5000 else 1000, now)
+            self.how = "screen closed" if code not in close_codes.PROTOCOL_ERRORS else "screen sent junk"
+        self.close_node(close_codes.forwarded(code, 1000), now)
 
     def screen_lost(self, now: int) -> None:
         if self.ending is None:
@@ -238,19 +223,19 @@
         """A node's close frame; having sent it, the node has read what it was going to read."""
         node = self.node
         assert node is not None
-        node.close(code if code in PASSED_ON or 3000 <= code < 5000 else 1000)
+        node.close(close_codes.forwarded(code, 1000))
         if self.ending is not None and self.ending.step == "node":
             self.proven()
             self.over = True
         elif self.move is not None and self.move.step == "parting":
             self.switch(now)
-        elif code in GOING:
+        elif code in close_codes.LEAVING:
             self.node_lost(f"closed with {code}", now)
         else:
             self.how = "node closed"
             self.node = None
             node.end(self.limits.close_us / 1e6)
-            code = code if code in PASSED_ON or 3000 <= code < 5000 else 1011 if code != 1005 else 1000
+            code = close_codes.forwarded(code, 1000 if code == close_codes.NONE else 1011)
             self.close(code, reason or "", now)
 
     def node_lost(self, why: str, now: int) -> None:
@@ -290,48 +275,53 @@
         """Orders, proofs, moves and times that have come."""
         if self.over:
             return
-        limits, screen, node = self.limits, self.screen, self.node
-        if self.release and self.move is None and self.ending is None:
-            how, self.release = self.release, ""
-            if how == "move" and node is not None:
-                self.begin_move(now)
-            elif how == "close":
-                self.how = "closed in order"
-                self.close_for_later(1012, now)
-        if self.proof_until and node is not None:
-            self.prove(node, now)
+        self.follow_release(now)
+        self.look_at_move(now)
+        if not self.over:
+            self.check_sides(now)
+        if not self.over:
+            self.check_times(now)
+
+    def follow_release(self, now: int) -> None:
+        """Moves or closes, as the steering has asked."""
+        if not self.release or self.move is not None or self.ending is not None:
+            return
+        how, self.release = self.release, ""
+        if how == "move" and self.node is not None:
+            self.begin_move(now)
+        elif how == "close":
+            self.how = "closed in order"
+            self.close_for_later(1012, now)
+
+    def look_at_move(self, now: int) -> None:
+        """What a node was asked to prove, and the move under way."""
+        if self.proof_until and self.node is not None:
+            self.prove(self.node, now)
         if self.move is not None:
             self.go_on_moving(self.move, now)
-        if self.over:
-            return
-        for side in (screen, self.node):
-            if side is None:
+
+    def check_sides(self, now: int) -> None:
+        """Pings who is silent, and ends who does not read or answer."""
+        for side in (self.screen, self.node):
+            if side is None or self.over:
                 continue
-            side.watch(now)
-            if side.full_since and now - side.full_since > limits.stuck_us:
-                self.gate.counters[f"{side.name}s.stuck"] += 1
-                self.lose(side, "never reads", now)
-            elif side.pinged_at and now - side.pinged_at > limits.pong_us:
-                self.gate.counters[f"{side.name}s.silent"] += 1
-                self.lose(side, "answers no ping", now)
-            elif now - side.heard_at > limits.ping_us and not side.pinged_at and not side.sent_close:
-                side.ping(now)
-            if self.over:
-                return
-        if (
-            limits.idle_us
-            and now - self.held.last_us > limits.idle_us
-            and self.ending is None
-            and self.move is None
-        ):
+            if (failure := side.check(now, self.limits)) is not None:
+                self.gate.counters[f"{side.name}s.{failure.name.lower()}"] += 1
+                self.lose(side, failure, now)
+
+    def check_times(self, now: int) -> None:
+        """The idle time-out, and the bound of a close handshake."""
+        idle_us, idle_for = self.limits.idle_us, now - self.held.last_us
+        if idle_us and idle_for > idle_us and self.ending is None and self.move is None:
             self.how = "idle"
             self.close(1000, "idle", now)
-        if self.ending is not None and now >= self.ending.until:
-            if self.ending.step == "screen":  # it does not answer the close: its node is told all the same
-                self.gate.counters["screens.close_unanswered"] += 1
-                self.close_node(1001, now)
-            else:
-                self.over = True
+        if self.ending is None or now < self.ending.until:
+            return
+        if self.ending.step == "screen":  # it does not answer the close: its node is told all the same
+            self.gate.counters["screens.close_unanswered"] += 1
+            self.close_node(1001, now)
+        else:
+            self.over = True
 
     def lose(self, side: Side, why: str, now: int) -> None:
         """A peer that does not read or answer counts as gone."""
@@ -381,36 +371,22 @@
 
     def go_on_moving(self, move: Move, now: int) -> None:
         """One step after the other; each has a bound in time."""
-        held, node, limits = self.held, self.node, self.limits
+        held, limits = self.held, self.limits
         if move.step == "opening":
-            if not move.opening.done():
-                return
             try:
-                move.new, protocol = move.opening.result()
-            except (NoNode, asyncio.CancelledError) as error:
-                self.move_failed(f"{error}", now)
+                if not move.take_opened(self.protocol, now + limits.fence_us):
+                    return
+            except MoveFailed as error:
+                self.move_failed(str(error), now)
                 return
-            if protocol != self.protocol:  # the screen has been promised another one
-                self.move_failed(f"subprotocol {protocol!r} in place of {self.protocol!r}", now)
-                return
-            move.step, move.until = "stopping", now + limits.fence_us
-            if node is None:
+            if self.node is None:
                 self.switch(now)
                 return
-        if node is None:
+        if self.node is None:
             return
-        if move.step == "stopping" and not held.inside:
-            move.step, move.token = "proving", node.ping(now)
-        if move.step == "proving" and node.got_tokens >= move.token:
+        if move.prove(self.node, held, now, limits):
             self.proven()
-            move.step, move.until = "quieting", now + limits.fence_us
-        if (
-            move.step == "quieting"
-            and not node.inside
-            and (now - held.last_us >= limits.quiet_us or now >= move.until)
-        ):
-            node.close(1000, "moved")
-            move.step, move.until = "parting", now + limits.close_us
+        move.close_when_quiet(self.node, held, now, limits)
         if now >= move.until:
             self.gate.counters["moves.broken"] += 1
             self.node_lost(f"a move came to nothing while {move.step}", now)
@@ -432,11 +408,7 @@
         if self.move is None:
             return
         move, self.move = self.move, None
-        move.opening.cancel()
-        if move.opening.done() and not move.opening.cancelled() and move.opening.exception() is None:
-            move.opening.result()[0].cut()
-        else:
-            move.opening.add_done_callback(cut_late)
+        move.abandon()
         self.gate.steering.fail(move.go.node)
         self.gate.steering.stay(self.held)
 
@@ -461,8 +433,7 @@
         if not self.screen.close(code, reason):
             self.close_node(1001, now)
             return
-        kind = str(code) if code < FIRST_PRIVATE_CODE else "private"  # a node may choose any of 2000 codes
-        self.gate.counters[f"screens.closed_{kind}"] += 1
+        self.gate.counters[f"screens.closed_{close_codes.label(code)}"] += 1
         self.ending = Ending("screen", now + self.limits.close_us)
 
     def close_for_later(self, code: int, now: int) -> None:
@@ -489,10 +460,7 @@
         limits, due = self.limits, now + self.limits.ping_us
         for side in (self.screen, self.node):
             if side is not None:
-                due = min(
-                    due, side.pinged_at + limits.pong_us if side.pinged_at else side.heard_at + limits.ping_us
-                )
-                due = min(due, side.full_since + limits.stuck_us if side.full_since else NEVER)
+                due = min(due, side.next_due(limits))
         if limits.idle_us:
             due = min(due, self.held.last_us + limits.idle_us)
         if self.proof_until:
@@ -500,8 +468,7 @@
         if self.ending is not None:
             due = min(due, self.ending.until)
         if self.move is not None:
-            quiet = self.held.last_us + limits.quiet_us if self.move.step == "quieting" else NEVER
-            due = min(due, self.move.until, quiet)
+            due = min(due, self.move.next_due(self.held, limits))
         return max(due, now + 1000)
 
     def part(self) -> None:
@@ -520,9 +487,3 @@
             self.screen.writer.transport.abort()
         self.gate.counters[f"ended.{self.how.replace(' ', '_')}"] += 1
         self.gate.parted(self, steering.gone(self.held))
-
-
-def cut_late(opening: asyncio.Task[tuple[Side, str | None]]) -> None:
-    """A connection that a move no longer wants; whatever became of it has been heard."""
-    if not opening.cancelled() and opening.exception() is None:
-        opening.result()[0].cut()
