--- a/lapispass/gate/ears.py
+++ b/lapispass/gate/evented_reader.py
@@ -9,7 +9,7 @@
 from lapispass.net.streams import Reader
 
 
-class Ear(Reader):
+class EventedReader(Reader):
     """A stream reader that sets an event when there is something to read, or its peer has ended."""
 
     def __init__(self, limit: int, wake: asyncio.Event) -> None:
@@ -39,16 +39,16 @@
             return b""
 
 
-class Wire(asyncio.StreamReaderProtocol):
+class EventedProtocol(asyncio.StreamReaderProtocol):
     """Wakes the tunnel too when its unsent bytes have gone out, or the connection is lost."""
 
     def __init__(
         self,
-        ear: Ear,
+        reader: EventedReader,
         met: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]] | None = None,
     ) -> None:
-        super().__init__(ear, met)
-        self.wake = ear.wake
+        super().__init__(reader, met)
+        self.wake = reader.wake
 
     def resume_writing(self) -> None:
         super().resume_writing()
@@ -59,10 +59,12 @@
         self.wake.set()
 
 
-async def connect(address: str, limit: int, wake: asyncio.Event) -> tuple[Ear, asyncio.StreamWriter]:
-    """A connection whose ear sets `wake`."""
+async def connect(
+    address: str, limit: int, wake: asyncio.Event
+) -> tuple[EventedReader, asyncio.StreamWriter]:
+    """A connection whose reader sets `wake`."""
     loop = asyncio.get_running_loop()
-    ear = Ear(limit, wake)
-    wire = Wire(ear)
-    transport, _ = await loop.create_connection(lambda: wire, *split(address))
-    return ear, asyncio.StreamWriter(transport, wire, ear, loop)
+    reader = EventedReader(limit, wake)
+    protocol = EventedProtocol(reader)
+    transport, _ = await loop.create_connection(lambda: protocol, *split(address))
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
--- a/lapispass/gate/frames.py
+++ b/lapispass/gate/frames.py
@@ -14,7 +14,7 @@
 from wsproto.utilities import LocalProtocolError
 
 from lapispass.core.facts import NEVER
-from lapispass.gate.ears import Ear
+from lapispass.gate.evented_reader import EventedReader
 from lapispass.gate.limits import Limits
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER with no time: what is unsent is dropped, the peer gets a reset
@@ -32,7 +32,6 @@
 
     __slots__ = (
         "bound",
-        "ear",
         "full_since",
         "got_close",
         "got_tokens",
@@ -40,6 +39,7 @@
         "inside",
         "name",
         "pinged_at",
+        "reader",
         "sent_close",
         "size",
         "state",
@@ -48,9 +48,15 @@
     )
 
     def __init__(
-        self, name: str, ear: Ear, writer: asyncio.StreamWriter, early: bytes, now: int, bound: int
+        self,
+        name: str,
+        reader: EventedReader,
+        writer: asyncio.StreamWriter,
+        early: bytes,
+        now: int,
+        bound: int,
     ) -> None:
-        self.name, self.ear, self.writer, self.bound = name, ear, writer, bound
+        self.name, self.reader, self.writer, self.bound = name, reader, writer, bound
         kind = ConnectionType.SERVER if name == "screen" else ConnectionType.CLIENT
         self.state = Connection(kind, trailing_data=early)
         self.inside = False  # in the middle of a message that it sends
@@ -147,7 +153,7 @@
     @property
     def lost(self) -> bool:
         """Ended by the peer, or broken, and all that came has been read."""
-        return self.ear.over and not self.ear.unread
+        return self.reader.over and not self.reader.unread
 
     def cut(self) -> None:
         """Ends it so that nothing more reaches the peer: unsent bytes are dropped here and in the kernel."""
--- a/lapispass/gate/handshake.py
+++ b/lapispass/gate/handshake.py
@@ -13,7 +13,7 @@
 from lapispass.core.facts import ConnectionClass
 from lapispass.core.steering import TRIES_MOST, Go, Unfit
 from lapispass.gate import upgrade
-from lapispass.gate.ears import Ear
+from lapispass.gate.evented_reader import EventedReader
 from lapispass.gate.frames import Side
 from lapispass.gate.host import GateHost
 from lapispass.gate.node_connection import NodeOpener, NoNode
@@ -60,9 +60,9 @@
 class Handshake:
     """The upgrade of one client."""
 
-    def __init__(self, gate: HandshakeHost, ear: Ear, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, gate: HandshakeHost, reader: EventedReader, writer: asyncio.StreamWriter) -> None:
         self.gate, self.limits, self.clock = gate, gate.limits, gate.clock
-        self.ear, self.writer = ear, writer
+        self.reader, self.writer = reader, writer
         self.state = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_bytes)
         self.has_asked = False  # whether a byte has come
         name = writer.get_extra_info("peername")
@@ -74,7 +74,7 @@
         try:
             opening = await self.read_head()
             kind, key = self.asked(opening)
-            opener = NodeOpener(gate, opening, self.peer, self.ear.wake)
+            opener = NodeOpener(gate, opening, self.peer, self.reader.wake)
             go, node, protocol = await self.enter(kind, key, opener)
         except NothingAsked:
             gate.counters["screens.never_asked"] += 1
@@ -89,10 +89,10 @@
             await self.refuse(BadUpgrade(400, "unreadable"))
             return None
         except asyncio.CancelledError:  # the gate ends; who has asked is answered first
-            if self.has_asked or has_input(self.ear, self.writer):
+            if self.has_asked or has_input(self.reader, self.writer):
                 await self.refuse(Refusal(503, "the gate ends", return_us(gate)))
             raise
-        if self.ear.over or self.writer.transport.is_closing():  # gone while its node was opened
+        if self.reader.over or self.writer.transport.is_closing():  # gone while its node was opened
             gate.steering.fail(go.node)
             node.end(0.0)
             gate.counters["screens.gone_early"] += 1
@@ -120,9 +120,9 @@
         piece: bytes | None
         try:
             async with asyncio.timeout_at(until):
-                piece = await self.ear.read(limits.read_bytes)
+                piece = await self.reader.read(limits.read_bytes)
         except TimeoutError:
-            piece = await read_arrived(self.ear, self.writer, limits.read_bytes, limits.late_us)
+            piece = await read_arrived(self.reader, self.writer, limits.read_bytes, limits.late_us)
         if piece is None:
             raise self.head_is_late()
         if not piece:
@@ -190,7 +190,7 @@
             # is on its way be lost (RFC 9112 9.6). What still comes is thrown away, for a while.
             async with asyncio.timeout(self.limits.close_us / 1e6):
                 for _ in range(READS_AFTER_REFUSAL):
-                    if not await self.ear.read(self.limits.read_bytes):
+                    if not await self.reader.read(self.limits.read_bytes):
                         break
         except (h11.LocalProtocolError, OSError):
             pass  # what came was no HTTP, or it is gone: nothing can be answered to it
@@ -208,8 +208,8 @@
     async def asks_soon(self) -> bool:
         """Whether something comes within `Limits.flush_us`; it stays unread."""
         until = self.clock.now() + self.limits.flush_us
-        while not has_input(self.ear, self.writer):
-            if self.ear.over or self.clock.now() >= until:
+        while not has_input(self.reader, self.writer):
+            if self.reader.over or self.clock.now() >= until:
                 return False
             await asyncio.sleep(self.limits.tick_us / 1e6 / 10)
         return True
--- a/lapispass/gate/node_connection.py
+++ b/lapispass/gate/node_connection.py
@@ -9,7 +9,7 @@
 
 from lapispass.core.steering import Go
 from lapispass.gate import upgrade
-from lapispass.gate.ears import Ear, connect
+from lapispass.gate.evented_reader import EventedReader, connect
 from lapispass.gate.frames import Side
 from lapispass.gate.host import GateHost
 from lapispass.gate.upgrade import Opening, Towards
@@ -44,19 +44,19 @@
         writer = None
         stands = False
         try:
-            ear, writer = await within(
+            reader, writer = await within(
                 limits.connect_us,
                 connect(address.address, limits.read_bytes, self.wake),
                 limits.late_us,
                 lambda streams: streams[1].transport.abort(),
             )
             writer.write(towards.ask())
-            waited = answer_of(towards, ear, limits.read_bytes)
+            waited = answer_of(towards, reader, limits.read_bytes)
             answer = await within(limits.upgrade_us, waited, limits.late_us)
             if answer.status != 101:
                 raise NoNode(answer.why, answer.status, answer.retry_after_us)
             stands = True
-            side = Side("node", ear, writer, answer.early, gate.clock.now(), limits.buffer_bytes)
+            side = Side("node", reader, writer, answer.early, gate.clock.now(), limits.buffer_bytes)
             return side, answer.protocol
         except (OSError, EOFError, h11.RemoteProtocolError, h11.LocalProtocolError) as error:
             raise NoNode(f"{type(error).__name__} {error}") from None
@@ -65,10 +65,10 @@
                 writer.transport.abort()
 
 
-async def answer_of(towards: Towards, ear: Ear, read_bytes: int) -> upgrade.Answer:
+async def answer_of(towards: Towards, reader: EventedReader, read_bytes: int) -> upgrade.Answer:
     """A node's whole answer to an upgrade."""
     while True:
-        piece = await ear.read(read_bytes)
+        piece = await reader.read(read_bytes)
         if (answer := towards.read(piece)) is not None:
             return answer
         if not piece:
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -11,7 +11,7 @@
 from lapispass.core.facts import DrainTerms
 from lapispass.core.plans import Plan
 from lapispass.core.steering import Steering
-from lapispass.gate.ears import Ear, Wire
+from lapispass.gate.evented_reader import EventedProtocol, EventedReader
 from lapispass.gate.handshake import Handshake
 from lapispass.gate.limits import Limits
 from lapispass.gate.lone import Lone
@@ -164,12 +164,12 @@
 
     def take(self) -> asyncio.Protocol:
         """A connection that has come, before its first byte."""
-        return Wire(Ear(self.limits.read_bytes, asyncio.Event()), self.serve)
+        return EventedProtocol(EventedReader(self.limits.read_bytes, asyncio.Event()), self.serve)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """The task of one connection."""
         task = asyncio.current_task()
-        assert task is not None and isinstance(reader, Ear)
+        assert task is not None and isinstance(reader, EventedReader)
         self.counters["screens.came"] += 1
         self.tasks.add(task)
         handshake = Handshake(self, reader, writer)
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -12,7 +12,7 @@
 from lapispass.core.connections import Held
 from lapispass.core.facts import NEVER
 from lapispass.gate import close_codes
-from lapispass.gate.ears import Ear
+from lapispass.gate.evented_reader import EventedReader
 from lapispass.gate.frames import Side
 from lapispass.gate.handshake import Accepted, return_us
 from lapispass.gate.host import GateHost
@@ -67,10 +67,12 @@
         "wake",
     )
 
-    def __init__(self, gate: TunnelHost, ear: Ear, writer: asyncio.StreamWriter, accepted: Accepted) -> None:
-        self.gate, self.limits, self.clock, self.wake = gate, gate.limits, gate.clock, ear.wake
+    def __init__(
+        self, gate: TunnelHost, reader: EventedReader, writer: asyncio.StreamWriter, accepted: Accepted
+    ) -> None:
+        self.gate, self.limits, self.clock, self.wake = gate, gate.limits, gate.clock, reader.wake
         now = self.clock.now()
-        self.screen = Side("screen", ear, writer, accepted.early, now, self.limits.buffer_bytes)
+        self.screen = Side("screen", reader, writer, accepted.early, now, self.limits.buffer_bytes)
         self.node: Side | None = accepted.node
         self.protocol, self.opener = accepted.protocol, accepted.opener
         self.held: Held = gate.steering.stand(now, accepted.kind, accepted.go, accepted.key)
@@ -109,8 +111,8 @@
                 return
             event: Event | None = self.kept or screen.event()
             if event is None:
-                if screen.ear.unread and not screen.got_close:
-                    screen.take_in(await screen.ear.read(self.limits.read_bytes), now)
+                if screen.reader.unread and not screen.got_close:
+                    screen.take_in(await screen.reader.read(self.limits.read_bytes), now)
                     continue
                 if screen.lost and not screen.got_close:
                     self.screen_lost(now)
@@ -168,8 +170,8 @@
                 return
             event = node.event()
             if event is None:
-                if node.ear.unread and not node.got_close:
-                    node.take_in(await node.ear.read(self.limits.read_bytes), now)
+                if node.reader.unread and not node.got_close:
+                    node.take_in(await node.reader.read(self.limits.read_bytes), now)
                     continue
                 if node.lost and not node.got_close:
                     self.node_lost("ended without a close", now)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -19,7 +19,7 @@
 from wsproto.events import BytesMessage
 
 from lapispass.core.tables import slice_of
-from lapispass.gate.ears import connect as connect_ear
+from lapispass.gate.evented_reader import connect as connect_evented
 from lapispass.gate.frames import Side
 from lapispass.gate.upgrade import accept_of
 from lapispass.standins.nodes import CounterNode
@@ -469,8 +469,8 @@
 
         server = await asyncio.start_server(stalled, "127.0.0.1", 0, limit=1024)
         address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
-        ear, writer = await connect_ear(address, 1024, asyncio.Event())
-        side = Side("node", ear, writer, b"", 0, 1 << 16)
+        reader, writer = await connect_evented(address, 1024, asyncio.Event())
+        side = Side("node", reader, writer, b"", 0, 1 << 16)
         sent = 0
         while writer.transport.get_write_buffer_size() == 0:  # until the kernel takes no more
             side.send(BytesMessage(data=bytes(100_000)))
