Say client where the gate's code said screen

Names, comments and docstrings of lapispass/gate follow; the names of counters and of ends in the log (screens.*, ended.screen_*) stay, since operators read them.

--- a/lapispass/gate/frames.py
+++ b/lapispass/gate/frames.py
@@ -28,7 +28,7 @@
 
 
 class Side:
-    """A WebSocket connection to a screen ('screen') or to a node ('node')."""
+    """A WebSocket connection to a client or to a node; named 'screen' or 'node', as in the counters."""
 
     __slots__ = (
         "bound",
@@ -165,11 +165,11 @@
                 pass
         self.writer.transport.abort()
 
-    def end(self, patience_s: float) -> None:
+    def end(self, timeout_s: float) -> None:
         """Ends it after what is unsent has gone out; a peer that does not read is not waited for longer
         than that."""
         transport = self.writer.transport
         if not transport.is_closing():
             transport.close()
         if transport.get_write_buffer_size():
-            asyncio.get_running_loop().call_later(patience_s, transport.abort)
+            asyncio.get_running_loop().call_later(timeout_s, transport.abort)
--- a/lapispass/gate/limits.py
+++ b/lapispass/gate/limits.py
@@ -11,10 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what screens, nodes and the controller may cost; times in microseconds."""
+    """Bounds on what clients, nodes and the controller may cost; times in microseconds."""
 
     # sizes in bytes
-    read_bytes: int = 16 << 10  # one read of a screen or a node
+    read_bytes: int = 16 << 10  # one read of a client or a node
     head_bytes: int = 16 << 10  # the head of an upgrade
     buffer_bytes: int = 64 << 10  # unsent in one direction, before the other side is read no further
     message_bytes: int = (
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -146,7 +146,7 @@
         self.ended.set()
 
     async def leave(self) -> None:
-        """Its own end: each screen gets a close frame with when to come back, and so does its node. Upgrades
+        """Its own end: each client gets a close frame with when to come back, and so does its node. Upgrades
         under way are refused."""
         now = self.clock.now()
         for task in self.upgrading:
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True)
 class Ending:
-    """A close handshake: first with the screen ('screen'), then with the node ('node')."""
+    """A close handshake: first with the client ('client'), then with the node ('node')."""
 
     step: str
     until: int
@@ -46,6 +46,7 @@
     """One connection. Its gate's steering decides; here bytes move."""
 
     __slots__ = (
+        "client",
         "clock",
         "deaf",
         "ending",
@@ -63,7 +64,6 @@
         "proof_written",
         "protocol",
         "release",
-        "screen",
         "wake",
     )
 
@@ -72,7 +72,7 @@
     ) -> None:
         self.gate, self.limits, self.clock, self.wake = gate, gate.limits, gate.clock, reader.wake
         now = self.clock.now()
-        self.screen = Side("screen", reader, writer, accepted.early, now, self.limits.buffer_bytes)
+        self.client = Side("screen", reader, writer, accepted.early, now, self.limits.buffer_bytes)
         self.node: Side | None = accepted.node
         self.protocol, self.opener = accepted.protocol, accepted.opener
         self.held: Held = gate.steering.stand(now, accepted.kind, accepted.go, accepted.key)
@@ -93,7 +93,7 @@
             while not self.over:
                 self.wake.clear()
                 now = self.clock.now()
-                await self.hear_screen(now)
+                await self.hear_client(now)
                 await self.hear_node(now)
                 self.act(now)
                 if not self.over:
@@ -103,42 +103,42 @@
 
     # passing on
 
-    async def hear_screen(self, now: int) -> None:
-        """What the screen sends goes to the node, as far as the node reads and the table lets it."""
-        screen = self.screen
+    async def hear_client(self, now: int) -> None:
+        """What the client sends goes to the node, as far as the node reads and the table lets it."""
+        client = self.client
         for _ in range(EVENTS_MOST):
             if self.over or (self.node is not None and self.node.full):
                 return
-            event: Event | None = self.kept or screen.event()
+            event: Event | None = self.kept or client.event()
             if event is None:
-                if screen.reader.unread and not screen.got_close:
-                    screen.take_in(await screen.reader.read(self.limits.read_bytes), now)
+                if client.reader.unread and not client.got_close:
+                    client.take_in(await client.reader.read(self.limits.read_bytes), now)
                     continue
-                if screen.lost and not screen.got_close:
-                    self.screen_lost(now)
+                if client.lost and not client.got_close:
+                    self.client_lost(now)
                 return
             match event:
                 case Message():
-                    if self.deaf or (self.ending and not screen.inside and not self.may_begin(now)):
-                        # Guards the close: behind a message that goes nowhere any more the screen's own close
-                        # would never be read. The screen has been told, and knows that it was not taken.
+                    if self.deaf or (self.ending and not client.inside and not self.may_begin(now)):
+                        # Guards the close: behind a message that goes nowhere any more the client's own close
+                        # would never be read. The client has been told, and knows that it was not taken.
                         self.deaf, self.kept, self.held.waiting = True, None, False
                         continue
-                    if not screen.inside and not self.may_begin(now):
+                    if not client.inside and not self.may_begin(now):
                         self.kept, self.held.waiting = event, True
                         return
                     self.kept, self.held.waiting = None, False
-                    self.from_screen(event, now)
+                    self.from_client(event, now)
                 case Ping():
-                    screen.send(event.response())
+                    client.send(event.response())
                 case Pong():
-                    screen.ponged(event)
+                    client.ponged(event)
                 case CloseConnection(code=code, reason=reason):
-                    self.screen_closed(int(code), reason, now)
+                    self.client_closed(int(code), reason, now)
         self.wake.set()  # there may be more
 
     def may_begin(self, now: int) -> bool:
-        """Whether a message of the screen may begin on its way, by the table and by a move under way."""
+        """Whether a message of the client may begin on its way, by the table and by a move under way."""
         between = self.move is not None and (self.move.step != "opening" or self.node is None)
         return (
             self.node is not None
@@ -147,26 +147,26 @@
             and (self.gate.steering.may_write(now, self.held))
         )
 
-    def from_screen(self, event: Message[Any], now: int) -> None:
+    def from_client(self, event: Message[Any], now: int) -> None:
         """A message or a piece of it; where it began is where it ends."""
-        screen, node = self.screen, self.node
-        screen.size += len(event.data)
-        if screen.size > self.limits.message_bytes:
+        client, node = self.client, self.node
+        client.size += len(event.data)
+        if client.size > self.limits.message_bytes:
             self.close(1009, "message too long", now)
             return
-        screen.inside = not event.message_finished
+        client.inside = not event.message_finished
         if event.message_finished:
-            screen.size = 0
-        self.held.inside = screen.inside
+            client.size = 0
+        self.held.inside = client.inside
         if node is not None and node.pass_on(event):
             self.gate.steering.wrote(now, self.held, len(event.data))
             self.gate.counters["messages.up"] += event.message_finished
 
     async def hear_node(self, now: int) -> None:
-        """What the node sends goes to the screen."""
+        """What the node sends goes to the client."""
         node = self.node
         for _ in range(EVENTS_MOST):
-            if self.over or node is None or node is not self.node or self.screen.full:
+            if self.over or node is None or node is not self.node or self.client.full:
                 return
             event = node.event()
             if event is None:
@@ -185,7 +185,7 @@
                     node.inside = not event.message_finished
                     if event.message_finished:
                         node.size = 0
-                    self.screen.pass_on(event)
+                    self.client.pass_on(event)
                     self.held.last_us = now
                     self.held.messages += 1
                     self.held.octets += len(event.data)
@@ -200,14 +200,14 @@
 
     # ends of either side
 
-    def screen_closed(self, code: int, reason: str | None, now: int) -> None:
+    def client_closed(self, code: int, reason: str | None, now: int) -> None:
         """Its close is answered, and told to the node. A junk frame shows as a close, too, with its code."""
-        self.screen.close(close_codes.forwarded(code, 1000))
+        self.client.close(close_codes.forwarded(code, 1000))
         if self.ending is None:
             self.how = "screen closed" if code not in close_codes.PROTOCOL_ERRORS else "screen sent junk"
         self.close_node(close_codes.forwarded(code, 1000), now)
 
-    def screen_lost(self, now: int) -> None:
+    def client_lost(self, now: int) -> None:
         if self.ending is None:
             self.how = "screen lost"
         self.close_node(1001, now)
@@ -304,7 +304,7 @@
 
     def check_sides(self, now: int) -> None:
         """Pings who is silent, and ends who does not read or answer."""
-        for side in (self.screen, self.node):
+        for side in (self.client, self.node):
             if side is None or self.over:
                 continue
             if (failure := side.check(now, self.limits)) is not None:
@@ -319,7 +319,7 @@
             self.close(1000, "idle", now)
         if self.ending is None or now < self.ending.until:
             return
-        if self.ending.step == "screen":  # it does not answer the close: its node is told all the same
+        if self.ending.step == "client":  # it does not answer the close: its node is told all the same
             self.gate.counters["screens.close_unanswered"] += 1
             self.close_node(1001, now)
         else:
@@ -327,7 +327,7 @@
 
     def lose(self, side: Side, why: str, now: int) -> None:
         """A peer that does not read or answer counts as gone."""
-        if side is self.screen:
+        if side is self.client:
             side.writer.transport.abort()
             self.how = f"screen {why}"
             self.close_node(1001, now)
@@ -394,7 +394,7 @@
             self.node_lost(f"a move came to nothing while {move.step}", now)
 
     def move_failed(self, why: str, now: int) -> None:
-        """The new node did not take it; the old one goes on, or, if there is none, the screen is sent
+        """The new node did not take it; the old one goes on, or, if there is none, the client is sent
         away."""
         assert self.move is not None
         self.gate.counters["moves.failed"] += 1
@@ -427,19 +427,19 @@
         self.wake.set()
 
     def close(self, code: int, reason: str, now: int) -> None:
-        """In order: first the screen, whose last messages still go to the node, then the node."""
+        """In order: first the client, whose last messages still go to the node, then the node."""
         if self.ending is not None:
             return
         self.drop_move()
         self.gate.steering.leave(self.held)
-        if not self.screen.close(code, reason):
+        if not self.client.close(code, reason):
             self.close_node(1001, now)
             return
         self.gate.counters[f"screens.closed_{close_codes.label(code)}"] += 1
-        self.ending = Ending("screen", now + self.limits.close_us)
+        self.ending = Ending("client", now + self.limits.close_us)
 
     def close_for_later(self, code: int, now: int) -> None:
-        """With when to come back: screens that are closed together are given different times."""
+        """With when to come back: clients that are closed together are given different times."""
         wait_us = return_us(self.gate)
         self.close(code, f"come-back-ms={wait_us // 1000}", now)
 
@@ -460,7 +460,7 @@
     def next_due(self, now: int) -> int:
         """The earliest time at which something has to be done without anything coming."""
         limits, due = self.limits, now + self.limits.ping_us
-        for side in (self.screen, self.node):
+        for side in (self.client, self.node):
             if side is not None:
                 due = min(due, side.next_due(limits))
         if limits.idle_us:
@@ -483,9 +483,9 @@
             else:
                 # Guards rule 2: no byte of an older table is sent by the kernel behind our back.
                 self.node.cut()
-        if self.screen.sent_close or self.screen.got_close:
-            self.screen.end(limits.close_us / 1e6)
+        if self.client.sent_close or self.client.got_close:
+            self.client.end(limits.close_us / 1e6)
         else:
-            self.screen.writer.transport.abort()
+            self.client.writer.transport.abort()
         self.gate.counters[f"ended.{self.how.replace(' ', '_')}"] += 1
         self.gate.parted(self, steering.gone(self.held))
--- a/lapispass/gate/upgrade.py
+++ b/lapispass/gate/upgrade.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Opening:
-    """An upgrade as a screen asked for it."""
+    """An upgrade as a client asked for it."""
 
     target: str
     key: bytes
--- a/tests/support_gate.py
+++ b/tests/support_gate.py
@@ -247,7 +247,7 @@
         """As a killed process: what it holds is reset, nothing is said."""
         gate, task = self.gates.pop(name), self.tasks.pop(name)
         for tunnel in list(gate.tunnels.values()):
-            tunnel.screen.writer.transport.abort()
+            tunnel.client.writer.transport.abort()
             if tunnel.node is not None:
                 tunnel.node.writer.transport.abort()
         gate.limits = replace(gate.limits, stop_us=0)
