Name a gate's settings, the handshake with a node, and a connection's start and end

The map of terms: `told` of a gate is its settings, Towards is the handshake with a node, stands and parted say opened and closed.

--- a/lapispass/gate/host.py
+++ b/lapispass/gate/host.py
@@ -18,7 +18,7 @@
 class GateHost(Protocol):
     """What every part uses: settings, clock, counters, log, and the decisions."""
 
-    told: operator_pb2.Gate  # the gate's part of the operator file
+    settings: operator_pb2.Gate  # the gate's part of the operator file
     limits: Limits
     clock: Clock
     counters: Counters
--- a/lapispass/gate/limits.py
+++ b/lapispass/gate/limits.py
@@ -54,7 +54,7 @@
     stop_us: int = 3_000_000  # for orderly closes at the end
 
     @classmethod
-    def told(cls, gate: Gate) -> Limits:
+    def from_settings(cls, gate: Gate) -> Limits:
         """The usual, with what the operator file sets in its place."""
         usual, given = cls(), {}
         for name in ("connections", "new_per_s", "burst", "buffer_bytes", "message_bytes"):
--- a/lapispass/gate/lone.py
+++ b/lapispass/gate/lone.py
@@ -24,7 +24,7 @@
         told = source.told
         now = gate.clock.now()
         self.keeper = Keeper(operator.classes(told), operator.bounds(told), operator.drain_terms(told), now)
-        self.keeper.joined(now, gate.told.name, gate.told.zone, NONE, {})
+        self.keeper.joined(now, gate.settings.name, gate.settings.zone, NONE, {})
         self.views: list[NodeView] = []
         self.starts: dict[str, tuple[int, int]] = {}  # node: as the file says, and by our clock
         self.serial, self.reported = 0, 0
@@ -33,9 +33,9 @@
     def follow(self, source: Source) -> None:
         """Nodes and lines as a file has them now. A slice without a line goes to the ready nodes in turn."""
         told, gate = source.told, self.gate
-        if not told.HasField("gate") or told.gate.slices != gate.told.slices or told.gate.controller:
+        if not told.HasField("gate") or told.gate.slices != gate.settings.slices or told.gate.controller:
             raise BadFile([source.at("gate", "who it is and its slices are followed after a restart only")])
-        wanted = tables.Tables(gate.told.slices)
+        wanted = tables.Tables(gate.settings.slices)
         for node in told.node:
             if node.state != Node.GONE:
                 wanted.nodes[node.id] = tables.Address(node.address, node.zone)
@@ -43,7 +43,7 @@
                 wanted.out.add(node.id)
         ready = [node.id for node in told.node if node.state == Node.READY]
         lines = {line.slice: line.owner for line in told.line}
-        for number in range(gate.told.slices):
+        for number in range(gate.settings.slices):
             owner = lines.get(number)
             if owner in ready:
                 wanted.owners[number] = owner
@@ -74,7 +74,7 @@
 
     def tick(self, now: int) -> None:
         """Reports to its own keeper, and follows what that plans."""
-        gate, name = self.gate, self.gate.told.name
+        gate, name = self.gate, self.gate.settings.name
         if now - self.reported >= gate.limits.report_us:
             self.reported, self.serial = now, self.serial + 1
             rows = {
--- a/lapispass/gate/node_connection.py
+++ b/lapispass/gate/node_connection.py
@@ -12,7 +12,7 @@
 from lapispass.gate.evented_reader import EventedReader, connect
 from lapispass.gate.frames import Side
 from lapispass.gate.host import GateHost
-from lapispass.gate.upgrade import Opening, Towards
+from lapispass.gate.upgrade import NodeHandshake, Opening
 from lapispass.net.http import within
 
 
@@ -40,7 +40,7 @@
         address = gate.steering.tables.nodes.get(go.node)
         if address is None:
             raise NoNode("its address is not known")
-        towards = Towards(self.opening, address.address, self.peer, limits.head_bytes)
+        handshake = NodeHandshake(self.opening, address.address, self.peer, limits.head_bytes)
         writer = None
         stands = False
         try:
@@ -50,8 +50,8 @@
                 limits.late_us,
                 lambda streams: streams[1].transport.abort(),
             )
-            writer.write(towards.ask())
-            waited = answer_of(towards, reader, limits.read_bytes)
+            writer.write(handshake.ask())
+            waited = answer_of(handshake, reader, limits.read_bytes)
             answer = await within(limits.upgrade_us, waited, limits.late_us)
             if answer.status != 101:
                 raise NoNode(answer.why, answer.status, answer.retry_after_us)
@@ -65,11 +65,11 @@
                 writer.transport.abort()
 
 
-async def answer_of(towards: Towards, reader: EventedReader, read_bytes: int) -> upgrade.Answer:
+async def answer_of(handshake: NodeHandshake, reader: EventedReader, read_bytes: int) -> upgrade.Answer:
     """A node's whole answer to an upgrade."""
     while True:
         piece = await reader.read(read_bytes)
-        if (answer := towards.read(piece)) is not None:
+        if (answer := handshake.read(piece)) is not None:
             return answer
         if not piece:
             raise EOFError("ended")
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -30,20 +30,20 @@
     """One gate. Embed it with `await Gate(source, seed).run()`; `stop()` ends that in order."""
 
     def __init__(self, source: Source, seed: int, limits: Limits | None = None) -> None:
-        told = source.told
-        if not told.HasField("gate"):
+        settings = source.told
+        if not settings.HasField("gate"):
             raise BadFile([source.at("gate", "missing: the file describes no gate")])
-        self.source, self.told = source, told.gate
-        self.limits = limits or Limits.told(told.gate)
+        self.source, self.settings = source, settings.gate
+        self.limits = limits or Limits.from_settings(settings.gate)
         self.clock, self.counters = Clock(), Counters()
         self.log = Part("gate", self.limits.log_every_us)
-        self.terms: DrainTerms = operator.drain_terms(told)
-        self.key_parameter = told.gate.key_parameter
-        self.classes = operator.classes(told)
-        lease = self.limits.lease_us if told.gate.controller else 0
+        self.terms: DrainTerms = operator.drain_terms(settings)
+        self.key_parameter = settings.gate.key_parameter
+        self.classes = operator.classes(settings)
+        lease = self.limits.lease_us if settings.gate.controller else 0
         self.steering = Steering(
             self.classes,
-            told.gate.slices,
+            settings.gate.slices,
             self.limits.connections,
             self.limits.new_per_s,
             self.limits.burst,
@@ -58,9 +58,9 @@
         self.server: Acceptor | None = None
         self.ended = asyncio.Event()
         self.address = ""
-        secret = operator.secret(told.gate.secret_file, source, "gate.secret_file")
-        self.uplink = Uplink(self, told.gate.controller, secret) if told.gate.controller else None
-        self.lone = None if told.gate.controller else Lone(self, source)
+        secret = operator.secret(settings.gate.secret_file, source, "gate.secret_file")
+        self.uplink = Uplink(self, settings.gate.controller, secret) if settings.gate.controller else None
+        self.lone = None if settings.gate.controller else Lone(self, source)
 
     # what tunnels call
 
@@ -68,12 +68,12 @@
         if (task := asyncio.current_task()) is not None:
             self.upgrading.discard(task)
 
-    def stands(self, tunnel: Tunnel) -> None:
+    def opened(self, tunnel: Tunnel) -> None:
         self.answered()
         self.tunnels[tunnel.held.number] = tunnel
         self.counters["screens.standing"] += 1
 
-    def parted(self, tunnel: Tunnel, answers: list[int]) -> None:
+    def closed(self, tunnel: Tunnel, answers: list[int]) -> None:
         self.tunnels.pop(tunnel.held.number, None)
         self.tell(answers)
 
@@ -113,7 +113,7 @@
     async def run(self) -> None:
         """Serves until `stop()`, then closes what it holds in order."""
         loop = asyncio.get_running_loop()
-        listener = listener_at(self.told.listen, self.limits.backlog)
+        listener = listener_at(self.settings.listen, self.limits.backlog)
         self.server = Acceptor(
             listener,
             self.take,
@@ -128,7 +128,7 @@
             loop.create_task(life)
             for life in (self.ticks(), self.ended.wait(), *([self.uplink.run()] if self.uplink else []))
         ]
-        self.log.say("listening", name=self.told.name, address=self.address, zone=self.told.zone)
+        self.log.say("listening", name=self.settings.name, address=self.address, zone=self.settings.zone)
         try:
             done, _ = await asyncio.wait(lives, return_when=asyncio.FIRST_COMPLETED)
             for life in done:
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -32,10 +32,10 @@
 class TunnelHost(GateHost, Protocol):
     """What a connection needs of its gate."""
 
-    def stands(self, tunnel: Tunnel) -> None:
+    def opened(self, tunnel: Tunnel) -> None:
         """The connection has its node."""
 
-    def parted(self, tunnel: Tunnel, answers: list[int]) -> None:
+    def closed(self, tunnel: Tunnel, answers: list[int]) -> None:
         """The connection has ended; marks that can be answered now."""
 
     def tell(self, answers: list[int]) -> None:
@@ -88,7 +88,7 @@
 
     async def run(self) -> None:
         """From the upgrade to the last byte."""
-        self.gate.stands(self)
+        self.gate.opened(self)
         try:
             while not self.over:
                 self.wake.clear()
@@ -488,4 +488,4 @@
         else:
             self.client.writer.transport.abort()
         self.gate.counters[f"ended.{self.how.replace(' ', '_')}"] += 1
-        self.gate.parted(self, steering.gone(self.held))
+        self.gate.closed(self, steering.gone(self.held))
--- a/lapispass/gate/upgrade.py
+++ b/lapispass/gate/upgrade.py
@@ -140,7 +140,7 @@
     return out + (state.send(h11.Data(data=body)) or b"") + (state.send(h11.EndOfMessage()) or b"")
 
 
-class Towards:
+class NodeHandshake:
     """The handshake with a node: the same target and headers, a key of its own."""
 
     def __init__(self, opening: Opening, address: str, peer: str, head_bytes: int) -> None:
--- a/lapispass/gate/uplink.py
+++ b/lapispass/gate/uplink.py
@@ -72,11 +72,11 @@
             if not isinstance(challenge, wire.Challenge) or challenge.protocol != wire.PROTOCOL:
                 raise ValueError("it speaks another protocol")
             nonce, now = secrets.token_hex(16), gate.clock.now()
-            steering, name = gate.steering, gate.told.name
+            steering, name = gate.steering, gate.settings.name
             hello = wire.hello(
                 name,
                 self.boot,
-                gate.told.zone,
+                gate.settings.zone,
                 nonce,
                 wire.proof(self.secret, challenge.nonce, name),
                 steering.tables,
