--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -62,7 +62,7 @@
 from lapispass.net.relay import Calls, News
 from lapispass.operator import read as operator
 from lapispass.peers.host import SharedHost
-from lapispass.standins import fleet
+from lapispass.standins import fleet_parties
 from lapispass.standins.coordination import Coordination
 from lapispass.standins.party import answer, asked
 from lapispass.xds import codec
@@ -128,7 +128,7 @@
 def deployment(slices: int = 2200, proxies: int = 320) -> interface.Deployment:
     """The stand-in fleet's settings, with two classes, the target's zones and reports that tell of load."""
     return replace(
-        fleet.deployment(fleet.Size()),
+        fleet_parties.deployment(fleet_parties.Size()),
         classes=(
             interface.VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),
             interface.VisitClass("pay", 1_500_000, 5_000_000, 2.0, True, False),
--- a/benchmarks/registry_herd.py
+++ b/benchmarks/registry_herd.py
@@ -16,7 +16,7 @@
 from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core.units import SECOND
-from lapispass.standins.fleet import Size, deployment
+from lapispass.standins.fleet_parties import Size, deployment
 
 MS = 1000
 
--- a/lapispass/cli/main.py
+++ b/lapispass/cli/main.py
@@ -106,7 +106,7 @@
 ) -> None:
     """Play drawn days of a fleet in simulated time and check every rule; 1 where one is broken."""
     from lapispass.lab.fleet import main
-    from lapispass.standins.fleet import Size
+    from lapispass.standins.fleet_parties import Size
 
     raise typer.Exit(main(seed, seeds, Size(controllers, proxies, servers)))
 
--- a/lapispass/lab/fleet.py
+++ b/lapispass/lab/fleet.py
@@ -13,7 +13,8 @@
 
 from lapispass import interface
 from lapispass.controller import Controller
-from lapispass.standins.fleet import MS, SECOND, Size, World
+from lapispass.standins.fleet import World
+from lapispass.standins.fleet_parties import MS, SECOND, Size
 
 Fault = Callable[[World, Callable[[str], None]], None]
 LENGTH_S = 36.0
@@ -179,8 +180,8 @@
         seed,
         world.verdict(),
         happened,
-        world.visits,
-        world.served,
+        world.proxies.visits,
+        world.proxies.served,
         world.handovers,
         judge.worst_bare_us,
         judge.worst_drain_us,
--- /dev/null
+++ b/lapispass/standins/fleet_parties.py
@@ -0,0 +1,121 @@
+"""The parties of a fleet in simulated time: its size, its settings, and what is known of each party."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import NamedTuple, Protocol
+
+from lapispass import interface
+
+MS = 1000
+SECOND = 1000 * MS
+READ, WRITE = 0, 1  # the classes of visits
+
+
+class Deciding(Protocol):
+    """A controller, as a front drives it."""
+
+    def turn(self, now: int, events: list[interface.Event]) -> list[interface.Order]: ...
+
+
+class Size(NamedTuple):
+    """How large a fleet is."""
+
+    controllers: int = 3
+    proxies: int = 12
+    servers: int = 30
+    slices_each: int = 3
+
+
+def deployment(size: Size) -> interface.Deployment:
+    """What an operator would tell controllers of such a fleet; its channel is as the platform's would be."""
+    slices = size.slices_each * size.servers
+    pace = max(4000.0, slices * size.proxies / 6)
+    return interface.Deployment(
+        classes=(
+            interface.VisitClass("look", 1500 * MS, 5 * SECOND, 1.0, False, False),
+            interface.VisitClass("pay", 2 * SECOND, 4 * SECOND, 3.0, True, False),
+        ),
+        zones=("east", "west"),
+        proxies=size.proxies,
+        slices=slices,
+        lease_us=2 * SECOND,
+        linger_us=3 * SECOND,
+        bare_us=20 * SECOND,
+        lines_per_s=pace,
+        head_lines=12.0,
+        queue_lines=2 * pace,
+        messages_most=0,
+        messages_over_us=10 * SECOND,
+        report_every_us=SECOND,
+        usual_retry=1,
+        asks_for_list=True,
+        may_probe=True,
+        gone_binds=True,
+        admits="share",
+        cold_us=15 * SECOND,
+        cold_share=0.12,
+        fall_multiple=2.5,
+        load_fields=(),
+    )
+
+
+@dataclass
+class Server:
+    """What it can do now, and what it was sent of late."""
+
+    zone: str
+    able: float  # visits a second when warm
+    born: int = 0
+    up: bool = True
+    failing: float = 0.0  # the part of its visits that it fails at once
+    sent: deque[int] = field(default_factory=deque)
+
+    def warmth(self, told: interface.Deployment, now: int) -> float:
+        age = (now - self.born) / told.cold_us if self.born else 1.0
+        return min(1.0, told.cold_share + (1 - told.cold_share) * age)
+
+
+class Message(NamedTuple):
+    """A turn's orders on their way to one proxy."""
+
+    leaves: float  # when so many lines have left the channel
+    issued: int
+    orders: list[tuple[interface.Order, int]]  # each with the step of the slice's table
+
+
+@dataclass
+class Stream:
+    """A proxy's stream to one controller."""
+
+    joined_at: int = -1  # -1: broken
+    reads_at: int = 0
+    out: set[str] = field(default_factory=set)
+    waiting: deque[Message] = field(default_factory=deque)
+    travelling: deque[tuple[int, Message]] = field(default_factory=deque)
+    met: bool = False
+    applied: int = 0  # when the last message that it has applied was ordered
+    slow_until: int = 0  # messages take seconds longer
+
+
+@dataclass
+class Place:
+    """Where a controller runs: its process, its channel, its watch, and what it was told."""
+
+    number: int
+    process: Deciding | None = None
+    news: list[interface.Event] = field(default_factory=list)
+    watch_at: int | None = None  # the watch opens, or has opened, then
+    told: int = 0  # changes of the list that it was given
+    known: int = 0  # a restart knows the list as it was then
+    heard: dict[str, int] = field(default_factory=dict)  # unfit servers, since when this place was told
+    fresh: dict[str, int] = field(default_factory=dict)  # cold servers, since when it was told of their start
+    written: float = 0.0  # lines into the channel
+    left: float = 0.0  # lines out of it
+    pace: float = 1.0  # of the stated one
+    troubled_until: int = 0  # rule 1's and 3's limits wait while the channel or a call is not as it should be
+    unsettled: float = 0.0  # the part of its calls whose answer does not come
+    settles_at: int = 0
+    held_back: list[list[interface.Order]] = field(default_factory=list)
+    calls: int = 0
--- a/tests/test_due_look.py
+++ b/tests/test_due_look.py
@@ -17,7 +17,8 @@
 from lapispass.lab import fleet as days
 from lapispass.policy.handovers import Ledger
 from lapispass.policy.health import Backend
-from lapispass.standins.fleet import MS, SECOND, Size, World, deployment
+from lapispass.standins.fleet import World
+from lapispass.standins.fleet_parties import MS, SECOND, Size, deployment
 
 Turn = tuple[int, list[interface.Order]]
 
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -15,7 +15,8 @@
 from lapispass.core.shut_out import ShutOut
 from lapispass.lab import fleet as days
 from lapispass.policy.channel import Channel
-from lapispass.standins.fleet import MS, SECOND, Size, World, deployment
+from lapispass.standins.fleet import World
+from lapispass.standins.fleet_parties import MS, SECOND, Size, deployment
 
 Tell = Callable[[str], None]
 
