--- a/lapispass/peers/host.py
+++ b/lapispass/peers/host.py
@@ -11,73 +11,54 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 from collections import deque
 from collections.abc import Coroutine, Iterable, Sequence
 from typing import Any
 
-import msgspec
-
 from lapispass import interface
 from lapispass.core import tables
-from lapispass.core.membership import Members, Session
+from lapispass.core.membership import Members
 from lapispass.core.picture import Picture
-from lapispass.core.takeover import FRESH, Claim, Record, Takeover
+from lapispass.core.takeover import Claim, Record, Takeover
 from lapispass.operator.read import Source
+from lapispass.peers import records
 from lapispass.peers.coordination import (
     Change,
     Compacted,
     Delete,
-    Expect,
     Key,
     Put,
     Refused,
     Service,
     Unknown,
 )
+from lapispass.peers.own_lease import OwnLease
+from lapispass.peers.record_writer import RecordWriter
 from lapispass.xds.host import STORE, Host
 
-ROOT = "/lapispass/"
 LOOK_S = 0.03
 
 
-class Told(msgspec.Struct, frozen=True):
-    """A slice's record as it is stored."""
-
-    epoch: int
-    holder: str
-    owner: str | None
-    share: float
-    shut: bool
-
-
-class Life(msgspec.Struct, frozen=True):
-    """A controller's key: it ends with its lease."""
-
-    boot: str
-    weight: float
-
-
 class SharedHost(Host):
     """One of several controllers."""
 
     def open_store(self, source: Source) -> None:
         """Nothing is ours until the service says so."""
         shared = source.told.alone.shared
-        self.name, self.boot = shared.name, secrets.token_hex(4)
-        self.holder = f"{self.name}/{self.boot}"
-        self.weight = shared.weight if shared.HasField("weight") else 1.0
-        self.ttl_s = max(1, shared.session_s) if shared.HasField("session_s") else 3
-        self.service = Service(shared.coordination)
+        weight = shared.weight if shared.HasField("weight") else 1.0
+        ttl_s = max(1, shared.session_s) if shared.HasField("session_s") else 3
+        self.name, self.service = shared.name, Service(shared.coordination)
+        self.lease = OwnLease(
+            self.service, self.name, weight, ttl_s, self.clock, self.counters, self.log, self.end_session
+        )
         self.under_way: set[int] = set()  # slices of the turn that is being carried out
         self.watched = 0  # the revision up to which all changes have come
         self.desk.fence = self.may_let_write
-        self.session = Session(early_us=self.ttl_s * 100_000)
-        self.made = 0  # revision at which this life's key was made
         self.members = Members()
         self.numbers: dict[str, int] = {}  # holder: its number as a proxy of our module
         self.gone_at: dict[str, int] = {}
-        self.takeover = Takeover(self.told.slices, self.holder, linger_us=self.ttl_s * 100_000)
+        self.takeover = Takeover(self.told.slices, self.lease.holder, linger_us=ttl_s * 100_000)
+        self.writer = RecordWriter(self.service, self.lease, self.takeover, self.counters)
         self.stands = tables.Tables(self.told.slices)  # what all controllers together have published
         self.mine = Picture(self.told.slices, self.told.classes, self.told.admits == "share")
         self.revision, self.read_at = 0, 0
@@ -94,51 +75,19 @@
         self.synced = asyncio.Event()
 
     def lives(self) -> list[Coroutine[Any, Any, None]]:
-        return [self.turns(), self.keep_session(), self.follow_service(), self.looks()]
+        return [self.turns(), self.lease.keep(), self.follow_service(), self.looks()]
 
     def close_store(self) -> None:
         self.service.close()
 
     # the session
 
-    async def keep_session(self) -> None:
-        """Grants, renews, and begins another life where a lease has run out."""
-        while True:
-            sent = self.clock.now()
-            try:
-                if not self.session.lease:
-                    lease = await self.service.grant(self.ttl_s)
-                    life = Put(
-                        ROOT + f"members/{self.name}",
-                        msgspec.json.encode(Life(self.boot, self.weight)),
-                        lease,
-                    )
-                    result = await self.service.swap([Expect(life.key, 0)], [life])
-                    if result.succeeded:
-                        self.made = result.revision
-                        self.session.granted(sent, lease, self.ttl_s * 1_000_000)
-                        self.log.say("session begun", holder=self.holder)
-                    else:
-                        await self.service.revoke(lease)  # an earlier life of ours is not over yet
-                else:
-                    left = await self.service.keep(self.session.lease)
-                    if not self.session.kept(sent, self.session.lease, left):
-                        self.end_session("the service knows it no more")
-            except (Unknown, Refused) as error:
-                self.counters["peers.calls_failed"] += 1
-                self.log.rate_limited("service not reached", why=error)
-                if self.session.lease and self.clock.now() >= self.session.until:
-                    self.end_session("it could not be renewed")
-            wait = self.ttl_s / 5 if self.session.lease else self.ttl_s / 10
-            await asyncio.sleep(wait)
-
     def end_session(self, why: str) -> None:
         """All that was ours is not any more; a new life has a name of its own."""
         self.log.warn("session ended", why=why, slices=len(self.takeover.acting))
         self.counters["peers.sessions_lost"] += 1
-        self.session.end()
-        self.boot = secrets.token_hex(4)
-        self.holder = self.takeover.name = f"{self.name}/{self.boot}"
+        self.lease.give_up()
+        self.takeover.name = self.lease.holder
         self.unsaid.update(
             dict.fromkeys(self.mine.stands.out, True)
         )  # what we said of nodes has ended with it
@@ -155,7 +104,7 @@
         From its key's revision on, others wait for our answers. Before it they counted us as gone, so what
         they have published until then has to be here first.
         """
-        return self.session.holds(now) and self.watched >= self.made
+        return self.lease.session.holds(now) and self.watched >= self.lease.made
 
     # what the service says
 
@@ -163,10 +112,10 @@
         """All that stands, then what changes; read anew where the changes are compacted away."""
         while True:
             try:
-                revision, keys = await self.service.read(ROOT)
+                revision, keys = await self.service.read(records.ROOT)
                 self.take([Change(key, kv.changed, kv) for key, kv in keys.items()], revision, whole=True)
                 self.synced.set()
-                async for changes in self.service.watch(ROOT, revision + 1, 0):
+                async for changes in self.service.watch(records.ROOT, revision + 1, 0):
                     if changes:
                         self.take(changes, max(change.at for change in changes))
             except Compacted as error:
@@ -184,10 +133,10 @@
         if whole:
             there = {change.key for change in changes}
             self.members_are({name: kv for name, kv in self.lives_of(changes).items()})
-            for said in [said for said in self.out if ROOT + f"out/{said}" not in there]:
+            for said in [said for said in self.out if records.out_key(said) not in there]:
                 shown += self.shut(said, False)
         for change in changes:
-            kind, _, name = change.key.removeprefix(ROOT).partition("/")
+            kind, name = records.parsed(change.key)
             concerns = concerns or kind in ("slices", "out")
             match kind:
                 case "slices" if change.now is not None:
@@ -201,8 +150,7 @@
                     if change.now is None:
                         alive.pop(name, None)
                     else:
-                        life = msgspec.json.decode(change.now.value, type=Life)
-                        alive[name] = life.weight, life.boot
+                        alive[name] = records.decode_life(change.now)
                     self.members_are(alive)
                 case "answers" if change.now is not None:
                     self.peer_answers[name] = int(change.now.value)
@@ -222,10 +170,9 @@
     def lives_of(self, changes: Sequence[Change]) -> dict[str, tuple[float, str]]:
         found = {}
         for change in changes:
-            kind, _, name = change.key.removeprefix(ROOT).partition("/")
+            kind, name = records.parsed(change.key)
             if kind == "members" and change.now is not None:
-                life = msgspec.json.decode(change.now.value, type=Life)
-                found[name] = life.weight, life.boot
+                found[name] = records.decode_life(change.now)
         return found
 
     def members_are(self, alive: dict[str, tuple[float, str]]) -> None:
@@ -258,11 +205,9 @@
 
     def record(self, number: int, kv: Key) -> list[tables.Change]:
         """A slice's record; what changes for our clients by it."""
-        told = msgspec.json.decode(kv.value, type=Told)
-        old = self.takeover.records.get(number, FRESH)
-        if kv.changed < old.revision:
+        new = records.decode_slice(kv)
+        if kv.changed < self.writer.known(number).revision:
             return []
-        new = Record(told.epoch, told.holder, told.owner, told.share, told.shut, kv.changed)
         self.takeover.told(number, new)
         if number in self.under_way:
             return []  # our own word, shown when it is known to be carried out
@@ -311,14 +256,14 @@
             alive = {
                 f"{name}/{m.boot}" for name, m in self.members.known.items() if name in self.members.alive()
             }
-            for holder in self.takeover.orphans(alive | {self.holder}, self.gone_at):
+            for holder in self.takeover.orphans(alive | {self.lease.holder}, self.gone_at):
                 self.gone_at[holder] = now
             busy = {number for number in self.takeover.acting if not self.controller.at_rest(number)}
             work = self.takeover.look(
                 now,
                 self.members.alive(),
                 self.gone_at,
-                self.session.holds(now),
+                self.lease.session.holds(now),
                 busy.__contains__,
                 self.leaving,
             )
@@ -334,69 +279,28 @@
     async def claim(self, claims: list[Claim]) -> None:
         """Each by itself: one that another was faster at costs only itself."""
         for claim in claims:
-            if not self.session.holds(self.clock.now()):
+            if not self.lease.holds():
                 return
             if await self.write({claim.slice: claim.record}, []) is None:
                 self.counters["peers.claims_lost"] += 1
 
-    async def write(self, records: dict[int, Record], steps: list[Put | Delete]) -> int | None:
-        """Compare and swap of slices under our life's key; the revision, or none where nothing was carried
-        out.
-
-        Where no answer comes, what stands is read before anything else is done: it may have been carried out.
-        """
-        expect = [Expect(ROOT + f"members/{self.name}", self.made, True)]
-        for number, record in records.items():
-            key = ROOT + f"slices/{number:06d}"
-            expect.append(Expect(key, self.takeover.records.get(number, FRESH).revision))
-            told = Told(record.epoch, record.holder, record.owner, record.share, record.shut)
-            steps = [*steps, Put(key, msgspec.json.encode(told))]
-        while self.session.holds(self.clock.now()):
-            try:
-                result = await self.service.swap(expect, steps)
-            except Refused:
-                return None
-            except Unknown:
-                self.counters["peers.answers_lost"] += 1
-                if (revision := await self.carried_out(records)) is not None:
-                    return self.wrote(records, revision)
-                continue
-            if not result.succeeded:
-                return None
-            return self.wrote(records, result.revision)
-        return None
-
-    async def carried_out(self, records: dict[int, Record]) -> int | None:
-        """Whether a transaction without an answer was: its first slice stands as it was to be."""
-        try:
-            _, keys = await self.service.read(ROOT + "slices/")
-        except (Unknown, Refused):
-            return None
-        for number, record in records.items():
-            kv = keys.get(ROOT + f"slices/{number:06d}")
-            if kv is None or kv.changed <= self.takeover.records.get(number, FRESH).revision:
-                return None
-            told = msgspec.json.decode(kv.value, type=Told)
-            same = (told.epoch, told.holder, told.owner) == (record.epoch, record.holder, record.owner)
-            return kv.changed if same else None
-        return None
-
-    def wrote(self, records: dict[int, Record], revision: int) -> int:
-        for number, record in records.items():
-            self.takeover.told(number, record._replace(revision=revision))
-        self.revision = max(self.revision, revision)
+    async def write(self, slices: dict[int, Record], steps: list[Put | Delete]) -> int | None:
+        """The revision at which it was carried out, or none."""
+        revision = await self.writer.write(slices, steps)
+        if revision is not None:
+            self.revision = max(self.revision, revision)
         return revision
 
     async def answer(self) -> None:
         """Tells others up to which revision all of our clients have proven what stands."""
         proven = self.desk.proven(self.clock.now())
         ready = [revision for turn, revision in self.pending if turn <= proven]
-        if ready and ready[-1] > self.answered and self.session.holds(self.clock.now()):
-            key = ROOT + f"answers/{self.name}"
+        if ready and ready[-1] > self.answered and self.lease.holds():
+            key = records.answer_key(self.name)
             try:
                 await self.service.swap(
-                    [Expect(ROOT + f"members/{self.name}", self.made, True)],
-                    [Put(key, str(ready[-1]).encode(), self.session.lease)],
+                    [self.lease.guard()],
+                    [Put(key, str(ready[-1]).encode(), self.lease.session.lease)],
                 )
                 self.answered = ready[-1]
             except (Unknown, Refused):
@@ -418,29 +322,29 @@
             )
             if mark is None:
                 continue
-            records = self.as_records(changes)
+            slices = self.as_records(changes)
             steps = [
-                Put(self.out_key(node), b"1", self.session.lease) if out else Delete(self.out_key(node))
+                Put(self.out_key(node), b"1", self.lease.session.lease) if out else Delete(self.out_key(node))
                 for node, out in self.unsaid.items()
             ]
             revision = self.revision
-            if records or steps:
-                self.under_way = set(records)
-                written = await self.write(records, steps)
+            if slices or steps:
+                self.under_way = set(slices)
+                written = await self.write(slices, steps)
                 self.under_way = set()
                 if written is None:
                     self.counters["peers.turns_lost"] += 1
-                    self.log.rate_limited("turn not carried out", slices=len(records))
-                    await self.take_back(records)
+                    self.log.rate_limited("turn not carried out", slices=len(slices))
+                    await self.take_back(slices)
                     continue
                 revision = written
             # What was carried out is shown, whoever holds the slice by now, if it is still its last word.
             shown: list[tables.Change] = []
-            for number, record in records.items():
+            for number, record in slices.items():
                 if self.takeover.records[number].revision == revision:
                     shown.append(tables.SetLine(number, record.owner))
                     shown.append(tables.SetShare(number, record.share, record.shut))
-            if not self.session.holds(self.clock.now()):
+            if not self.lease.holds():
                 # Guards rule 2 against a pause: no mark is told by who may have been followed already.
                 # Nobody can write by what is shown while the fence is down.
                 self.show(shown, None)
@@ -449,13 +353,13 @@
                 shown += self.shut(f"{self.name}/{node}", out)
             self.unsaid.clear()
             self.show(shown, mark)
-            self.counters["host.commits"] += bool(records)
+            self.counters["host.commits"] += bool(slices)
             self.marks.append((mark, revision, self.clock.now()))
             self.tell(interface.Answered(STORE, mark, 0))
             self.answer_marks()
 
     def out_key(self, node: str) -> str:
-        return ROOT + f"out/{self.name}/{node}"
+        return records.out_key(f"{self.name}/{node}")
 
     async def take_back(self, numbers: Iterable[int]) -> None:
         """A turn was not carried out, but the module has decided it: its slices begin anew from what stands.
@@ -464,7 +368,7 @@
         would count as done, and a new owner follow the old one without it.
         """
         try:
-            revision, keys = await self.service.read(ROOT)
+            revision, keys = await self.service.read(records.ROOT)
             self.take([Change(key, kv.changed, kv) for key, kv in keys.items()], revision, whole=True)
         except (Unknown, Refused):
             self.end_session("what stands could not be read after a turn that was not carried out")
@@ -485,22 +389,22 @@
 
     def as_records(self, changes: Sequence[tables.Change]) -> dict[int, Record]:
         """A turn's changes of slices that are ours."""
-        records: dict[int, Record] = {}
+        slices: dict[int, Record] = {}
         for change in changes:
             match change:
                 case tables.SetLine(number, _) | tables.SetShare(number, _, _) if (
                     number in self.takeover.acting
                 ):
                     share = self.mine.stands.shares.get(number, tables.OPEN)
-                    old = self.takeover.records.get(number, FRESH)
+                    old = self.writer.known(number)
                     new = old._replace(
                         owner=self.mine.stands.owners.get(number), share=share.share, shut=share.shut
                     )
                     if new != old:
-                        records[number] = new
+                        slices[number] = new
                 case _:
                     pass
-        return records
+        return slices
 
     async def leave(self) -> None:
         """A planned end: slices are let go one by one as they come to rest, so that others need not wait."""
--- /dev/null
+++ b/lapispass/peers/records.py
@@ -0,0 +1,73 @@
+"""What controllers that share nodes keep in the coordination service: the keys, and their records."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lapispass.core.takeover import Record
+from lapispass.peers.coordination import Key
+
+ROOT = "/lapispass/"
+SLICES = ROOT + "slices/"
+
+
+class StoredSlice(msgspec.Struct, frozen=True):
+    """A slice's record as it is stored."""
+
+    epoch: int
+    holder: str
+    owner: str | None
+    share: float
+    shut: bool
+
+
+class Life(msgspec.Struct, frozen=True):
+    """A controller's key: it ends with its lease."""
+
+    boot: str
+    weight: float
+
+
+def slice_key(number: int) -> str:
+    return f"{SLICES}{number:06d}"
+
+
+def member_key(name: str) -> str:
+    return f"{ROOT}members/{name}"
+
+
+def answer_key(name: str) -> str:
+    return f"{ROOT}answers/{name}"
+
+
+def out_key(controller_and_node: str) -> str:
+    """Of a node that a controller shuts out; `controller/node`."""
+    return f"{ROOT}out/{controller_and_node}"
+
+
+def parsed(key: str) -> tuple[str, str]:
+    """A key's kind, and what it is about."""
+    kind, _, name = key.removeprefix(ROOT).partition("/")
+    return kind, name
+
+
+def encode_slice(record: Record) -> bytes:
+    return msgspec.json.encode(
+        StoredSlice(record.epoch, record.holder, record.owner, record.share, record.shut)
+    )
+
+
+def decode_slice(key: Key) -> Record:
+    """A slice's record, at the revision of its last change."""
+    stored = msgspec.json.decode(key.value, type=StoredSlice)
+    return Record(stored.epoch, stored.holder, stored.owner, stored.share, stored.shut, key.changed)
+
+
+def encode_life(boot: str, weight: float) -> bytes:
+    return msgspec.json.encode(Life(boot, weight))
+
+
+def decode_life(key: Key) -> tuple[float, str]:
+    """A controller's weight and boot."""
+    life = msgspec.json.decode(key.value, type=Life)
+    return life.weight, life.boot
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -254,7 +254,7 @@
 
     def acting(self) -> Counter[int]:
         return Counter(number for host in self.hosts.values() for number in host.takeover.acting
-                       if host.session.holds(host.clock.now()))  # fmt: skip
+                       if host.lease.holds())  # fmt: skip
 
     def whole(self) -> bool:
         """Each slice is held by just one, and has an owner."""
