Say request, deployment and controller host in the simulated fleet

The map of terms: visits are requests, `told` is the deployment or the settings, Place is where a controller runs. The text of `lapispass lab fleet` and names in lapispass/interface.py stay.

--- a/lapispass/lab/fleet.py
+++ b/lapispass/lab/fleet.py
@@ -28,7 +28,7 @@
     seed: int
     breaches: list[str]
     happened: list[str]
-    visits: int
+    requests: int
     served: int
     handovers: int
     worst_bare_us: int
@@ -41,10 +41,10 @@
     chance = world.chance
     leaving = chance.sample(sorted(world.list), len(world.list) // 2)
     tell(f"{len(leaving)} servers are replaced in steps")
-    for place, name in enumerate(leaving):
+    for position, name in enumerate(leaving):
         back, drain_s = chance.random() < 0.2, chance.uniform(3, 6)
         world.at(
-            (1 + place // 3 * 14 / max(1, len(leaving) // 3)) * SECOND,
+            (1 + position // 3 * 14 / max(1, len(leaving) // 3)) * SECOND,
             partial(world.replace, name, drain_s, back),
         )
 
@@ -52,26 +52,26 @@
 def restarts(world: World, tell: Callable[[str], None]) -> None:
     """Controllers are restarted one after the other."""
     tell("controllers restart one by one")
-    for number, place in enumerate(world.places):
+    for number, host in enumerate(world.hosts):
         down_s = world.chance.uniform(0.3, 2.5)
         world.at(
-            (2 + 16 * number / len(world.places)) * SECOND,
-            partial(world.stop, place, down_s),
+            (2 + 16 * number / len(world.hosts)) * SECOND,
+            partial(world.stop, host, down_s),
         )
 
 
 def together(world: World, tell: Callable[[str], None]) -> None:
     """Seven in ten controllers, and one at least, are killed at once; one stays where there are several."""
-    count = min(max(1, round(0.7 * len(world.places))), max(1, len(world.places) - 1))
+    count = min(max(1, round(0.7 * len(world.hosts))), max(1, len(world.hosts) - 1))
     at_s, down_s = world.chance.uniform(2, 12), world.chance.uniform(1, 6)
     tell(f"at {at_s:.1f} s {count} controllers are killed for {down_s:.1f} s")
-    for place in world.chance.sample(world.places, count):
-        world.at(at_s * SECOND, partial(world.stop, place, down_s))
+    for host in world.chance.sample(world.hosts, count):
+        world.at(at_s * SECOND, partial(world.stop, host, down_s))
 
 
 def zone(world: World, tell: Callable[[str], None]) -> None:
     """A zone is lost for 5 s with its proxies, and back cold; the list may tell of its loss, too."""
-    name, at_s = world.chance.choice(world.told.zones), world.chance.uniform(3, 10)
+    name, at_s = world.chance.choice(world.deployment.zones), world.chance.uniform(3, 10)
     told_s = world.chance.choice([None, world.chance.uniform(1.5, 4)])
     tell(
         f"at {at_s:.1f} s zone {name} is lost for 5 s, {'the list tells' if told_s else 'the list is silent'}"
@@ -82,7 +82,7 @@
 def cut(world: World, tell: Callable[[str], None]) -> None:
     """The proxies of a zone reach no controller for some seconds."""
     name, at_s, seconds = (
-        world.chance.choice(world.told.zones),
+        world.chance.choice(world.deployment.zones),
         world.chance.uniform(2, 14),
         world.chance.uniform(1, 7),
     )
@@ -96,27 +96,27 @@
     tell(f"at {at_s:.1f} s the registry is down for {seconds:.1f} s")
     world.at(at_s * SECOND, lambda: world.registry_fails(seconds))
     for _ in range(3):
-        place = world.chance.choice(world.places)
-        world.at(world.chance.uniform(0, FAULTS_END_S) * SECOND, partial(world.lose_watch, place))
+        host = world.chance.choice(world.hosts)
+        world.at(world.chance.uniform(0, FAULTS_END_S) * SECOND, partial(world.lose_watch, host))
 
 
 def answers(world: World, tell: Callable[[str], None]) -> None:
     """Calls to the store stay without an answer."""
-    place, at_s = world.chance.choice(world.places), world.chance.uniform(2, 10)
-    tell(f"from {at_s:.1f} s half of n{place.number}'s calls get no answer for 6 s")
-    world.at(at_s * SECOND, lambda: world.lose_answers(place, 0.5, 6))
+    host, at_s = world.chance.choice(world.hosts), world.chance.uniform(2, 10)
+    tell(f"from {at_s:.1f} s half of n{host.number}'s calls get no answer for 6 s")
+    world.at(at_s * SECOND, lambda: world.lose_answers(host, 0.5, 6))
 
 
 def channel(world: World, tell: Callable[[str], None]) -> None:
     """A channel stands still, or slows."""
-    place, at_s = world.chance.choice(world.places), world.chance.uniform(2, 14)
+    host, at_s = world.chance.choice(world.hosts), world.chance.uniform(2, 14)
     pace, seconds = world.chance.choice([(0.0, 1.5), (0.0, 4.0), (0.3, 5.0)])
-    tell(f"at {at_s:.1f} s the channel of n{place.number} runs at {pace} of its pace for {seconds} s")
-    world.at(at_s * SECOND, lambda: world.channel(place, pace, seconds))
+    tell(f"at {at_s:.1f} s the channel of n{host.number} runs at {pace} of its pace for {seconds} s")
+    world.at(at_s * SECOND, lambda: world.channel(host, pace, seconds))
 
 
 def failing(world: World, tell: Callable[[str], None]) -> None:
-    """One of eight servers quickly fails nine of ten visits for a while."""
+    """One of eight servers quickly fails nine of ten requests for a while."""
     struck = world.chance.sample(sorted(world.servers), max(1, len(world.servers) // 8))
     at_s = world.chance.uniform(2, 8)
     tell(f"from {at_s:.1f} s {len(struck)} servers fail quickly for 8 s")
@@ -141,8 +141,8 @@
     tell("streams of single proxies break")
     for _ in range(6):
         number = world.chance.randrange(len(world.streams))
-        for place in world.places:
-            world.at(world.chance.uniform(0, FAULTS_END_S) * SECOND, partial(world.leave, number, place))
+        for host in world.hosts:
+            world.at(world.chance.uniform(0, FAULTS_END_S) * SECOND, partial(world.leave, number, host))
 
 
 FAULTS: tuple[Fault, ...] = (
@@ -166,11 +166,11 @@
     planted: str = "",
     seconds: float = LENGTH_S,
     start: Callable[[interface.Deployment, int, int], Controller] = Controller,
-    told: interface.Deployment | None = None,
+    settings: interface.Deployment | None = None,
     faults: Sequence[Fault] = (),
 ) -> Verdict:
     """One day: two to four faults drawn from the seed, or those given."""
-    world = World(seed, size, start, planted, told)
+    world = World(seed, size, start, planted, settings)
     happened: list[str] = []
     for fault in faults or world.chance.sample(FAULTS, world.chance.randint(2, 4)):
         fault(world, happened.append)
@@ -180,7 +180,7 @@
         seed,
         world.verdict(),
         happened,
-        world.proxies.visits,
+        world.proxies.requests,
         world.proxies.served,
         world.handovers,
         judge.worst_bare_us,
@@ -204,9 +204,8 @@
         worst_drain, peak = max(worst_drain, verdict.worst_drain_us), max(peak, verdict.peak_cold)
         kept = "BROKEN" if verdict.breaches else "kept"
         happened = "; ".join(verdict.happened)
-        say(
-            f"seed {verdict.seed}: {kept}; {verdict.visits} visits, {verdict.handovers} handovers; {happened}"
-        )
+        counts = f"{verdict.requests} visits, {verdict.handovers} handovers"
+        say(f"seed {verdict.seed}: {kept}; {counts}; {happened}")
         if verdict.breaches:
             broken += 1
             for line in verdict.breaches[:5]:
--- a/lapispass/standins/fleet.py
+++ b/lapispass/standins/fleet.py
@@ -4,7 +4,7 @@
 `World.run` moves on in steps of 50 ms. The controllers in it are the program's own; whoever judges is told
 what passes at proxies and servers, and never asks a controller what it believes. One seed gives all chance.
 
-Left out: bytes, connections, processor time, caches, clients that come again; visits cost a server the same.
+Left out: bytes, connections, processor time, caches, clients that come again; all requests cost the same.
 A proxy holds one stream to each controller. Time limits of rules 1 and 3 wait while a channel or a stream
 stands or is slow, or a call is unsettled.
 """
@@ -23,15 +23,15 @@
     READ,
     SECOND,
     WRITE,
+    ControllerHost,
     Deciding,
     Message,
-    Place,
     Server,
     Size,
     Stream,
     deployment,
 )
-from lapispass.standins.fleet_proxies import STEP, VISITS_PER_S, Proxies
+from lapispass.standins.fleet_proxies import REQUESTS_PER_S, STEP, Proxies
 
 SLACK = 300 * MS  # what the protocol's page adds to the limits
 HEARD_AT_LAST = 6 * SECOND  # what the registry has to tell counts as told
@@ -60,11 +60,11 @@
         size: Size,
         start: Callable[[interface.Deployment, int, int], Deciding],
         planted: str = "",
-        told: interface.Deployment | None = None,
+        settings: interface.Deployment | None = None,
     ) -> None:
         self.chance, self.now, self.planted, self.make = random.Random(seed), 100 * SECOND, planted, start
-        self.told = told or deployment(size)
-        zones, slices = self.told.zones, self.told.slices
+        self.deployment = settings or deployment(size)
+        zones, slices = self.deployment.zones, self.deployment.slices
         self.list = {
             f"s{n}": interface.Entry(f"s{n}", zones[n % 2], "ready", 1.0, None) for n in range(size.servers)
         }
@@ -72,7 +72,7 @@
         self.owner: dict[int, str | None] = {n: f"s{n % size.servers}" for n in range(slices)}
         self.step = dict.fromkeys(self.owner, 0)  # of a slice's table in the store
         self.levels: dict[int, dict[int, float]] = {n: {} for n in self.owner}
-        self.able = VISITS_PER_S * size.proxies * slices / size.servers / LOAD
+        self.able = REQUESTS_PER_S * size.proxies * slices / size.servers / LOAD
         self.servers = {name: Server(str(entry.zone), self.able) for name, entry in self.list.items()}
         self.home = {n: n % size.controllers for n in self.owner}
         self.charge: dict[int, int | None] = dict.fromkeys(self.owner)
@@ -80,15 +80,15 @@
         self.proxies = Proxies(self, size.proxies)
         self.streams = [[Stream() for _ in range(size.controllers)] for _ in range(size.proxies)]
         self.away = [0] * size.proxies  # until when a proxy can reach nobody
-        self.places = [Place(n) for n in range(size.controllers)]
+        self.hosts = [ControllerHost(n) for n in range(size.controllers)]
         self.later: list[tuple[int, Callable[[], object]]] = []
         self.registry_free, self.registry_down = self.now, 0
-        bounds = Bounds(self.told.bare_us + SLACK, 1500 * MS + SLACK, int(self.told.queue_lines))
+        bounds = Bounds(self.deployment.bare_us + SLACK, 1500 * MS + SLACK, int(self.deployment.queue_lines))
         self.judge = Checker(bounds, int)
         self.handovers = self.newcomers = 0
-        for place in self.places:
-            place.told = place.known = len(self.changes)
-            self.start(place)
+        for host in self.hosts:
+            host.received = host.known = len(self.changes)
+            self.start(host)
         self.run(3)
 
     # what happens
@@ -99,88 +99,92 @@
     def some(self, least: float, most: float) -> int:
         return int(self.chance.uniform(least, most) * SECOND)
 
-    def start(self, place: Place) -> None:
+    def start(self, host: ControllerHost) -> None:
         wrongly = TOLD_WRONGLY.get(self.planted, {})
-        told = replace(self.told, **wrongly)  # type: ignore[arg-type]
-        place.process = self.make(told, self.chance.randrange(1 << 32), self.now)
+        settings = replace(self.deployment, **wrongly)  # type: ignore[arg-type]
+        host.process = self.make(settings, self.chance.randrange(1 << 32), self.now)
         known: dict[str, interface.Entry] = {}
-        for _, entry in self.changes[: place.known]:
+        for _, entry in self.changes[: host.known]:
             known[str(entry.backend)] = entry
         standing = tuple(entry for entry in known.values() if entry.state != "gone")
-        place.news, place.watch_at, place.told = [interface.Listed("remembered", standing)], None, place.known
-        place.heard = {str(entry.backend): self.now for entry in standing if entry.state == "draining"}
-        place.left, place.settles_at, place.held_back = place.written, 0, []
+        host.events, host.watch_at, host.received = (
+            [interface.Listed("remembered", standing)],
+            None,
+            host.known,
+        )
+        host.heard = {str(entry.backend): self.now for entry in standing if entry.state == "draining"}
+        host.left, host.settles_at, host.held_back = host.written, 0, []
         for number in range(len(self.streams)):
-            self.at(self.some(0.05, 2.5), partial(self.join, number, place))
-        for number in [n for n, home in self.home.items() if home == place.number]:
-            self.at(self.some(0.1, 2.0), partial(self.give, number, place))
+            self.at(self.some(0.05, 2.5), partial(self.join, number, host))
+        for number in [n for n, home in self.home.items() if home == host.number]:
+            self.at(self.some(0.1, 2.0), partial(self.give, number, host))
 
-    def stop(self, place: Place, down_s: float) -> None:
+    def stop(self, host: ControllerHost, down_s: float) -> None:
         """Kills a controller; others get its slices a few seconds later, until it is back."""
-        if not place.process:
+        if not host.process:
             return
-        place.known = max(
-            0, place.told - self.chance.randrange(6)
+        host.known = max(
+            0, host.received - self.chance.randrange(6)
         )  # what it wrote down last may be older still
-        place.process, place.watch_at = None, None
+        host.process, host.watch_at = None, None
         for number in range(len(self.streams)):
-            self.leave(number, place)
+            self.leave(number, host)
         takeover = self.some(0.9, 3.3)
-        for number in [n for n, charge in self.charge.items() if charge == place.number]:
+        for number in [n for n, charge in self.charge.items() if charge == host.number]:
             self.charge[number] = None
 
             def take(number: int = number) -> None:
                 if self.charge[number] is None:
-                    self.give(number, self.chance.choice([p for p in self.places if p.process] or [place]))
+                    self.give(number, self.chance.choice([p for p in self.hosts if p.process] or [host]))
 
             self.at(takeover, take)
-        self.at(down_s * SECOND, lambda: self.start(place))
+        self.at(down_s * SECOND, lambda: self.start(host))
 
-    def give(self, number: int, place: Place) -> None:
-        if not place.process or self.charge[number] == place.number:
+    def give(self, number: int, host: ControllerHost) -> None:
+        if not host.process or self.charge[number] == host.number:
             return
         if (former := self.charge[number]) is not None:
-            self.places[former].news.append(interface.Given(number, False))
-        self.charge[number], self.given_at[number], self.levels[number] = place.number, self.now, {}
-        place.news.append(interface.Given(number, True))
+            self.hosts[former].events.append(interface.Given(number, False))
+        self.charge[number], self.given_at[number], self.levels[number] = host.number, self.now, {}
+        host.events.append(interface.Given(number, True))
         if (owner := self.owner[number]) is not None:
-            place.news.append(interface.Held(number, owner))
+            host.events.append(interface.Held(number, owner))
         self.proxies.read_afresh(number)
 
-    def join(self, number: int, place: Place) -> None:
-        stream = self.streams[number][place.number]
-        if not place.process or stream.joined_at >= 0:
+    def join(self, number: int, host: ControllerHost) -> None:
+        stream = self.streams[number][host.number]
+        if not host.process or stream.joined_at >= 0:
             return
         if self.away[number] > self.now:
-            self.at(self.away[number] - self.now + self.some(0.1, 1), lambda: self.join(number, place))
+            self.at(self.away[number] - self.now + self.some(0.1, 1), lambda: self.join(number, host))
             return
         stream.joined_at, stream.reads_at = self.now, self.now + self.some(0.05, 0.4)
         stream.waiting.clear()
         stream.travelling.clear()
-        place.news.append(interface.Joined(number, not stream.met, self.told.zones[number % 2], 3.0))
+        host.events.append(interface.Joined(number, not stream.met, self.deployment.zones[number % 2], 3.0))
         stream.met = True
 
-    def leave(self, number: int, place: Place) -> None:
-        stream = self.streams[number][place.number]
+    def leave(self, number: int, host: ControllerHost) -> None:
+        stream = self.streams[number][host.number]
         if stream.joined_at < 0:
             return
         stream.joined_at = -1
         stream.waiting.clear()
         stream.travelling.clear()
         self.judge.parted(f"p{number}")
-        if process := place.process:
+        if process := host.process:
 
             def noticed() -> None:
-                if place.process is process and stream.joined_at < 0:
-                    place.news.append(interface.Left(number))
+                if host.process is process and stream.joined_at < 0:
+                    host.events.append(interface.Left(number))
 
             self.at(self.some(0, 1), noticed)
-            self.at(self.some(1.1, 3), lambda: self.join(number, place))
+            self.at(self.some(1.1, 3), lambda: self.join(number, host))
 
     def change(self, name: str, state: str) -> None:
         """The list will say so; a server that it calls ready has just started."""
         old = self.list.get(
-            name, interface.Entry(name, self.told.zones[self.newcomers % 2], state, 1.0, None)
+            name, interface.Entry(name, self.deployment.zones[self.newcomers % 2], state, 1.0, None)
         )
         self.list[name] = old._replace(state=state, born_us=self.now if state == "ready" else old.born_us)
         self.changes.append((self.now, self.list[name]))
@@ -188,7 +192,7 @@
     def boot(self, name: str) -> None:
         """A server starts, cold; the list tells a little later."""
         entry = self.list.get(name)
-        zone = str(entry.zone) if entry else self.told.zones[self.newcomers % 2]
+        zone = str(entry.zone) if entry else self.deployment.zones[self.newcomers % 2]
         self.servers[name] = Server(zone, self.able, born=self.now)
         born = self.now
 
@@ -233,36 +237,36 @@
 
     def cut(self, zone: str, seconds: float) -> None:
         """The zone's proxies reach no controller."""
-        for number in range(self.told.zones.index(zone), len(self.streams), 2):
+        for number in range(self.deployment.zones.index(zone), len(self.streams), 2):
             self.away[number] = self.now + int(seconds * SECOND)
-            for place in self.places:
-                self.leave(number, place)
+            for host in self.hosts:
+                self.leave(number, host)
 
-    def lose_watch(self, place: Place) -> None:
-        if place.process and place.watch_at is not None:
-            place.watch_at = None
-            place.news.append(interface.Listed("lost", ()))
+    def lose_watch(self, host: ControllerHost) -> None:
+        if host.process and host.watch_at is not None:
+            host.watch_at = None
+            host.events.append(interface.Listed("lost", ()))
 
     def registry_fails(self, seconds: float) -> None:
         self.registry_down = self.now + int(seconds * SECOND)
-        for place in self.places:
-            self.lose_watch(place)
+        for host in self.hosts:
+            self.lose_watch(host)
 
-    def channel(self, place: Place, pace: float, seconds: float) -> None:
+    def channel(self, host: ControllerHost, pace: float, seconds: float) -> None:
         """A controller's channel slows to a part of its pace, or stands still at 0."""
-        place.pace = pace
-        place.troubled_until = self.now + int((seconds + 3) * SECOND)
-        self.at(seconds * SECOND, lambda: setattr(place, "pace", 1.0))
+        host.pace = pace
+        host.troubled_until = self.now + int((seconds + 3) * SECOND)
+        self.at(seconds * SECOND, lambda: setattr(host, "pace", 1.0))
 
     def slow_streams(self, number: int, seconds: float) -> None:
         """What controllers tell this proxy takes 5 s longer; it goes on by what it holds."""
         for stream in self.streams[number]:
             stream.slow_until = self.now + int(seconds * SECOND)
 
-    def lose_answers(self, place: Place, part: float, seconds: float) -> None:
+    def lose_answers(self, host: ControllerHost, part: float, seconds: float) -> None:
         """So many of its calls to the store get no answer: carried out, or only when sent again."""
-        place.unsettled = part
-        self.at(seconds * SECOND, lambda: setattr(place, "unsettled", 0.0))
+        host.unsettled = part
+        self.at(seconds * SECOND, lambda: setattr(host, "unsettled", 0.0))
 
     # the passing of time
 
@@ -274,57 +278,57 @@
             self.later = [x for x in self.later if x[0] > self.now]
             for _, act in due:
                 act()
-            for place in self.places:
-                if place.process:
-                    self.watch(place)
-                    self.turn(place)
-            for place in self.places:
-                place.left = min(
-                    place.written, place.left + place.pace * self.told.lines_per_s * STEP / SECOND
+            for host in self.hosts:
+                if host.process:
+                    self.watch(host)
+                    self.turn(host)
+            for host in self.hosts:
+                host.left = min(
+                    host.written, host.left + host.pace * self.deployment.lines_per_s * STEP / SECOND
                 )
             for number in range(len(self.streams)):
                 self.proxies.step(number)
             if self.now % SECOND == 0:
                 self.proxies.report()
 
-    def watch(self, place: Place) -> None:
+    def watch(self, host: ControllerHost) -> None:
         """The watch gives what it has; where a list stays away, it counts as told after 6 s."""
-        if place.watch_at is not None and self.now >= place.watch_at and place.told < len(self.changes):
-            entries = tuple(entry for _, entry in self.changes[place.told :])
-            place.told = len(self.changes)
+        if host.watch_at is not None and self.now >= host.watch_at and host.received < len(self.changes):
+            entries = tuple(entry for _, entry in self.changes[host.received :])
+            host.received = len(self.changes)
             if self.planted != "stale list":
-                place.news.append(interface.Listed("changes", entries))
+                host.events.append(interface.Listed("changes", entries))
             for entry in entries:
-                self.hear(place, entry)
-        for moment, entry in self.changes[place.told :]:
+                self.hear(host, entry)
+        for moment, entry in self.changes[host.received :]:
             if self.now > moment + HEARD_AT_LAST:
-                self.hear(place, entry)
+                self.hear(host, entry)
 
-    def hear(self, place: Place, entry: interface.Entry) -> None:
+    def hear(self, host: ControllerHost, entry: interface.Entry) -> None:
         name = str(entry.backend)
         if entry.state == "ready":
-            place.heard.pop(name, None)
-            place.fresh.setdefault(f"{name} {entry.born_us}", self.now)
+            host.heard.pop(name, None)
+            host.fresh.setdefault(f"{name} {entry.born_us}", self.now)
         else:
-            place.heard.setdefault(name, self.now)
+            host.heard.setdefault(name, self.now)
 
-    def turn(self, place: Place) -> None:
+    def turn(self, host: ControllerHost) -> None:
         """One turn, unless a call is unsettled: then news wait."""
-        if self.now < place.settles_at:
+        if self.now < host.settles_at:
             return
-        for message in place.held_back:
-            self.carry_out(place, message)
-        news, place.news, place.held_back = place.news, [], []
-        assert place.process
+        for message in host.held_back:
+            self.carry_out(host, message)
+        events, host.events, host.held_back = host.events, [], []
+        assert host.process
         message = []
-        for order in place.process.turn(self.now, news):
+        for order in host.process.turn(self.now, events):
             match order:
                 case interface.Follow():
-                    self.call(place)
+                    self.call(host)
                 case interface.Probe(backend):
                     up = str(backend) in self.servers and self.servers[str(backend)].up
                     found = interface.Probed(backend, 0 if up else 4, MS, None)
-                    self.at(20 * MS, partial(place.news.append, found))
+                    self.at(20 * MS, partial(host.events.append, found))
                 case (
                     interface.Own()
                     | interface.Empty()
@@ -335,54 +339,52 @@
                     message.append(order)
         if gone := LOST_ORDERS.get(self.planted):
             message = [order for order in message if not gone(order)]
-        if message and self.chance.random() < place.unsettled:
-            place.settles_at = self.now + self.some(0.2, 0.5)
-            place.troubled_until = max(place.troubled_until, place.settles_at + 2 * SECOND)
+        if message and self.chance.random() < host.unsettled:
+            host.settles_at = self.now + self.some(0.2, 0.5)
+            host.troubled_until = max(host.troubled_until, host.settles_at + 2 * SECOND)
             if self.chance.random() < 0.5:  # not carried out yet: it goes again
-                place.held_back.append(message)
+                host.held_back.append(message)
                 return
-        self.carry_out(place, message)
+        self.carry_out(host, message)
 
-    def call(self, place: Place) -> None:
+    def call(self, host: ControllerHost) -> None:
         """The registry serves in turn; whoever waits for a second is turned away."""
-        place.calls += 1
+        host.calls += 1
         begins = max(self.now, self.registry_free)
         if self.now < self.registry_down or begins > self.now + SECOND:
             wait = 100 * MS if self.now < self.registry_down else SECOND
-            self.at(wait, lambda: place.news.append(interface.Listed("lost", ())))
+            self.at(wait, lambda: host.events.append(interface.Listed("lost", ())))
             return
         self.registry_free = begins + 300 * MS
-        place.watch_at = self.registry_free
+        host.watch_at = self.registry_free
 
-    def carry_out(self, place: Place, message: list[interface.Order]) -> None:
+    def carry_out(self, host: ControllerHost, message: list[interface.Order]) -> None:
         """The store takes the orders, and the channel the messages to all joined proxies."""
         if not message:
             return
         for order in message:
             match order:
-                case interface.Own(slice_, backend, _) if self.charge[slice_] == place.number:
+                case interface.Own(slice_, backend, _) if self.charge[slice_] == host.number:
                     self.owner[slice_] = str(backend)
                     self.step[slice_] += 1
                     self.handovers += 1
-                case interface.Empty(slice_) if self.charge[slice_] == place.number:
+                case interface.Empty(slice_) if self.charge[slice_] == host.number:
                     self.owner[slice_], self.levels[slice_] = None, {}
                     self.step[slice_] += 1
                 case interface.Admit(slice_, classes, _, share) if (
-                    slice_ is not None and self.charge[slice_] == place.number
+                    slice_ is not None and self.charge[slice_] == host.number
                 ):
-                    self.levels[slice_].update(
-                        {place_: share for place_ in (READ, WRITE) if classes >> place_ & 1}
-                    )
+                    self.levels[slice_].update({kind: share for kind in (READ, WRITE) if classes >> kind & 1})
         steps = [(order, self.step.get(getattr(order, "table", None) or 0, 0)) for order in message]
-        lines = len(message) + self.told.head_lines
-        early = self.planted == "answers before applying" and place.process
+        lines = len(message) + self.deployment.head_lines
+        early = self.planted == "answers before applying" and host.process
         marks = [order.number for order in message if isinstance(order, interface.Mark) and early]
         for number, streams in enumerate(self.streams):
-            if (stream := streams[place.number]).joined_at >= 0:
-                place.written += lines
-                stream.waiting.append(Message(place.written, self.now, steps))
-                place.news += [interface.Answered(number, mark, 50 * MS) for mark in marks]
-        self.judge.waiting(self.now, f"channel of n{place.number}", int(place.written - place.left))
+            if (stream := streams[host.number]).joined_at >= 0:
+                host.written += lines
+                stream.waiting.append(Message(host.written, self.now, steps))
+                host.events += [interface.Answered(number, mark, 50 * MS) for mark in marks]
+        self.judge.waiting(self.now, f"channel of n{host.number}", int(host.written - host.left))
 
     def verdict(self) -> list[str]:
         """Each breach in a line: when, which rule, whose, and what shows it."""
--- a/lapispass/standins/fleet_parties.py
+++ b/lapispass/standins/fleet_parties.py
@@ -10,7 +10,7 @@
 
 MS = 1000
 SECOND = 1000 * MS
-READ, WRITE = 0, 1  # the classes of visits
+READ, WRITE = 0, 1  # the classes of requests
 
 
 class Deciding(Protocol):
@@ -66,15 +66,15 @@
     """What it can do now, and what it was sent of late."""
 
     zone: str
-    able: float  # visits a second when warm
+    able: float  # requests a second when warm
     born: int = 0
     up: bool = True
-    failing: float = 0.0  # the part of its visits that it fails at once
+    failing: float = 0.0  # the part of its requests that it fails at once
     sent: deque[int] = field(default_factory=deque)
 
-    def warmth(self, told: interface.Deployment, now: int) -> float:
-        age = (now - self.born) / told.cold_us if self.born else 1.0
-        return min(1.0, told.cold_share + (1 - told.cold_share) * age)
+    def warmth(self, settings: interface.Deployment, now: int) -> float:
+        age = (now - self.born) / settings.cold_us if self.born else 1.0
+        return min(1.0, settings.cold_share + (1 - settings.cold_share) * age)
 
 
 class Message(NamedTuple):
@@ -100,16 +100,16 @@
 
 
 @dataclass
-class Place:
+class ControllerHost:
     """Where a controller runs: its process, its channel, its watch, and what it was told."""
 
     number: int
     process: Deciding | None = None
-    news: list[interface.Event] = field(default_factory=list)
+    events: list[interface.Event] = field(default_factory=list)
     watch_at: int | None = None  # the watch opens, or has opened, then
-    told: int = 0  # changes of the list that it was given
+    received: int = 0  # changes of the list that it was given
     known: int = 0  # a restart knows the list as it was then
-    heard: dict[str, int] = field(default_factory=dict)  # unfit servers, since when this place was told
+    heard: dict[str, int] = field(default_factory=dict)  # unfit servers, since when this host was told
     fresh: dict[str, int] = field(default_factory=dict)  # cold servers, since when it was told of their start
     written: float = 0.0  # lines into the channel
     left: float = 0.0  # lines out of it
--- a/lapispass/standins/fleet_proxies.py
+++ b/lapispass/standins/fleet_proxies.py
@@ -1,19 +1,19 @@
-"""The proxies of a fleet in simulated time: what they apply, and the visits that they send."""
+"""The proxies of a fleet in simulated time: what they apply, and the requests that they send."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from lapispass import interface
-from lapispass.standins.fleet_parties import MS, READ, SECOND, WRITE, Message, Place, Server, Stream
+from lapispass.standins.fleet_parties import MS, READ, SECOND, WRITE, ControllerHost, Message, Server, Stream
 
 if TYPE_CHECKING:
     from lapispass.standins.fleet import World
 
 STEP = 50 * MS  # of the clock
 FALL = 2 * SECOND  # a cold server falls over when it is pushed for so long
-WRITES = 0.4  # of visits
-VISITS_PER_S = 0.6  # of a proxy, for a slice
+WRITES = 0.4  # of requests
+REQUESTS_PER_S = 0.6  # of a proxy, for a slice
 
 Row = tuple[str | None, int, dict[int, float]]  # a slice at a proxy: its owner, the step, its levels
 
@@ -28,9 +28,9 @@
         ]
         self.reads: list[dict[int, int]] = [{} for _ in range(count)]  # slices to be read afresh, and when
         self.lost: dict[tuple[int, int], int] = {}  # proxies without the slice's controller, since
-        self.met: dict[tuple[int, str], list[int]] = {}  # place and server: tries, lost
-        self.came: dict[tuple[int, int, int], int] = {}  # place, slice and class
-        self.visits = self.served = 0
+        self.met: dict[tuple[int, str], list[int]] = {}  # host and server: tries, lost
+        self.came: dict[tuple[int, int, int], int] = {}  # host, slice and class
+        self.requests = self.served = 0
 
     def read_afresh(self, slice_: int) -> None:
         """Each reads the slice's table from the store a little later."""
@@ -42,91 +42,93 @@
         return self.world.owner[slice_], self.world.step[slice_], dict(self.world.levels[slice_])
 
     def step(self, number: int) -> None:
-        """Reads the store where it is due, applies what has come, then sends its visits."""
+        """Reads the store where it is due, applies what has come, then sends its requests."""
         table = self.tables[number]
         for slice_, at in list(self.reads[number].items()):
             if self.world.now >= at and self.world.away[number] <= self.world.now:
                 table[slice_] = self.stored(slice_)
                 del self.reads[number][slice_]
-        for place, stream in zip(self.world.places, self.world.streams[number], strict=True):
+        for host, stream in zip(self.world.hosts, self.world.streams[number], strict=True):
             if stream.joined_at < 0 or self.world.now < stream.reads_at:
                 continue
             if stream.reads_at:
                 stream.reads_at = 0
-                for slice_ in [s for s, charge in self.world.charge.items() if charge == place.number]:
+                for slice_ in [s for s, charge in self.world.charge.items() if charge == host.number]:
                     table[slice_] = self.stored(slice_)
-            while stream.waiting and stream.waiting[0].leaves <= place.left:
+            while stream.waiting and stream.waiting[0].leaves <= host.left:
                 last = stream.travelling[-1][0] if stream.travelling else 0
                 stream.travelling.append(
                     (max(last, self.world.now + self.world.some(0.05, 0.5)), stream.waiting.popleft())
                 )
             while stream.travelling and stream.travelling[0][0] <= self.world.now:
-                self.apply(number, place, stream, stream.travelling.popleft()[1])
+                self.apply(number, host, stream, stream.travelling.popleft()[1])
         for slice_, row in table.items():
-            self.visit(number, slice_, row)
+            self.send_request(number, slice_, row)
 
-    def apply(self, number: int, place: Place, stream: Stream, message: Message) -> None:
+    def apply(self, number: int, host: ControllerHost, stream: Stream, message: Message) -> None:
         """Takes over the orders of one message."""
         table, stream.applied = self.tables[number], message.issued
         for order, step in message.orders:
             match order:
                 case interface.Own(slice_, backend, _) if (
-                    step > table[slice_][1] and self.world.charge[slice_] == place.number
+                    step > table[slice_][1] and self.world.charge[slice_] == host.number
                 ):
                     table[slice_] = (str(backend), step, {})
                 case interface.Empty(slice_) if (
-                    step > table[slice_][1] and self.world.charge[slice_] == place.number
+                    step > table[slice_][1] and self.world.charge[slice_] == host.number
                 ):
                     table[slice_] = (None, step, {})
                 case interface.Admit(slice_, classes, _, share) if (
-                    slice_ is not None and self.world.charge[slice_] == place.number
+                    slice_ is not None and self.world.charge[slice_] == host.number
                 ):
                     table[slice_][2].update({kind: share for kind in (READ, WRITE) if classes >> kind & 1})
                 case interface.Withdraw(backend, out):
                     (stream.out.add if out else stream.out.discard)(str(backend))
-                case interface.Mark(mark) if place.process:
-                    place.news.append(interface.Answered(number, mark, self.world.now - message.issued))
+                case interface.Mark(mark) if host.process:
+                    host.events.append(interface.Answered(number, mark, self.world.now - message.issued))
 
-    def visit(self, number: int, slice_: int, row: Row) -> None:
-        """Whether the proxy has a pick now, and, by chance, a visit."""
+    def send_request(self, number: int, slice_: int, row: Row) -> None:
+        """Whether the proxy has a pick now, and, by chance, a request."""
         world, (owner, step, levels) = self.world, row
         charge, party = world.charge[slice_], f"p{number}"
         stream = world.streams[number][charge] if charge is not None else None
         joined = stream is not None and stream.joined_at >= 0
         since = self.followed_since(number, slice_, stream)
         if owner is None or (stream is not None and owner in stream.out):
-            self.check_bare(party, slice_, world.places[charge] if charge is not None and joined else None)
+            self.check_unassigned(
+                party, slice_, world.hosts[charge] if charge is not None and joined else None
+            )
             owner = None
         else:
             world.judge.bare.pop((party, slice_), None)
-        coming = world.chance.random() < VISITS_PER_S * STEP / SECOND
+        coming = world.chance.random() < REQUESTS_PER_S * STEP / SECOND
         if owner is None or not coming:
             if coming and charge is not None:
                 self.count(charge, slice_, READ if world.chance.random() > WRITES else WRITE)
             if owner is not None and charge is not None and joined and stream is not None:
-                self.drained(party, slice_, owner, world.places[charge], stream)
+                self.drained(party, slice_, owner, world.hosts[charge], stream)
             return
         kind = WRITE if world.chance.random() < WRITES else READ
         if charge is not None:
             self.count(charge, slice_, kind)
         if world.chance.random() >= levels.get(kind, 1.0):
             return
-        self.visits += 1
+        self.requests += 1
         if joined and charge is not None and stream is not None:
-            self.drained(party, slice_, owner, world.places[charge], stream)
+            self.drained(party, slice_, owner, world.hosts[charge], stream)
         lost = self.is_lost(world.servers[owner])
         if charge is not None:
             sums = self.met.setdefault((charge, owner), [0, 0])
             sums[0] += 1
             sums[1] += lost
         # Writes go on for a lease after the stream or the charge was lost, then none until the store is read.
-        if kind == WRITE and world.now - since >= world.told.lease_us:
+        if kind == WRITE and world.now - since >= world.deployment.lease_us:
             return
         if world.servers[owner].up:
             self.served += not lost
             self.push(owner, world.servers[owner], charge, stream)
             if kind == WRITE:
-                until = world.now + int(world.chance.random() * world.told.linger_us)
+                until = world.now + int(world.chance.random() * world.deployment.linger_us)
                 world.judge.write(world.now, party, slice_, owner, step, until)
 
     def followed_since(self, number: int, slice_: int, stream: Stream | None) -> int:
@@ -137,39 +139,39 @@
             return self.world.now
         return self.lost.setdefault((number, slice_), self.world.now)
 
-    def check_bare(self, party: str, slice_: int, place: Place | None) -> None:
+    def check_unassigned(self, party: str, slice_: int, host: ControllerHost | None) -> None:
         """Rule 1, of the controller in charge that the proxy has joined; it waits where there is none."""
         world = self.world
-        if place is None or place.troubled_until > world.now:
+        if host is None or host.troubled_until > world.now:
             world.judge.bare.pop((party, slice_), None)
         elif any(
-            entry.state == "ready" and world.now - (entry.born_us or 0) > world.told.cold_us
+            entry.state == "ready" and world.now - (entry.born_us or 0) > world.deployment.cold_us
             for entry in world.list.values()
         ):
             world.judge.bare.setdefault((party, slice_), max(world.now, world.given_at[slice_]))
             world.judge.pick(world.now, party, slice_, None)
 
     def is_lost(self, server: Server) -> bool:
-        """Whether a visit to it fails."""
+        """Whether a request to it fails."""
         return not server.up or self.world.chance.random() < server.failing
 
-    def drained(self, party: str, slice_: int, owner: str, place: Place, stream: Stream) -> None:
+    def drained(self, party: str, slice_: int, owner: str, host: ControllerHost, stream: Stream) -> None:
         """Rule 3, of the controller in charge."""
-        told = place.heard.get(owner)
-        if told is None or max(place.troubled_until, stream.slow_until + 7 * SECOND) > self.world.now:
+        heard_at = host.heard.get(owner)
+        if heard_at is None or max(host.troubled_until, stream.slow_until + 7 * SECOND) > self.world.now:
             return
-        late = self.world.now - max(told, stream.joined_at, self.world.given_at[slice_])
+        late = self.world.now - max(heard_at, stream.joined_at, self.world.given_at[slice_])
         self.world.judge.worst_drain_us = max(self.world.judge.worst_drain_us, late)
         if late > self.world.judge.bounds.grace_us:
-            what = f"slice {slice_} goes to {owner} {late / SECOND:.2f} s after n{place.number} was told"
+            what = f"slice {slice_} goes to {owner} {late / SECOND:.2f} s after n{host.number} was told"
             self.world.judge.breach("3", party, self.world.now, what)
 
     def push(self, name: str, server: Server, charge: int | None, stream: Stream | None) -> None:
         """Rule 4: what a cold server is sent within 2 s, once whoever sends can know of its start."""
-        warmth = server.warmth(self.world.told, self.world.now)
+        warmth = server.warmth(self.world.deployment, self.world.now)
         if warmth >= 1:
             return
-        fresh = None if charge is None else self.world.places[charge].fresh.get(f"{name} {server.born}")
+        fresh = None if charge is None else self.world.hosts[charge].fresh.get(f"{name} {server.born}")
         knows = stream is not None and fresh is not None and stream.applied >= fresh
         if fresh is None or not (knows or self.world.now - fresh > self.world.judge.bounds.grace_us):
             return
@@ -181,31 +183,31 @@
         self.world.judge.cold(self.world.now, name, over)
 
     def count(self, charge: int, slice_: int, kind: int) -> None:
-        """A visit that came, as its controller is told in sums."""
+        """A request that came, as its controller is told in sums."""
         key = charge, slice_, kind
         self.came[key] = self.came.get(key, 0) + 1
 
     def report(self) -> None:
         """Sums of the last second, late; those of a controller that has died reach nobody."""
         met, came, self.met, self.came = self.met, self.came, {}, {}
-        names = [kind.name for kind in self.world.told.classes]
-        for place in self.world.places:
-            process = place.process
+        names = [kind.name for kind in self.world.deployment.classes]
+        for host in self.world.hosts:
+            process = host.process
             sums: list[interface.Event] = [
                 interface.Met(name, self.world.servers[name].zone, lost, tries, 300 * MS, SECOND, None)
                 for (number, name), (tries, lost) in met.items()
-                if number == place.number
+                if number == host.number
             ]
             sums += [
-                interface.Came(slice_, names[kind], visits, 0, SECOND)
-                for (number, slice_, kind), visits in came.items()
-                if number == place.number
+                interface.Came(slice_, names[kind], requests, 0, SECOND)
+                for (number, slice_, kind), requests in came.items()
+                if number == host.number
             ]
 
             def hand_over(
-                place: Place = place, process: object = process, sums: list[interface.Event] = sums
+                host: ControllerHost = host, process: object = process, sums: list[interface.Event] = sums
             ) -> None:
-                if place.process is process and process:
-                    place.news += sums
+                if host.process is process and process:
+                    host.events += sums
 
             self.world.at(self.world.some(0.4, 1.6), hand_over)
--- a/tests/test_due_look.py
+++ b/tests/test_due_look.py
@@ -92,7 +92,7 @@
 @pytest.mark.parametrize("faults", [(days.roll, days.streams), (days.zone, days.failing), (days.together,)])
 def test_days_with_a_narrow_channel_and_a_list_that_may_be_wrong(faults: Sequence[days.Fault]) -> None:
     size = Size(controllers=2, proxies=8, servers=14)
-    both(lambda kind: days.play(41, size, start=kind, faults=faults, told=narrow(size), seconds=26))
+    both(lambda kind: days.play(41, size, start=kind, faults=faults, settings=narrow(size), seconds=26))
 
 
 @settings(max_examples=6, deadline=None, derandomize=True, phases=[Phase.explicit, Phase.generate])
@@ -106,7 +106,7 @@
 def test_draws(seed: int, faults: list[days.Fault], servers: int, slices_each: int, report_s: int) -> None:
     size = Size(2, 5, servers, slices_each)
     told = replace(deployment(size), report_every_us=report_s * SECOND)
-    both(lambda kind: days.play(seed, size, start=kind, faults=faults, told=told, seconds=22))
+    both(lambda kind: days.play(seed, size, start=kind, faults=faults, settings=told, seconds=22))
 
 
 class Script:
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -25,7 +25,7 @@
 def test_drawn_days_break_no_rule(seed: int) -> None:
     verdict = days.play(seed)
     assert not verdict.breaches, "\n".join([*verdict.happened, *verdict.breaches[:5]])
-    assert verdict.visits > 10_000 and verdict.served > 0.6 * verdict.visits
+    assert verdict.requests > 10_000 and verdict.served > 0.6 * verdict.requests
 
 
 @pytest.mark.parametrize(
@@ -43,8 +43,8 @@
 
 def stands(world: World, tell: Tell) -> None:
     """All channels stand still while slices move."""
-    for place in world.places:
-        world.at(4 * SECOND, partial(world.channel, place, 0.0, 5))
+    for host in world.hosts:
+        world.at(4 * SECOND, partial(world.channel, host, 0.0, 5))
 
 
 def returns(world: World, tell: Tell) -> None:
@@ -80,7 +80,7 @@
 def test_the_checker_finds_a_queue_called_endless() -> None:
     size = Size(2, 24, 30)
     verdict = days.play(
-        2, size, "queue called endless", 14, told=narrow(size), faults=(days.roll, days.zone, stands)
+        2, size, "queue called endless", 14, settings=narrow(size), faults=(days.roll, days.zone, stands)
     )
     assert any("rule 5:" in breach for breach in verdict.breaches)
 
@@ -100,7 +100,7 @@
         breach
         for seed in range(3)
         for breach in days.play(
-            seed, size, seconds=14, told=narrow(size, 4000.0), faults=(days.roll, days.zone, stands)
+            seed, size, seconds=14, settings=narrow(size, 4000.0), faults=(days.roll, days.zone, stands)
         ).breaches
     ]
     assert any("rule 5:" in breach for breach in found)
@@ -120,12 +120,12 @@
     """As on the full fleet: slices were given, and the news of it was read 5 s later."""
     give = World.give
 
-    def late(world: World, number: int, place) -> None:
-        before = len(place.news)
-        give(world, number, place)
-        unread, place.news[before:] = place.news[before:], []
-        process = place.process
-        world.at(5000 * MS, lambda: place.process is process and place.news.extend(unread))
+    def late(world: World, number: int, host) -> None:
+        before = len(host.events)
+        give(world, number, host)
+        unread, host.events[before:] = host.events[before:], []
+        process = host.process
+        world.at(5000 * MS, lambda: host.process is process and host.events.extend(unread))
 
     monkeypatch.setattr(World, "give", late)
     found = [
