Keep a gate alive on a controller's line that is too long

Cause: the two ends of the channel listed by themselves what ends a stream alone, and the gate's list lacked asyncio.LimitOverrunError, which readuntil raises there; the controller's had it. Both now read by channel.read_line and end by channel.STREAM_ENDS; the gate counts the stream as lost and joins again.

--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -8,8 +8,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-import msgspec
-
 from lapispass import interface
 from lapispass.core import tables
 from lapispass.core.facts import NodeView
@@ -17,8 +15,8 @@
 from lapispass.core.picture import Picture
 from lapispass.core.plans import Plan, Version
 from lapispass.gate import wire
+from lapispass.gate.channel import STREAM_ENDS, read_line
 from lapispass.net.acceptor import Acceptor, listener_at, streams
-from lapispass.net.http import within
 from lapispass.net.log import Part
 from lapispass.net.service import Service
 from lapispass.operator import read as operator
@@ -178,14 +176,7 @@
             gate = await self.welcome(reader, writer)
             while True:
                 self.take(gate, await self.hear(reader, self.limits.quiet_us))
-        except (
-            OSError,
-            EOFError,
-            ValueError,
-            msgspec.MsgspecError,
-            asyncio.IncompleteReadError,
-            asyncio.LimitOverrunError,
-        ) as error:
+        except STREAM_ENDS as error:
             why = f"{type(error).__name__} {error}"[:200]
             if gate is None:
                 self.counters["gates.turned_away"] += 1
@@ -204,9 +195,8 @@
                 writer.transport.abort()
 
     async def hear(self, reader: asyncio.StreamReader, wait_us: int) -> wire.FromGate:
-        """The next message. What has come while the process stood still is read before the gate is given
-        up."""
-        return wire.GATE.decode(await within(wait_us, reader.readuntil(b"\n"), self.limits.late_us))
+        """The next message."""
+        return wire.GATE.decode(await read_line(reader, wait_us, self.limits.late_us))
 
     async def welcome(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Joined:
         """Challenge, hello, and what stands: only the differences are sent."""
--- a/lapispass/gate/uplink.py
+++ b/lapispass/gate/uplink.py
@@ -6,9 +6,8 @@
 import asyncio
 import secrets
 
-import msgspec
-
 from lapispass.gate import wire
+from lapispass.gate.channel import STREAM_ENDS, read_line
 from lapispass.gate.host import TableHost
 from lapispass.net.http import split, within
 
@@ -32,13 +31,7 @@
             begun = gate.clock.now()
             try:
                 await self.join()
-            except (
-                OSError,
-                EOFError,
-                ValueError,
-                msgspec.MsgspecError,
-                asyncio.IncompleteReadError,
-            ) as error:
+            except STREAM_ENDS as error:
                 gate.counters["uplink.lost"] += 1
                 gate.log.rate_limited(
                     "no controller", address=self.address, why=f"{type(error).__name__} {error}"
@@ -109,10 +102,8 @@
             writer.transport.abort()
 
     async def hear(self, reader: asyncio.StreamReader, wait_us: int) -> wire.FromController:
-        """The next message; a line without end is a ValueError. What has come while the process stood still
-        is read before the controller is given up."""
-        line = await within(wait_us, reader.readuntil(b"\n"), self.gate.limits.late_us)
-        return wire.CONTROLLER.decode(line)
+        """The next message."""
+        return wire.CONTROLLER.decode(await read_line(reader, wait_us, self.gate.limits.late_us))
 
     def take(self, message: wire.FromController) -> None:
         """What the controller says; a plan that makes no sense is refused whole, by name."""
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from functools import partial
 from pathlib import Path
 
@@ -17,6 +19,24 @@
 SECRET = b"a key of a test, long enough"
 
 
+@asynccontextmanager
+async def gate_at(controller: str, folder: Path) -> AsyncIterator[Gate]:
+    """A gate that joins the controller at this address; it runs until the end, and ends in order."""
+    (folder / "key").write_bytes(SECRET)
+    file = folder / "gate.textproto"
+    file.write_text(
+        f'{CLASSES} gate {{ name: "g0" listen: "127.0.0.1:0" controller: "{controller}" '
+        f'slices: 12 secret_file: "key" }}'
+    )
+    gate = Gate(operator.read(file), 1, QUICK)
+    running = asyncio.create_task(gate.run())
+    try:
+        yield gate
+    finally:
+        gate.stop()
+        await running
+
+
 async def answer_slowly(pause_s: float, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """A controller that pauses before each of its two messages of the handshake."""
     await asyncio.sleep(pause_s)
@@ -33,19 +53,33 @@
     """Guards against a time for each message: a slow controller held a gate for twice `connect_us`."""
 
     async def test() -> None:
-        (tmp_path / "key").write_bytes(SECRET)
-        file = tmp_path / "gate.textproto"
-        async with Party(partial(answer_slowly, share * QUICK.connect_us / 1e6)) as controller:
-            file.write_text(
-                f'{CLASSES} gate {{ name: "g0" listen: "127.0.0.1:0" controller: "{controller.address}" '
-                f'slices: 12 secret_file: "key" }}'
-            )
-            gate = Gate(operator.read(file), 1, QUICK)
-            running = asyncio.create_task(gate.run())
+        pause_s = share * QUICK.connect_us / 1e6
+        async with (
+            Party(partial(answer_slowly, pause_s)) as controller,
+            gate_at(controller.address, tmp_path) as gate,
+        ):
             await until(lambda: gate.counters["uplink.joined"] or gate.counters["uplink.lost"])
-            joined = gate.counters["uplink.joined"]
-            gate.stop()
-            await running
-            assert bool(joined) == joins
+            assert bool(gate.counters["uplink.joined"]) == joins
+
+    play(test())
+
+
+async def never_end_a_line(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """A controller whose first message has no end."""
+    try:
+        while True:
+            writer.write(bytes(1 << 20))
+            await writer.drain()
+    except OSError:
+        pass
+
+
+def test_a_line_without_end_costs_a_gate_its_stream_alone(tmp_path: Path) -> None:
+    """Guards against a gate that ended, with all it held, on a controller's line beyond `line_bytes`."""
+
+    async def test() -> None:
+        async with Party(never_end_a_line) as controller, gate_at(controller.address, tmp_path) as gate:
+            await until(lambda: gate.counters["uplink.lost"] >= 2)
+            assert not gate.counters["uplink.joined"]
 
     play(test())
