--- a/lapispass/gate/ears.py
+++ b/lapispass/gate/evented_reader.py
@@ -10,15 +10,14 @@
 from lapispass.net.streams import Reader
 
 
-class Ear(Reader):
+class EventedReader(Reader):
     """A stream reader that sets an event when there is something to read, or its peer has ended."""
 
     def __init__(self, limit: int, wake: asyncio.Event) -> None:
         super().__init__(limit=limit, loop=asyncio.get_running_loop())
-        self.wake, self.waiting, self.over = wake, 0, False
+        self.wake, self.over = wake, False
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]
-        self.waiting += len(data)
         super().feed_data(data)
         self.wake.set()
 
@@ -32,27 +31,25 @@
         super().set_exception(exc)
         self.wake.set()
 
-    async def take(self, most: int) -> bytes:
+    async def read(self, n: int = -1) -> bytes:
         """What has come, without waiting where something has; nothing at the end, also after a reset."""
         try:
-            piece = await self.read(most)
+            return await super().read(n)
         except OSError:
-            self.waiting = 0
+            self.unread = 0
             return b""
-        self.waiting -= len(piece)
-        return piece
 
 
-class Wire(asyncio.StreamReaderProtocol):
+class EventedProtocol(asyncio.StreamReaderProtocol):
     """Wakes the tunnel too when its unsent bytes have gone out, or the connection is lost."""
 
     def __init__(
         self,
-        ear: Ear,
+        reader: EventedReader,
         met: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]] | None = None,
     ) -> None:
-        super().__init__(ear, met)
-        self.wake = ear.wake
+        super().__init__(reader, met)
+        self.wake = reader.wake
 
     def resume_writing(self) -> None:
         super().resume_writing()
@@ -63,10 +60,12 @@
         self.wake.set()
 
 
-async def connect(address: str, limit: int, wake: asyncio.Event) -> tuple[Ear, asyncio.StreamWriter]:
-    """A connection whose ear sets `wake`."""
+async def connect(
+    address: str, limit: int, wake: asyncio.Event
+) -> tuple[EventedReader, asyncio.StreamWriter]:
+    """A connection whose reader sets `wake`."""
     loop = asyncio.get_running_loop()
-    ear = Ear(limit, wake)
-    wire = Wire(ear)
-    transport = await open_transport(lambda: wire, *split(address))
-    return ear, asyncio.StreamWriter(transport, wire, ear, loop)
+    reader = EventedReader(limit, wake)
+    protocol = EventedProtocol(reader)
+    transport = await open_transport(lambda: protocol, *split(address))
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
--- a/lapispass/gate/frames.py
+++ b/lapispass/gate/frames.py
@@ -6,23 +6,32 @@
 import asyncio
 import socket
 import struct
+from enum import StrEnum
 from typing import Any
 
 from wsproto.connection import Connection, ConnectionState, ConnectionType
 from wsproto.events import CloseConnection, Event, Message, Ping, Pong
 from wsproto.utilities import LocalProtocolError
 
-from lapispass.gate.ears import Ear
+from lapispass.core.facts import NEVER
+from lapispass.gate.evented_reader import EventedReader
+from lapispass.gate.limits import Limits
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER with no time: what is unsent is dropped, the peer gets a reset
 
 
+class PeerFailure(StrEnum):
+    """Why a peer counts as gone. The names are those of the counters."""
+
+    STUCK = "never reads"
+    SILENT = "answers no ping"
+
+
 class Side:
-    """A WebSocket connection to a screen ('screen') or to a node ('node')."""
+    """A WebSocket connection to a client or to a node; named 'screen' or 'node', as in the counters."""
 
     __slots__ = (
         "bound",
-        "ear",
         "full_since",
         "got_close",
         "got_tokens",
@@ -30,6 +39,7 @@
         "inside",
         "name",
         "pinged_at",
+        "reader",
         "sent_close",
         "size",
         "state",
@@ -38,9 +48,15 @@
     )
 
     def __init__(
-        self, name: str, ear: Ear, writer: asyncio.StreamWriter, early: bytes, now: int, bound: int
+        self,
+        name: str,
+        reader: EventedReader,
+        writer: asyncio.StreamWriter,
+        early: bytes,
+        now: int,
+        bound: int,
     ) -> None:
-        self.name, self.ear, self.writer, self.bound = name, ear, writer, bound
+        self.name, self.reader, self.writer, self.bound = name, reader, writer, bound
         kind = ConnectionType.SERVER if name == "screen" else ConnectionType.CLIENT
         self.state = Connection(kind, trailing_data=early)
         self.inside = False  # in the middle of a message that it sends
@@ -117,10 +133,27 @@
         elif not self.full_since:
             self.full_since = now
 
+    def check(self, now: int, limits: Limits) -> PeerFailure | None:
+        """Why the peer counts as gone; one that has been silent for a while is sent a ping."""
+        self.watch(now)
+        if self.full_since and now - self.full_since > limits.stuck_us:
+            return PeerFailure.STUCK
+        if self.pinged_at and now - self.pinged_at > limits.pong_us:
+            return PeerFailure.SILENT
+        if now - self.heard_at > limits.ping_us and not self.pinged_at and not self.sent_close:
+            self.ping(now)
+        return None
+
+    def next_due(self, limits: Limits) -> int:
+        """When `check` has something to do without anything coming."""
+        ping_at = self.pinged_at + limits.pong_us if self.pinged_at else self.heard_at + limits.ping_us
+        stuck_at = self.full_since + limits.stuck_us if self.full_since else NEVER
+        return min(ping_at, stuck_at)
+
     @property
     def lost(self) -> bool:
         """Ended by the peer, or broken, and all that came has been read."""
-        return self.ear.over and not self.ear.waiting
+        return self.reader.over and not self.reader.unread
 
     def cut(self) -> None:
         """Ends it so that nothing more reaches the peer: unsent bytes are dropped here and in the kernel."""
@@ -132,11 +165,11 @@
                 pass
         self.writer.transport.abort()
 
-    def end(self, patience_s: float) -> None:
+    def end(self, timeout_s: float) -> None:
         """Ends it after what is unsent has gone out; a peer that does not read is not waited for longer
         than that."""
         transport = self.writer.transport
         if not transport.is_closing():
             transport.close()
         if transport.get_write_buffer_size():
-            asyncio.get_running_loop().call_later(patience_s, transport.abort)
+            asyncio.get_running_loop().call_later(timeout_s, transport.abort)
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -11,7 +11,8 @@
 from lapispass.core.facts import DrainTerms
 from lapispass.core.plans import Plan
 from lapispass.core.steering import Steering
-from lapispass.gate.ears import Ear, Wire
+from lapispass.gate.evented_reader import EventedProtocol, EventedReader
+from lapispass.gate.handshake import Handshake
 from lapispass.gate.limits import Limits
 from lapispass.gate.lone import Lone
 from lapispass.gate.tunnel import Tunnel
@@ -29,20 +30,20 @@
     """One gate. Embed it with `await Gate(source, seed).run()`; `stop()` ends that in order."""
 
     def __init__(self, source: Source, seed: int, limits: Limits | None = None) -> None:
-        told = source.told
-        if not told.HasField("gate"):
+        settings = source.told
+        if not settings.HasField("gate"):
             raise BadFile([source.at("gate", "missing: the file describes no gate")])
-        self.source, self.told = source, told.gate
-        self.limits = limits or Limits.told(told.gate)
+        self.source, self.settings = source, settings.gate
+        self.limits = limits or Limits.from_settings(settings.gate)
         self.clock, self.counters = Clock(), Counters()
         self.log = Part("gate", self.limits.log_every_us)
-        self.terms: DrainTerms = operator.drain_terms(told)
-        self.key_parameter = told.gate.key_parameter
-        self.classes = operator.classes(told)
-        lease = self.limits.lease_us if told.gate.controller else 0
+        self.terms: DrainTerms = operator.drain_terms(settings)
+        self.key_parameter = settings.gate.key_parameter
+        self.classes = operator.classes(settings)
+        lease = self.limits.lease_us if settings.gate.controller else 0
         self.steering = Steering(
             self.classes,
-            told.gate.slices,
+            settings.gate.slices,
             self.limits.connections,
             self.limits.new_per_s,
             self.limits.burst,
@@ -57,9 +58,9 @@
         self.server: Acceptor | None = None
         self.ended = asyncio.Event()
         self.address = ""
-        secret = operator.secret(told.gate.secret_file, source, "gate.secret_file")
-        self.uplink = Uplink(self, told.gate.controller, secret) if told.gate.controller else None
-        self.lone = None if told.gate.controller else Lone(self, source)
+        secret = operator.secret(settings.gate.secret_file, source, "gate.secret_file")
+        self.uplink = Uplink(self, settings.gate.controller, secret) if settings.gate.controller else None
+        self.lone = None if settings.gate.controller else Lone(self, source)
 
     # what tunnels call
 
@@ -67,12 +68,12 @@
         if (task := asyncio.current_task()) is not None:
             self.upgrading.discard(task)
 
-    def stands(self, tunnel: Tunnel) -> None:
+    def opened(self, tunnel: Tunnel) -> None:
         self.answered()
         self.tunnels[tunnel.held.number] = tunnel
         self.counters["screens.standing"] += 1
 
-    def parted(self, tunnel: Tunnel, answers: list[int]) -> None:
+    def closed(self, tunnel: Tunnel, answers: list[int]) -> None:
         self.tunnels.pop(tunnel.held.number, None)
         self.tell(answers)
 
@@ -112,7 +113,7 @@
     async def run(self) -> None:
         """Serves until `stop()`, then closes what it holds in order."""
         loop = asyncio.get_running_loop()
-        listener = await listener_in_time(self.told.listen, self.limits.backlog)
+        listener = await listener_in_time(self.settings.listen, self.limits.backlog)
         self.server = Acceptor(
             listener,
             self.take,
@@ -126,7 +127,7 @@
             loop.create_task(life)
             for life in (self.ticks(), self.ended.wait(), *([self.uplink.run()] if self.uplink else []))
         ]
-        self.log.say("listening", name=self.told.name, address=self.address, zone=self.told.zone)
+        self.log.say("listening", name=self.settings.name, address=self.address, zone=self.settings.zone)
         try:
             done, _ = await asyncio.wait(lives, return_when=asyncio.FIRST_COMPLETED)
             for life in done:
@@ -144,7 +145,7 @@
         self.ended.set()
 
     async def leave(self) -> None:
-        """Its own end: each screen gets a close frame with when to come back, and so does its node. Upgrades
+        """Its own end: each client gets a close frame with when to come back, and so does its node. Upgrades
         under way are refused."""
         now = self.clock.now()
         for task in self.upgrading:
@@ -162,28 +163,29 @@
 
     def take(self) -> asyncio.Protocol:
         """A connection that has come, before its first byte."""
-        return Wire(Ear(self.limits.read_bytes, asyncio.Event()), self.serve)
+        return EventedProtocol(EventedReader(self.limits.read_bytes, asyncio.Event()), self.serve)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """The task of one connection."""
         task = asyncio.current_task()
-        assert task is not None and isinstance(reader, Ear)
+        assert task is not None and isinstance(reader, EventedReader)
         self.counters["screens.came"] += 1
         self.tasks.add(task)
-        tunnel = Tunnel(self, reader, writer)
+        handshake = Handshake(self, reader, writer)
         try:
             if self.ended.is_set():  # accepted in the instant of the end
-                await tunnel.refuse_unread("the gate ends")
+                await handshake.refuse_unread("the gate ends")
                 return
             if len(self.upgrading) >= self.limits.shaking:  # Guards against never-ending handshakes.
                 self.counters["screens.crowded_out"] += 1
                 if len(self.tasks) - len(self.tunnels) <= 2 * self.limits.shaking:
-                    await tunnel.refuse_unread("too many upgrades at once")
+                    await handshake.refuse_unread("too many upgrades at once")
                 else:  # Guards descriptors: so many are being refused already.
                     writer.transport.abort()
                 return
             self.upgrading.add(task)
-            await tunnel.run()
+            if accepted := await handshake.run():
+                await Tunnel(self, reader, writer, accepted).run()
         except asyncio.CancelledError:
             writer.transport.abort()  # in order: the gate ends, and whoever has asked is answered
         except Exception:  # a fault of our own costs this connection, not the gate
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -1,69 +1,29 @@
-"""The life of one held connection, in one task: upgrade, passing on, moves, and its end in order."""
+"""The life of one held connection, in one task: passing on, moves, and its end in order."""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import dataclass
 from typing import Any, Protocol
-from urllib.parse import parse_qsl
 
-import h11
 from wsproto.events import CloseConnection, Event, Message, Ping, Pong
 
 from lapispass.core.admission import Refused
 from lapispass.core.connections import Held
-from lapispass.core.facts import NEVER, ConnectionClass
-from lapispass.core.steering import TRIES_MOST, Go, Unfit
-from lapispass.gate import upgrade
-from lapispass.gate.ears import Ear, connect
+from lapispass.core.facts import NEVER
+from lapispass.gate import close_codes
+from lapispass.gate.evented_reader import EventedReader
 from lapispass.gate.frames import Side
+from lapispass.gate.handshake import Accepted, return_us
 from lapispass.gate.host import GateHost
-from lapispass.gate.upgrade import BadUpgrade, Opening, Towards
-from lapispass.net.http import within
-from lapispass.net.streams import flush, has_input
+from lapispass.gate.move import Move, MoveFailed
 
-FIRST_PRIVATE_CODE = 3000  # of a close frame (RFC 6455 7.4.2)
 EVENTS_MOST = 64  # passed on from one side before the other one has its turn
-GOING = (1001, 1012, 1013)  # codes by which a node says that it leaves, restarts or is too busy
-PASSED_ON = {1000, 1001, 1002, 1003, 1007, 1008, 1009, 1010, 1011, 1012, 1013}
-
-
-class Refusal(Exception):
-    """The upgrade is answered with a status instead of a tunnel."""
-
-    def __init__(self, status: int, why: str, retry_after_us: int = 0) -> None:
-        super().__init__(why)
-        self.status, self.retry_after_us = status, retry_after_us
-
-
-class NothingAsked(Exception):
-    """The connection ends before its first byte: nobody waits for an answer on it."""
-
-
-class NoNode(Exception):
-    """A node did not take the upgrade; `final` where another node would say the same."""
-
-    def __init__(self, why: str, status: int = 502, retry_after_us: int = 0) -> None:
-        super().__init__(why)
-        self.status, self.retry_after_us = status, retry_after_us
-        self.final = 400 <= status < 500 and status not in (408, 425, 429)
-
-
-@dataclass(slots=True)
-class Move:
-    """To another node, make before break. Steps: opening, stopping, proving, quieting, parting."""
-
-    go: Go
-    opening: asyncio.Task[tuple[Side, str | None]]
-    step: str = "opening"
-    new: Side | None = None
-    token: int = 0
-    until: int = NEVER
 
 
 @dataclass(slots=True)
 class Ending:
-    """A close handshake: first with the screen ('screen'), then with the node ('node')."""
+    """A close handshake: first with the client ('client'), then with the node ('node')."""
 
     step: str
     until: int
@@ -72,15 +32,10 @@
 class TunnelHost(GateHost, Protocol):
     """What a connection needs of its gate."""
 
-    key_parameter: str
-
-    def answered(self) -> None:
-        """The task's upgrade has its final answer."""
-
-    def stands(self, tunnel: Tunnel) -> None:
+    def opened(self, tunnel: Tunnel) -> None:
         """The connection has its node."""
 
-    def parted(self, tunnel: Tunnel, answers: list[int]) -> None:
+    def closed(self, tunnel: Tunnel, answers: list[int]) -> None:
         """The connection has ended; marks that can be answered now."""
 
     def tell(self, answers: list[int]) -> None:
@@ -91,95 +46,54 @@
     """One connection. Its gate's steering decides; here bytes move."""
 
     __slots__ = (
+        "client",
         "clock",
         "deaf",
-        "ear",
         "ending",
         "gate",
-        "has_asked",
         "held",
         "how",
         "kept",
         "limits",
         "move",
         "node",
-        "opening",
+        "opener",
         "over",
-        "peer",
         "proof",
         "proof_until",
         "proof_written",
         "protocol",
         "release",
-        "screen",
         "wake",
-        "writer",
     )
 
-    def __init__(self, gate: TunnelHost, ear: Ear, writer: asyncio.StreamWriter) -> None:
-        self.gate, self.limits, self.clock = gate, gate.limits, gate.clock
-        self.ear, self.writer, self.wake = ear, writer, ear.wake
-        name = writer.get_extra_info("peername")
-        self.peer = str(name[0]) if name else "unknown"
-        self.screen: Side
-        self.node: Side | None = None
-        self.held: Held
-        self.protocol: str | None = None
+    def __init__(
+        self, gate: TunnelHost, reader: EventedReader, writer: asyncio.StreamWriter, accepted: Accepted
+    ) -> None:
+        self.gate, self.limits, self.clock, self.wake = gate, gate.limits, gate.clock, reader.wake
+        now = self.clock.now()
+        self.client = Side("screen", reader, writer, accepted.early, now, self.limits.buffer_bytes)
+        self.node: Side | None = accepted.node
+        self.protocol, self.opener = accepted.protocol, accepted.opener
+        self.held: Held = gate.steering.stand(now, accepted.kind, accepted.go, accepted.key)
         self.kept: Message[Any] | None = None  # a message that may not begin yet
         self.move: Move | None = None
         self.ending: Ending | None = None
         self.over, self.how = False, "broken"
-        self.has_asked = False  # whether a byte has come
         self.deaf = False  # closed by us: messages that may not be sent any more are thrown away
         self.release = ""  # 'move' or 'close', as the steering has asked
-        self.proof, self.proof_until, self.proof_written = (
-            0,
-            0,
-            0,
-        )  # a ping whose answer proves that the node has read all
+        self.proof = 0  # a ping whose answer proves that the node has read all
+        self.proof_until = 0
+        self.proof_written = 0
 
     async def run(self) -> None:
-        """From the first byte to the last."""
-        gate, state = self.gate, h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_bytes)
-        try:
-            self.opening = await self.shake(state)
-            kind, key = self.asked(self.opening)
-            go, self.node, self.protocol = await self.enter(kind, key)
-        except NothingAsked:
-            gate.counters["screens.never_asked"] += 1
-            self.writer.transport.abort()
-            return
-        except (Refusal, BadUpgrade) as error:
-            await self.refuse(state, error)
-            return
-        except (OSError, EOFError, h11.RemoteProtocolError) as error:
-            gate.counters["screens.unfit"] += 1
-            gate.log.rate_limited("no upgrade", peer=self.peer, why=error)
-            await self.refuse(state, BadUpgrade(400, "unreadable"))
-            return
-        except asyncio.CancelledError:  # the gate ends; who has asked is answered first
-            if self.has_asked or has_input(self.ear, self.writer):
-                await self.refuse(state, Refusal(503, "the gate ends", self.return_us()))
-            raise
-        if (
-            self.ear.over or self.writer.transport.is_closing()
-        ):  # the screen has gone while its node was opened
-            gate.steering.fail(go.node)
-            self.node.end(0.0)
-            gate.counters["screens.gone_early"] += 1
-            return
-        now = self.clock.now()
-        self.writer.write(upgrade.answer(state, self.opening, self.protocol))
-        self.screen = Side(
-            "screen", self.ear, self.writer, state.trailing_data[0], now, self.limits.buffer_bytes
-        )
-        self.held = gate.steering.stand(now, kind, go, key)
-        gate.stands(self)
+        """From the upgrade to the last byte."""
+        self.gate.opened(self)
         try:
             while not self.over:
                 self.wake.clear()
                 now = self.clock.now()
-                await self.hear_screen(now)
+                await self.hear_client(now)
                 await self.hear_node(now)
                 self.act(now)
                 if not self.over:
@@ -187,198 +101,44 @@
         finally:
             self.part()
 
-    # the upgrade
-
-    async def shake(self, state: h11.Connection) -> Opening:
-        """The whole head of an upgrade, in time."""
-        until = asyncio.get_running_loop().time() + self.limits.handshake_us / 1e6
-        while True:
-            event = state.next_event()
-            if event is h11.NEED_DATA:
-                state.receive_data(await self.piece_of_head(until))
-            elif isinstance(event, h11.Request):
-                opening = upgrade.read_opening(event)
-            elif isinstance(event, h11.EndOfMessage):
-                return opening
-            else:
-                raise BadUpgrade(400, "an upgrade has no body")
-
-    async def piece_of_head(self, until: float) -> bytes:
-        """The next bytes by this time of the loop's clock.
-
-        Guards against the timer that wins over what has come: where the process stood still, both are due in
-        the same round.
-        """
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout_at(until):
-                piece = await self.ear.take(self.limits.read_bytes)
-        except TimeoutError:
-            if not has_input(self.ear, self.writer):
-                raise self.head_is_late() from None
-            try:
-                async with asyncio.timeout_at(loop.time() + self.limits.flush_us / 1e6):
-                    piece = await self.ear.take(self.limits.read_bytes)
-            except TimeoutError:
-                raise self.head_is_late() from None
-        if not piece:
-            raise EOFError("ended before its head was whole") if self.has_asked else NothingAsked
-        self.has_asked = True
-        return piece
-
-    def head_is_late(self) -> Exception:
-        """Only who has begun to ask is told so."""
-        if not self.has_asked:
-            return NothingAsked()
-        return BadUpgrade(408, "the head of the upgrade did not come in time")
-
-    def asked(self, opening: Opening) -> tuple[ConnectionClass, str | None]:
-        """Its class and its key."""
-        kind = self.gate.steering.class_of(opening.path)
-        if kind is None:
-            raise Refusal(404, "no class has this path")
-        name = self.gate.key_parameter
-        keys = [value for key, value in parse_qsl(opening.target.partition("?")[2]) if name and key == name]
-        if len(keys) > 1 or (keys and len(keys[0]) > self.limits.key_bytes):
-            raise Refusal(400, f"{name} stands twice, or is too long")
-        return kind, keys[0] if keys and keys[0] else None
-
-    async def enter(self, kind: ConnectionClass, key: str | None) -> tuple[Go, Side, str | None]:
-        """A node that has taken the upgrade, or a `Refusal` with when to come back."""
-        steering, tried = self.gate.steering, []
-        choice = steering.arrive(self.clock.now(), kind, key)
-        while True:
-            if isinstance(choice, Unfit):
-                raise Refusal(400, choice.why)
-            if isinstance(choice, Refused):
-                raise Refusal(503, choice.why, choice.retry_after_us)
-            tried.append(choice.node)
-            try:
-                side, protocol = await self.open_node(choice)
-                return choice, side, protocol
-            except NoNode as error:
-                steering.fail(choice.node)
-                self.gate.counters["nodes.refused"] += 1
-                self.gate.log.rate_limited("node took no upgrade", node=choice.node, why=error)
-                now = self.clock.now()
-                if error.final:
-                    raise Refusal(error.status, str(error)) from None
-                if key is not None or len(tried) >= TRIES_MOST:
-                    wait = steering.admission.refused(now, "node took no upgrade", error.retry_after_us)
-                    raise Refusal(503, wait.why, wait.retry_after_us) from None
-                choice = steering.place(now, tried)  # nothing was held or written: another node may be asked
-            except BaseException:
-                steering.fail(choice.node)
-                raise
-
-    async def open_node(self, go: Go) -> tuple[Side, str | None]:
-        """A connection to a node that has answered 101, or `NoNode`."""
-        address = self.gate.steering.tables.nodes.get(go.node)
-        if address is None:
-            raise NoNode("its address is not known")
-        towards = Towards(self.opening, address.address, self.peer, self.limits.head_bytes)
-        writer = None
-        stands = False
-        try:
-            ear, writer = await within(
-                self.limits.connect_us,
-                connect(address.address, self.limits.read_bytes, self.wake),
-                self.limits.late_us,
-                lambda streams: streams[1].transport.abort(),
-            )
-            writer.write(towards.ask())
-            waited = answer_of(towards, ear, self.limits.read_bytes)
-            answer = await within(self.limits.upgrade_us, waited, self.limits.late_us)
-            if answer.status != 101:
-                raise NoNode(answer.why, answer.status, answer.retry_after_us)
-            stands = True
-            side = Side("node", ear, writer, answer.early, self.clock.now(), self.limits.buffer_bytes)
-            return side, answer.protocol
-        except (OSError, EOFError, h11.RemoteProtocolError, h11.LocalProtocolError) as error:
-            raise NoNode(f"{type(error).__name__} {error}") from None
-        finally:
-            if writer is not None and not stands:
-                writer.transport.abort()
-
-    async def refuse(self, state: h11.Connection, error: Refusal | BadUpgrade) -> None:
-        """Answered at once, with when to come back where that is of use."""
-        self.gate.answered()
-        self.gate.counters[f"screens.refused_{error.status}"] += 1
-        headers = error.headers if isinstance(error, BadUpgrade) else ()
-        wait = error.retry_after_us if isinstance(error, Refusal) else 0
-        try:
-            self.writer.write(upgrade.refuse(state, error.status, str(error), headers, wait))
-            self.writer.write_eof()
-            # Guards the answer: closed with bytes unread, the kernel would reset the connection, and what
-            # is on its way be lost (RFC 9112 9.6). What still comes is thrown away, for a while.
-            async with asyncio.timeout(self.limits.close_us / 1e6):
-                for _ in range(EVENTS_MOST):
-                    if not await self.ear.take(self.limits.read_bytes):
-                        break
-        except (h11.LocalProtocolError, OSError):
-            pass  # what came was no HTTP, or it is gone: nothing can be answered to it
-        await flush(self.writer, self.limits.flush_us)
-        self.writer.transport.abort()
-
-    async def refuse_unread(self, why: str) -> None:
-        """Refuses it before it is read; who asks nothing within a moment is closed without a word."""
-        if not await self.asks_soon():
-            self.gate.counters["screens.never_asked"] += 1
-            self.writer.transport.abort()
-            return
-        await self.refuse(h11.Connection(h11.SERVER), Refusal(503, why, self.return_us()))
-
-    async def asks_soon(self) -> bool:
-        """Whether something comes within `Limits.flush_us`; it stays unread."""
-        until = self.clock.now() + self.limits.flush_us
-        while not has_input(self.ear, self.writer):
-            if self.ear.over or self.clock.now() >= until:
-                return False
-            await asyncio.sleep(self.limits.tick_us / 1e6 / 10)
-        return True
-
-    def return_us(self) -> int:
-        """When it may come back, counted from now: others are given other times."""
-        return self.gate.steering.returns.delay_us(self.clock.now())
-
     # passing on
 
-    async def hear_screen(self, now: int) -> None:
-        """What the screen sends goes to the node, as far as the node reads and the table lets it."""
-        screen = self.screen
+    async def hear_client(self, now: int) -> None:
+        """What the client sends goes to the node, as far as the node reads and the table lets it."""
+        client = self.client
         for _ in range(EVENTS_MOST):
             if self.over or (self.node is not None and self.node.full):
                 return
-            event: Event | None = self.kept or screen.event()
+            event: Event | None = self.kept or client.event()
             if event is None:
-                if screen.ear.waiting and not screen.got_close:
-                    screen.take_in(await screen.ear.take(self.limits.read_bytes), now)
+                if client.reader.unread and not client.got_close:
+                    client.take_in(await client.reader.read(self.limits.read_bytes), now)
                     continue
-                if screen.lost and not screen.got_close:
-                    self.screen_lost(now)
+                if client.lost and not client.got_close:
+                    self.client_lost(now)
                 return
             match event:
                 case Message():
-                    if self.deaf or (self.ending and not screen.inside and not self.may_begin(now)):
-                        # Guards the close: behind a message that goes nowhere any more the screen's own close
-                        # would never be read. The screen has been told, and knows that it was not taken.
+                    if self.deaf or (self.ending and not client.inside and not self.may_begin(now)):
+                        # Guards the close: behind a message that goes nowhere any more the client's own close
+                        # would never be read. The client has been told, and knows that it was not taken.
                         self.deaf, self.kept, self.held.waiting = True, None, False
                         continue
-                    if not screen.inside and not self.may_begin(now):
+                    if not client.inside and not self.may_begin(now):
                         self.kept, self.held.waiting = event, True
                         return
                     self.kept, self.held.waiting = None, False
-                    self.from_screen(event, now)
+                    self.from_client(event, now)
                 case Ping():
-                    screen.send(event.response())
+                    client.send(event.response())
                 case Pong():
-                    screen.ponged(event)
+                    client.ponged(event)
                 case CloseConnection(code=code, reason=reason):
-                    self.screen_closed(int(code), reason, now)
+                    self.client_closed(int(code), reason, now)
         self.wake.set()  # there may be more
 
     def may_begin(self, now: int) -> bool:
-        """Whether a message of the screen may begin on its way, by the table and by a move under way."""
+        """Whether a message of the client may begin on its way, by the table and by a move under way."""
         between = self.move is not None and (self.move.step != "opening" or self.node is None)
         return (
             self.node is not None
@@ -387,31 +147,31 @@
             and (self.gate.steering.may_write(now, self.held))
         )
 
-    def from_screen(self, event: Message[Any], now: int) -> None:
+    def from_client(self, event: Message[Any], now: int) -> None:
         """A message or a piece of it; where it began is where it ends."""
-        screen, node = self.screen, self.node
-        screen.size += len(event.data)
-        if screen.size > self.limits.message_bytes:
+        client, node = self.client, self.node
+        client.size += len(event.data)
+        if client.size > self.limits.message_bytes:
             self.close(1009, "message too long", now)
             return
-        screen.inside = not event.message_finished
+        client.inside = not event.message_finished
         if event.message_finished:
-            screen.size = 0
-        self.held.inside = screen.inside
+            client.size = 0
+        self.held.inside = client.inside
         if node is not None and node.pass_on(event):
             self.gate.steering.wrote(now, self.held, len(event.data))
             self.gate.counters["messages.up"] += event.message_finished
 
     async def hear_node(self, now: int) -> None:
-        """What the node sends goes to the screen."""
+        """What the node sends goes to the client."""
         node = self.node
         for _ in range(EVENTS_MOST):
-            if self.over or node is None or node is not self.node or self.screen.full:
+            if self.over or node is None or node is not self.node or self.client.full:
                 return
             event = node.event()
             if event is None:
-                if node.ear.waiting and not node.got_close:
-                    node.take_in(await node.ear.take(self.limits.read_bytes), now)
+                if node.reader.unread and not node.got_close:
+                    node.take_in(await node.reader.read(self.limits.read_bytes), now)
                     continue
                 if node.lost and not node.got_close:
                     self.node_lost("ended without a close", now)
@@ -425,7 +185,7 @@
                     node.inside = not event.message_finished
                     if event.message_finished:
                         node.size = 0
-                    self.screen.pass_on(event)
+                    self.client.pass_on(event)
                     self.held.last_us = now
                     self.held.messages += 1
                     self.held.octets += len(event.data)
@@ -440,14 +200,14 @@
 
     # ends of either side
 
-    def screen_closed(self, code: int, reason: str | None, now: int) -> None:
+    def client_closed(self, code: int, reason: str | None, now: int) -> None:
         """Its close is answered, and told to the node. A junk frame shows as a close, too, with its code."""
-        self.screen.close(code if code in PASSED_ON or 3000 <= code < 5000 else 1000)
+        self.client.close(close_codes.forwarded(code, 1000))
         if self.ending is None:
-            self.how = "screen closed" if code not in (1002, 1007) else "screen sent junk"
-        self.close_node(code if code in PASSED_ON or 3000 <= code < 5000 else 1000, now)
+            self.how = "screen closed" if code not in close_codes.PROTOCOL_ERRORS else "screen sent junk"
+        self.close_node(close_codes.forwarded(code, 1000), now)
 
-    def screen_lost(self, now: int) -> None:
+    def client_lost(self, now: int) -> None:
         if self.ending is None:
             self.how = "screen lost"
         self.close_node(1001, now)
@@ -465,19 +225,19 @@
         """A node's close frame; having sent it, the node has read what it was going to read."""
         node = self.node
         assert node is not None
-        node.close(code if code in PASSED_ON or 3000 <= code < 5000 else 1000)
+        node.close(close_codes.forwarded(code, 1000))
         if self.ending is not None and self.ending.step == "node":
             self.proven()
             self.over = True
         elif self.move is not None and self.move.step == "parting":
             self.switch(now)
-        elif code in GOING:
+        elif code in close_codes.LEAVING:
             self.node_lost(f"closed with {code}", now)
         else:
             self.how = "node closed"
             self.node = None
             node.end(self.limits.close_us / 1e6)
-            code = code if code in PASSED_ON or 3000 <= code < 5000 else 1011 if code != 1005 else 1000
+            code = close_codes.forwarded(code, 1000 if code == close_codes.NONE else 1011)
             self.close(code, reason or "", now)
 
     def node_lost(self, why: str, now: int) -> None:
@@ -517,52 +277,57 @@
         """Orders, proofs, moves and times that have come."""
         if self.over:
             return
-        limits, screen, node = self.limits, self.screen, self.node
-        if self.release and self.move is None and self.ending is None:
-            how, self.release = self.release, ""
-            if how == "move" and node is not None:
-                self.begin_move(now)
-            elif how == "close":
-                self.how = "closed in order"
-                self.close_for_later(1012, now)
-        if self.proof_until and node is not None:
-            self.prove(node, now)
+        self.follow_release(now)
+        self.look_at_move(now)
+        if not self.over:
+            self.check_sides(now)
+        if not self.over:
+            self.check_times(now)
+
+    def follow_release(self, now: int) -> None:
+        """Moves or closes, as the steering has asked."""
+        if not self.release or self.move is not None or self.ending is not None:
+            return
+        how, self.release = self.release, ""
+        if how == "move" and self.node is not None:
+            self.begin_move(now)
+        elif how == "close":
+            self.how = "closed in order"
+            self.close_for_later(1012, now)
+
+    def look_at_move(self, now: int) -> None:
+        """What a node was asked to prove, and the move under way."""
+        if self.proof_until and self.node is not None:
+            self.prove(self.node, now)
         if self.move is not None:
             self.go_on_moving(self.move, now)
-        if self.over:
-            return
-        for side in (screen, self.node):
-            if side is None:
+
+    def check_sides(self, now: int) -> None:
+        """Pings who is silent, and ends who does not read or answer."""
+        for side in (self.client, self.node):
+            if side is None or self.over:
                 continue
-            side.watch(now)
-            if side.full_since and now - side.full_since > limits.stuck_us:
-                self.gate.counters[f"{side.name}s.stuck"] += 1
-                self.lose(side, "never reads", now)
-            elif side.pinged_at and now - side.pinged_at > limits.pong_us:
-                self.gate.counters[f"{side.name}s.silent"] += 1
-                self.lose(side, "answers no ping", now)
-            elif now - side.heard_at > limits.ping_us and not side.pinged_at and not side.sent_close:
-                side.ping(now)
-            if self.over:
-                return
-        if (
-            limits.idle_us
-            and now - self.held.last_us > limits.idle_us
-            and self.ending is None
-            and self.move is None
-        ):
+            if (failure := side.check(now, self.limits)) is not None:
+                self.gate.counters[f"{side.name}s.{failure.name.lower()}"] += 1
+                self.lose(side, failure, now)
+
+    def check_times(self, now: int) -> None:
+        """The idle time-out, and the bound of a close handshake."""
+        idle_us, idle_for = self.limits.idle_us, now - self.held.last_us
+        if idle_us and idle_for > idle_us and self.ending is None and self.move is None:
             self.how = "idle"
             self.close(1000, "idle", now)
-        if self.ending is not None and now >= self.ending.until:
-            if self.ending.step == "screen":  # it does not answer the close: its node is told all the same
-                self.gate.counters["screens.close_unanswered"] += 1
-                self.close_node(1001, now)
-            else:
-                self.over = True
+        if self.ending is None or now < self.ending.until:
+            return
+        if self.ending.step == "client":  # it does not answer the close: its node is told all the same
+            self.gate.counters["screens.close_unanswered"] += 1
+            self.close_node(1001, now)
+        else:
+            self.over = True
 
     def lose(self, side: Side, why: str, now: int) -> None:
         """A peer that does not read or answer counts as gone."""
-        if side is self.screen:
+        if side is self.client:
             side.writer.transport.abort()
             self.how = f"screen {why}"
             self.close_node(1001, now)
@@ -602,48 +367,34 @@
             self.gate.steering.stay(self.held)
             return
         self.gate.steering.leave(self.held)
-        opening = asyncio.get_running_loop().create_task(self.open_node(target))
+        opening = asyncio.get_running_loop().create_task(self.opener.open(target))
         opening.add_done_callback(lambda _: self.wake.set())
         self.move = Move(target, opening)
 
     def go_on_moving(self, move: Move, now: int) -> None:
         """One step after the other; each has a bound in time."""
-        held, node, limits = self.held, self.node, self.limits
+        held, limits = self.held, self.limits
         if move.step == "opening":
-            if not move.opening.done():
-                return
             try:
-                move.new, protocol = move.opening.result()
-            except (NoNode, asyncio.CancelledError) as error:
-                self.move_failed(f"{error}", now)
-                return
-            if protocol != self.protocol:  # the screen has been promised another one
-                self.move_failed(f"subprotocol {protocol!r} in place of {self.protocol!r}", now)
+                if not move.take_opened(self.protocol, now + limits.fence_us):
+                    return
+            except MoveFailed as error:
+                self.move_failed(str(error), now)
                 return
-            move.step, move.until = "stopping", now + limits.fence_us
-            if node is None:
+            if self.node is None:
                 self.switch(now)
                 return
-        if node is None:
+        if self.node is None:
             return
-        if move.step == "stopping" and not held.inside:
-            move.step, move.token = "proving", node.ping(now)
-        if move.step == "proving" and node.got_tokens >= move.token:
+        if move.prove(self.node, held, now, limits):
             self.proven()
-            move.step, move.until = "quieting", now + limits.fence_us
-        if (
-            move.step == "quieting"
-            and not node.inside
-            and (now - held.last_us >= limits.quiet_us or now >= move.until)
-        ):
-            node.close(1000, "moved")
-            move.step, move.until = "parting", now + limits.close_us
+        move.close_when_quiet(self.node, held, now, limits)
         if now >= move.until:
             self.gate.counters["moves.broken"] += 1
             self.node_lost(f"a move came to nothing while {move.step}", now)
 
     def move_failed(self, why: str, now: int) -> None:
-        """The new node did not take it; the old one goes on, or, if there is none, the screen is sent
+        """The new node did not take it; the old one goes on, or, if there is none, the client is sent
         away."""
         assert self.move is not None
         self.gate.counters["moves.failed"] += 1
@@ -659,11 +410,7 @@
         if self.move is None:
             return
         move, self.move = self.move, None
-        move.opening.cancel()
-        if move.opening.done() and not move.opening.cancelled() and move.opening.exception() is None:
-            move.opening.result()[0].cut()
-        else:
-            move.opening.add_done_callback(cut_late)
+        move.abandon()
         self.gate.steering.fail(move.go.node)
         self.gate.steering.stay(self.held)
 
@@ -680,21 +427,20 @@
         self.wake.set()
 
     def close(self, code: int, reason: str, now: int) -> None:
-        """In order: first the screen, whose last messages still go to the node, then the node."""
+        """In order: first the client, whose last messages still go to the node, then the node."""
         if self.ending is not None:
             return
         self.drop_move()
         self.gate.steering.leave(self.held)
-        if not self.screen.close(code, reason):
+        if not self.client.close(code, reason):
             self.close_node(1001, now)
             return
-        kind = str(code) if code < FIRST_PRIVATE_CODE else "private"  # a node may choose any of 2000 codes
-        self.gate.counters[f"screens.closed_{kind}"] += 1
-        self.ending = Ending("screen", now + self.limits.close_us)
+        self.gate.counters[f"screens.closed_{close_codes.label(code)}"] += 1
+        self.ending = Ending("client", now + self.limits.close_us)
 
     def close_for_later(self, code: int, now: int) -> None:
-        """With when to come back: screens that are closed together are given different times."""
-        wait_us = self.return_us()
+        """With when to come back: clients that are closed together are given different times."""
+        wait_us = return_us(self.gate)
         self.close(code, f"come-back-ms={wait_us // 1000}", now)
 
     # waiting, and the end
@@ -714,12 +460,9 @@
     def next_due(self, now: int) -> int:
         """The earliest time at which something has to be done without anything coming."""
         limits, due = self.limits, now + self.limits.ping_us
-        for side in (self.screen, self.node):
+        for side in (self.client, self.node):
             if side is not None:
-                due = min(
-                    due, side.pinged_at + limits.pong_us if side.pinged_at else side.heard_at + limits.ping_us
-                )
-                due = min(due, side.full_since + limits.stuck_us if side.full_since else NEVER)
+                due = min(due, side.next_due(limits))
         if limits.idle_us:
             due = min(due, self.held.last_us + limits.idle_us)
         if self.proof_until:
@@ -727,8 +470,7 @@
         if self.ending is not None:
             due = min(due, self.ending.until)
         if self.move is not None:
-            quiet = self.held.last_us + limits.quiet_us if self.move.step == "quieting" else NEVER
-            due = min(due, self.move.until, quiet)
+            due = min(due, self.move.next_due(self.held, limits))
         return max(due, now + 1000)
 
     def part(self) -> None:
@@ -741,25 +483,9 @@
             else:
                 # Guards rule 2: no byte of an older table is sent by the kernel behind our back.
                 self.node.cut()
-        if self.screen.sent_close or self.screen.got_close:
-            self.screen.end(limits.close_us / 1e6)
+        if self.client.sent_close or self.client.got_close:
+            self.client.end(limits.close_us / 1e6)
         else:
-            self.screen.writer.transport.abort()
+            self.client.writer.transport.abort()
         self.gate.counters[f"ended.{self.how.replace(' ', '_')}"] += 1
-        self.gate.parted(self, steering.gone(self.held))
-
-
-async def answer_of(towards: Towards, ear: Ear, read_bytes: int) -> upgrade.Answer:
-    """A node's whole answer to an upgrade."""
-    while True:
-        piece = await ear.take(read_bytes)
-        if (answer := towards.read(piece)) is not None:
-            return answer
-        if not piece:
-            raise EOFError("ended")
-
-
-def cut_late(opening: asyncio.Task[tuple[Side, str | None]]) -> None:
-    """A connection that a move no longer wants; whatever became of it has been heard."""
-    if not opening.cancelled() and opening.exception() is None:
-        opening.result()[0].cut()
+        self.gate.closed(self, steering.gone(self.held))
--- a/lapispass/gate/upgrade.py
+++ b/lapispass/gate/upgrade.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Opening:
-    """An upgrade as a screen asked for it."""
+    """An upgrade as a client asked for it."""
 
     target: str
     key: bytes
@@ -140,7 +140,7 @@
     return out + (state.send(h11.Data(data=body)) or b"") + (state.send(h11.EndOfMessage()) or b"")
 
 
-class Towards:
+class NodeHandshake:
     """The handshake with a node: the same target and headers, a key of its own."""
 
     def __init__(self, opening: Opening, address: str, peer: str, head_bytes: int) -> None:
--- a/lapispass/gate/uplink.py
+++ b/lapispass/gate/uplink.py
@@ -6,9 +6,8 @@
 import asyncio
 import secrets
 
-import msgspec
-
 from lapispass.gate import wire
+from lapispass.gate.channel import STREAM_ENDS, read_line
 from lapispass.gate.host import TableHost
 from lapispass.net.http import split, within
 
@@ -32,13 +31,7 @@
             begun = gate.clock.now()
             try:
                 await self.join()
-            except (
-                OSError,
-                EOFError,
-                ValueError,
-                msgspec.MsgspecError,
-                asyncio.IncompleteReadError,
-            ) as error:
+            except STREAM_ENDS as error:
                 gate.counters["uplink.lost"] += 1
                 gate.log.rate_limited(
                     "no controller", address=self.address, why=f"{type(error).__name__} {error}"
@@ -67,15 +60,16 @@
             lambda streams: streams[1].transport.abort(),
         )
         try:
+            deadline = gate.clock.now() + limits.connect_us  # for both messages of the handshake
             challenge = await self.hear(reader, limits.connect_us)
             if not isinstance(challenge, wire.Challenge) or challenge.protocol != wire.PROTOCOL:
                 raise ValueError("it speaks another protocol")
             nonce, now = secrets.token_hex(16), gate.clock.now()
-            steering, name = gate.steering, gate.told.name
+            steering, name = gate.steering, gate.settings.name
             hello = wire.hello(
                 name,
                 self.boot,
-                gate.told.zone,
+                gate.settings.zone,
                 nonce,
                 wire.proof(self.secret, challenge.nonce, name),
                 steering.tables,
@@ -83,7 +77,7 @@
                 steering.drains(now),
             )
             writer.write(wire.line(hello))
-            welcome = await self.hear(reader, limits.connect_us)
+            welcome = await self.hear(reader, deadline - gate.clock.now())
             if isinstance(welcome, wire.Refusal):
                 raise ValueError(f"refused: {welcome.why}")
             if not isinstance(welcome, wire.Welcome) or not wire.proven(
@@ -108,10 +102,8 @@
             writer.transport.abort()
 
     async def hear(self, reader: asyncio.StreamReader, wait_us: int) -> wire.FromController:
-        """The next message; a line without end is a ValueError. What has come while the process stood still
-        is read before the controller is given up."""
-        line = await within(wait_us, reader.readuntil(b"\n"), self.gate.limits.late_us)
-        return wire.CONTROLLER.decode(line)
+        """The next message."""
+        return wire.CONTROLLER.decode(await read_line(reader, wait_us, self.gate.limits.late_us))
 
     def take(self, message: wire.FromController) -> None:
         """What the controller says; a plan that makes no sense is refused whole, by name."""
