Clients that ask without a pause leave others their turn; a cut message has time of its own

Two faults in the same few lines of the listening side, found by tests that force the order of events (tests/test_prompt_answers.py): 1. Cause: a read took up to 64 KiB of requests and handled them with one send(2) each, and as long as its buffer held more the task went on without letting the loop run. Now a client that has not joined has 4 KiB handled at a time, its answers are one write, and other connections have their turn in between. 2. Callers saw: NACK and a close 2 s after the first of several messages, each whole within 0.2 s, where each segment ends one and begins the next. Cause: begun_at stayed at the first one. Now it follows the last message that ended.

--- a/lapispass/net/client_connection.py
+++ b/lapispass/net/client_connection.py
@@ -11,6 +11,8 @@
 from lapispass.net.lines import Lines
 from lapispass.net.streams import read_arrived, unread
 
+ANSWER = b"PONG\r\n"
+
 
 class CloseReason(StrEnum):
     """Why a connection ended. The names are those of the counters, the values those of the log."""
@@ -46,7 +48,8 @@
         self.lines = Lines(limits.message_bytes)
         self.zone: str | None = None  # once it has joined
         self.unreadable = 0  # lines since the last sound one
-        self.pings = 0  # asked, and answered
+        self.pings = 0  # asked
+        self.unanswered = 0  # of these
         self.opened_at = self.heard_at = self.begun_at = self.loop.time()
         self.closing: CloseReason | None = None  # why it is to end as soon as what has come is answered
         self.expired = False  # its time was over once, and what had come then was read
@@ -58,6 +61,11 @@
         """Whether a message comes in pieces."""
         return bool(self.lines.rest)
 
+    @property
+    def most_bytes(self) -> int:
+        """How much is read and handled at a time, until other connections have their turn."""
+        return self.limits.turn_bytes if self.zone is None else self.limits.read_bytes
+
     def silent_us(self) -> int:
         """For how long nothing has come."""
         return int((self.loop.time() - self.heard_at) * 1e6)
@@ -93,7 +101,7 @@
         try:
             async with waiting:
                 self.waiting = waiting
-                piece = await self.reader.read(self.limits.read_bytes)
+                piece = await self.reader.read(self.most_bytes)
         except TimeoutError:
             if not waiting.expired():
                 raise  # the connection's own (ETIMEDOUT)
@@ -111,13 +119,12 @@
         """
         if not self.expired:
             self.expired = True
-            limits = self.limits
-            piece = await read_arrived(self.reader, self.writer, limits.read_bytes, limits.late_us)
+            piece = await read_arrived(self.reader, self.writer, self.most_bytes, self.limits.late_us)
             if piece is not None:
                 return piece
         self.writer.transport.pause_reading()  # type: ignore[attr-defined]
         if unread(self.reader):
-            return await self.reader.read(self.limits.read_bytes)
+            return await self.reader.read(self.most_bytes)
         raise Ended(self.reason())
 
     def end_soon(self, reason: CloseReason) -> None:
@@ -130,10 +137,21 @@
                 self.waiting.reschedule(self.loop.time())
 
     def asked(self) -> None:
-        """A PING: it is answered, and the connection may be idle."""
+        """A PING: it is to be answered, and the connection may be idle."""
         self.pings += 1
+        self.unanswered += 1
         self.expired = self.closing is not None
-        self.writer.write(b"PONG\r\n")
+
+    def answer(self) -> None:
+        """Answers what was asked, by one write: one for each costs a system call, and others their time."""
+        if self.unanswered:
+            self.writer.write(ANSWER * self.unanswered)
+            self.unanswered = 0
+
+    def message_begins(self) -> None:
+        """The message that comes now, if any, has begun with the last bytes; the first one has the time from
+        connecting on."""
+        self.begun_at = self.heard_at if self.pings else self.opened_at
 
     def since_last_data_us(self) -> int | None:
         """How long ago its last bytes came to this machine; None where the system does not tell."""
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -21,7 +21,7 @@
 from lapispass.net.limits import Limits
 from lapispass.net.lines import TooLong
 from lapispass.net.log import Part
-from lapispass.net.streams import flush
+from lapispass.net.streams import flush, unread
 
 # What no line of this wire holds. A spoilt report is still text; behind such bytes no message begins
 # anywhere.
@@ -132,6 +132,8 @@
                 if connection.pings > answered:
                     self.note_answer(connection)
                 await self.let_it_read(connection)
+                if unread(connection.reader):  # else the next read waits
+                    await asyncio.sleep(0)
         except Ended as end:
             return end
         except TooLong:
@@ -180,12 +182,16 @@
 
     def take_piece(self, piece: bytes, connection: ClientConnection) -> None:
         """Handles the lines that a piece ends."""
-        lines = connection.lines
-        if not lines.rest:
-            connection.begun_at = connection.heard_at if connection.pings else connection.opened_at
+        begins = not connection.unfinished
         odd = ODD.search(piece)
-        for line in lines.cut(memoryview(piece)[: odd.start()] if odd else piece):
-            self.take(line, connection)
+        try:
+            for line in connection.lines.cut(memoryview(piece)[: odd.start()] if odd else piece):
+                begins = True
+                self.take(line, connection)
+        finally:
+            connection.answer()
+        if begins:
+            connection.message_begins()
         if odd:
             raise Ended(CloseReason.UNREADABLE, f"byte {odd[0][0]}, which no message holds")
 
