Soaks take a process for ready once it answers, as the platform does

Cause: the judge waited for the log's line 'listening'. Steady writes a line only if that can be done at once; what fails waits for the next line, which may come 10 s later.

A time-out in says() now tells log and faults.

--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -135,16 +135,39 @@
         self.lines: list[str] = []
 
     async def says(self, words: str, after: int = 0, limit_s: float = 10) -> str:
-        """The first line of the log, from this one on, that holds the words."""
+        """The first line of the log, from this one on, that holds the words; a TimeoutError tells the log."""
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._next_line(words, after)
+        except TimeoutError:
+            told = [f"not said within {limit_s} s: {words}", *self.faults.standing(), "the log:", *self.lines]
+            raise TimeoutError("\n".join(told)) from None
+
+    async def _next_line(self, words: str, after: int) -> str:
+        while True:
+            for line in self.lines[after:]:
+                if words in line:
+                    return line
+            after = len(self.lines)
+            line = await self.process.stderr.readline()
+            assert line, "\n".join(["the process has ended:", *self.lines])
+            self.lines.append(line.decode().rstrip("\n"))
+
+    async def answers(self, limit_s: float = 10) -> None:
+        """Waits for its first answer, after which the platform puts a controller to use."""
         async with asyncio.timeout(limit_s):
-            while True:
-                for line in self.lines[after:]:
-                    if words in line:
-                        return line
-                after = len(self.lines)
-                line = await self.process.stderr.readline()
-                assert line, "\n".join(["the process has ended:", *self.lines])
-                self.lines.append(line.decode().rstrip("\n"))
+            while self.process.returncode is None:
+                try:
+                    reader, writer = await self.connect()
+                    writer.write(b"PING\r\n")
+                    answer = await reader.read(100)
+                    writer.close()
+                except OSError:
+                    answer = b""
+                if answer:
+                    return
+                await asyncio.sleep(0.01)
+        raise AssertionError(f"the process has ended with status {self.process.returncode}")
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection(*self.address)
@@ -170,10 +193,13 @@
     arguments: Sequence[str],
     faults: Faults,
     address: tuple[str, int],
-    ready: str,
+    ready: str | None,
     environment: Mapping[str, str],
 ) -> AsyncIterator[Controller]:
-    """`python -m lapispass` with these arguments, once its log holds `ready`; killed if it still runs."""
+    """`python -m lapispass` with these arguments, killed if it still runs.
+
+    It is ready once its log holds `ready`, or for None once it has answered a PING.
+    """
     child = await asyncio.create_subprocess_exec(
         *(sys.executable, "-B", "-m", "lapispass", *arguments),
         env={
@@ -186,7 +212,10 @@
     )
     running = Controller(child, faults, address)
     try:
-        await running.says(ready)
+        if ready is None:
+            await running.answers()
+        else:
+            await running.says(ready)
         yield running
     finally:
         if child.returncode is None:
@@ -215,8 +244,12 @@
     environment: Mapping[str, str] | None = None,
     address: tuple[str, int] | None = None,
     limits: Mapping[str, int] | None = None,
+    ready: str | None = "event=listening",
 ) -> AsyncIterator[Controller]:
-    """The platform's controller, with its stand-ins."""
+    """The platform's controller, with its stand-ins.
+
+    Where writes to the log's pipe fail at the start, `ready` has to be None: a line may not come then.
+    """
     faults = faults or Faults(folder / "faults")
     address = address or free_address()
     async with relay or Relay() as store, book or Book() as registry:
@@ -233,7 +266,7 @@
         path = folder / "config.json"
         path.write_text(json.dumps(config))
         told = {"LB_CONFIG": str(path), **(environment or {})}
-        async with process((), faults, address, "event=listening", told) as running:
+        async with process((), faults, address, ready, told) as running:
             yield running
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -341,7 +341,7 @@
     due_s = CROWD_DUE_S if is_crowded else DUE_S
     for _ in range(2):
         begun = time.monotonic()
-        async with controller(folder, faults=faults, address=address) as running:
+        async with controller(folder, faults=faults, address=address, ready=None) as running:
             if time.monotonic() - begun > READY_S:
                 verdict.breaches.append(f"ready after {time.monotonic() - begun:.1f} s")
             await life(Day(running, chance, verdict, is_crowded, due_s=due_s))
--- a/tests/two_controllers.py
+++ b/tests/two_controllers.py
@@ -211,11 +211,14 @@
                     relay=nullcontext(self.proxies),  # type: ignore[arg-type]
                     book=nullcontext(self.fleet.registry),  # type: ignore[arg-type]
                     address=self.address,
+                    ready=None,
                 ) as running:
                     if loop.time() - begun > READY_S:
                         self.verdict.breaches.append(f"ready after {loop.time() - begun:.1f} s")
                     await self.one_life(running, life_s)
                     self.keep_log(running, number)
+        except (TimeoutError, AssertionError) as error:  # it never came to be ready
+            self.verdict.breaches.append(f"{self.folder.name}: no start: {error}")
         finally:
             self.collectors.stop()
             await asyncio.gather(*self.collectors.lives, return_exceptions=True)
