--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,12 +6,15 @@
 import logging
 from collections.abc import Iterator
 
+import async_tests
 import known_red
 import pytest
 
 
 def pytest_configure(config: pytest.Config) -> None:
-    """The tests in `KNOWN-RED.txt` may fail; see `known_red.py`."""
+    """`async_tests.py` runs coroutine tests; those in `KNOWN-RED.txt` may fail, see `known_red.py`."""
+    config.addinivalue_line("markers", "time_limit(seconds): how long a coroutine test may take")
+    config.pluginmanager.register(async_tests, "async-tests")
     if listed := known_red.read(config.rootpath / known_red.FILE):
         config.pluginmanager.register(known_red.KnownRed(listed), "known-red")
 
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -15,6 +15,7 @@
 from urllib.parse import parse_qs
 
 import h11
+from async_tests import play, running, until  # noqa: F401 - for tests
 from fleet import MS, deployment
 
 from lapispass import interface
@@ -56,28 +57,6 @@
 NOTHING = Listing(0, False, (), {}, 0)
 
 
-def play(test: Coroutine[Any, Any, None], limit_s: float = 20) -> None:
-    """A test's life; it leaves no task behind."""
-
-    async def whole() -> None:
-        await asyncio.wait_for(test, limit_s)
-        left = asyncio.all_tasks() - {asyncio.current_task()}
-        if left:  # ended by the test: they may need a round to be gone
-            await asyncio.wait(left, timeout=1)
-        pending = [task for task in left if not task.done()]
-        assert not pending, pending
-
-    asyncio.run(whole())
-
-
-async def until(true: Callable[[], Any]) -> None:
-    for _ in range(2000):
-        if true():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("it never came to that")
-
-
 class Party:
     """A server on loopback; `meet` is the life of a connection, after which it is closed or reset."""
 
@@ -218,16 +197,6 @@
         writer.write(state.send(h11.Data(data=f"event: {kind}\r\ndata: {data}\r\n\r\n".encode())))
 
 
-@asynccontextmanager
-async def running(life: Coroutine[Any, Any, Any]):
-    task = asyncio.create_task(life)
-    try:
-        yield task
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
 STANDS = [
     ("SUBSCRIBE", "node=0&locality=a&w=1&cold=1"),
     ("SUBSCRIBE", "node=1&locality=a&w=1&cold=0"),
--- a/tests/support_gate.py
+++ b/tests/support_gate.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+from async_tests import until
+
 from lapispass.cli.fronts import attach, joined
 from lapispass.core.tables import slice_of
 from lapispass.gate.desk import Desk
 from lapispass.gate.limits import Limits
 from lapispass.gate.service import Gate
+from lapispass.gate.upgrade import accept_of
 from lapispass.interface import Deployment, VisitClass
 from lapispass.net import limits as net
 from lapispass.net.codec import Listing
@@ -55,12 +58,18 @@
     asyncio.run(asyncio.wait_for(test, limit_s))
 
 
-async def until(true: Callable[[], Any], seconds: float = 10) -> None:
-    for _ in range(int(seconds / 0.005)):
-        if true():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("it never came to that")
+async def take_upgrade(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Answers an upgrade as a node does; false, with nothing said, for any other request."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    lines = (line.partition(": ") for line in head.split("\r\n"))
+    key = next((value for name, _, value in lines if name.lower() == "sec-websocket-key"), None)
+    if key is not None:
+        writer.write(
+            b"HTTP/1.1 101 x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Accept: "
+            + accept_of(key.encode())
+            + b"\r\n\r\n"
+        )
+    return key is not None
 
 
 def alone(nodes: dict[str, tuple[str, str]], grace_ms: int = 600, more: str = "", bounds: str = "") -> str:
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -79,17 +79,14 @@
     return heard, news
 
 
-def test_news_cut_off_at_every_position_leave_whole_events_and_free_calls() -> None:
-    async def test() -> None:
-        seen = set()
-        for place in range(len(NEWS) + 1):
-            pieces = [NEWS[:place]] if place else []
-            heard, _ = await news_heard(pieces, ConnectionResetError() if place % 2 else b"")
-            assert heard == HEARD[: len(heard)] and len(heard) in (0, *range(len(PICTURE), len(HEARD) + 1))
-            seen.add(len(heard))
-        assert seen == {0, *range(len(PICTURE), len(HEARD) + 1)}, "half a picture tells nothing"
-
-    play(test())
+async def test_news_cut_off_at_every_position_leave_whole_events_and_free_calls() -> None:
+    seen = set()
+    for place in range(len(NEWS) + 1):
+        pieces = [NEWS[:place]] if place else []
+        heard, _ = await news_heard(pieces, ConnectionResetError() if place % 2 else b"")
+        assert heard == HEARD[: len(heard)] and len(heard) in (0, *range(len(PICTURE), len(HEARD) + 1))
+        seen.add(len(heard))
+    assert seen == {0, *range(len(PICTURE), len(HEARD) + 1)}, "half a picture tells nothing"
 
 
 @drawn
@@ -119,14 +116,11 @@
     return heard[1:], registry
 
 
-def test_a_watch_cut_off_at_every_position_goes_on_from_the_last_whole_line() -> None:
-    async def test() -> None:
-        for place in range(len(LINES) + 1):
-            heard, registry = await list_heard([LINES[:place]] if place else [])
-            whole = [json.loads(line) for line in LINES[:place].split(b"\n")[:-1] if line.strip()]
-            assert len(heard) == len(whole) and registry.version == (whole[-1]["revision"] if whole else 5)
-
-    play(test())
+async def test_a_watch_cut_off_at_every_position_goes_on_from_the_last_whole_line() -> None:
+    for place in range(len(LINES) + 1):
+        heard, registry = await list_heard([LINES[:place]] if place else [])
+        whole = [json.loads(line) for line in LINES[:place].split(b"\n")[:-1] if line.strip()]
+        assert len(heard) == len(whole) and registry.version == (whole[-1]["revision"] if whole else 5)
 
 
 @drawn
--- a/tests/test_fault_rules.py
+++ b/tests/test_fault_rules.py
@@ -10,7 +10,7 @@
 
 import pytest
 from faulty_process import SHORT, Call, Controller, controller
-from parties import MEMBER, TOLD, play
+from parties import MEMBER, TOLD
 from rule_world import Roll, World, comes_right
 
 SLICES, PROXIES = 8, 4
@@ -79,30 +79,28 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_rule_2_holds_on_a_process_whose_calls_fail(tmp_path: Path, seed: int) -> None:
-    async def test() -> None:
-        world, roll = World(seed, SLICES, PROXIES), Roll()
-        for number in range(3):
-            roll.put(f"s-{number}", "Ready")
-        members = [{**MEMBER, "id": f"s-{number}"} for number in range(3)]
-        told = {"settings": SETTINGS, "members": members, "relay": world, "book": roll}
-        async with controller(tmp_path, **told) as running:
-            begun = world.loop.time()
-            # On a slow machine until slices have moved: the count below needs no fast one.
-            while not world.broken and (
-                (elapsed := world.loop.time() - begun) < DAY_S or (world.moves <= 3 and elapsed < 60)
-            ):
-                await trouble(running, world, roll, world.chance)
-                await asyncio.sleep(world.chance.uniform(0.01, 0.08))
-                world.look()
-            assert not world.broken, (world.broken, running.lines)
-            assert world.moves > 3, running.lines
-            world.faults.clear()
-            for call in Call:
-                running.faults.clear(call)
-            await comes_right(world, roll)
-            running.signal(signal.SIGTERM)
-            assert await running.ended() == 0
-            assert not [line for line in running.lines if "trace=" in line]
-
-    play(test(), limit_s=100)
+@pytest.mark.time_limit(100)
+async def test_rule_2_holds_on_a_process_whose_calls_fail(tmp_path: Path, seed: int) -> None:
+    world, roll = World(seed, SLICES, PROXIES), Roll()
+    for number in range(3):
+        roll.put(f"s-{number}", "Ready")
+    members = [{**MEMBER, "id": f"s-{number}"} for number in range(3)]
+    told = {"settings": SETTINGS, "members": members, "relay": world, "book": roll}
+    async with controller(tmp_path, **told) as running:
+        begun = world.loop.time()
+        # On a slow machine until slices have moved: the count below needs no fast one.
+        while not world.broken and (
+            (elapsed := world.loop.time() - begun) < DAY_S or (world.moves <= 3 and elapsed < 60)
+        ):
+            await trouble(running, world, roll, world.chance)
+            await asyncio.sleep(world.chance.uniform(0.01, 0.08))
+            world.look()
+        assert not world.broken, (world.broken, running.lines)
+        assert world.moves > 3, running.lines
+        world.faults.clear()
+        for call in Call:
+            running.faults.clear(call)
+        await comes_right(world, roll)
+        running.signal(signal.SIGTERM)
+        assert await running.ended() == 0
+        assert not [line for line in running.lines if "trace=" in line]
--- a/tests/test_gate_answers.py
+++ b/tests/test_gate_answers.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from faulty_process import SHORT, Call, Faults, free_address, names, process
-from parties import Party, play
+from parties import Party
 from support_gate import QUICK, world
 
 UPGRADE = (
@@ -37,63 +37,56 @@
         return repr(error).encode()
 
 
-def test_a_gate_that_ends_answers_upgrades_under_way(tmp_path: Path) -> None:
+async def test_a_gate_that_ends_answers_upgrades_under_way(tmp_path: Path) -> None:
     # They were cut three seconds later, without a word.
-    async def test() -> None:
-        faults, address = Faults(tmp_path / "faults"), free_address()
-        file = tmp_path / "operator.textproto"
-        async with Party(silent) as node:
-            file.write_text(FILE.format(listen="{}:{}".format(*address), node=node.address))
-            async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as gate:
-                reader, writer = await gate.connect()
-                writer.write(UPGRADE)
-                await asyncio.sleep(0.3)
-                gate.signal(signal.SIGTERM)
-                said = await everything(reader)
-                writer.close()
-                assert said.startswith(b"HTTP/1.1 503") and b"Retry-After-Ms:" in said
-                assert await gate.ended() == 0
-
-    play(test())
+    faults, address = Faults(tmp_path / "faults"), free_address()
+    file = tmp_path / "operator.textproto"
+    async with Party(silent) as node:
+        file.write_text(FILE.format(listen="{}:{}".format(*address), node=node.address))
+        async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as gate:
+            reader, writer = await gate.connect()
+            writer.write(UPGRADE)
+            await asyncio.sleep(0.3)
+            gate.signal(signal.SIGTERM)
+            said = await everything(reader)
+            writer.close()
+            assert said.startswith(b"HTTP/1.1 503") and b"Retry-After-Ms:" in said
+            assert await gate.ended() == 0
 
 
-def test_refusals_are_whole_where_writes_are_short_and_the_client_has_ended_its_side(tmp_path: Path) -> None:
+async def test_refusals_are_whole_where_writes_are_short_and_the_client_has_ended_its_side(
+    tmp_path: Path,
+) -> None:
     # The connection was aborted as soon as the client's end was read, with the answer unsent.
-    async def test() -> None:
-        faults, address, bad = Faults(tmp_path / "faults"), free_address(), {}
-        file = tmp_path / "operator.textproto"
-        file.write_text(FILE.format(listen="{}:{}".format(*address), node="127.0.0.1:1"))
-        async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as gate:
-            for error in (SHORT, errno.EINTR, errno.EAGAIN):
-                for said, status in ((UPGRADE, b"503"), (b"GET /odd HTTP/1.1\r\nHost: x\r\n\r\n", b"426")):
-                    faults.set(Call.SEND, error, thousandths=900 if error == SHORT else 500)
-                    reader, writer = await gate.connect()
-                    writer.write(said)
-                    writer.write_eof()
-                    got = await everything(reader)
-                    if not got.startswith(b"HTTP/1.1 " + status) or not got.endswith(b"\n"):
-                        bad[names(error), status] = got
-                    faults.clear(Call.SEND)
-                    writer.close()
-        assert not bad
-
-    play(test())
+    faults, address, bad = Faults(tmp_path / "faults"), free_address(), {}
+    file = tmp_path / "operator.textproto"
+    file.write_text(FILE.format(listen="{}:{}".format(*address), node="127.0.0.1:1"))
+    async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as gate:
+        for error in (SHORT, errno.EINTR, errno.EAGAIN):
+            for said, status in ((UPGRADE, b"503"), (b"GET /odd HTTP/1.1\r\nHost: x\r\n\r\n", b"426")):
+                faults.set(Call.SEND, error, thousandths=900 if error == SHORT else 500)
+                reader, writer = await gate.connect()
+                writer.write(said)
+                writer.write_eof()
+                got = await everything(reader)
+                if not got.startswith(b"HTTP/1.1 " + status) or not got.endswith(b"\n"):
+                    bad[names(error), status] = got
+                faults.clear(Call.SEND)
+                writer.close()
+    assert not bad
 
 
-def test_an_upgrade_beyond_those_that_can_be_under_way_is_refused_with_when_to_come_back(
+async def test_an_upgrade_beyond_those_that_can_be_under_way_is_refused_with_when_to_come_back(
     tmp_path: Path,
 ) -> None:
     # It was reset.
-    async def test() -> None:
-        async with world(tmp_path, 1, replace(QUICK, shaking=1, handshake_us=5_000_000)) as stand:
-            host, _, port = stand.gate.address.rpartition(":")
-            _, first = await asyncio.open_connection(host, int(port))
-            await asyncio.sleep(0.1)
-            reader, second = await asyncio.open_connection(host, int(port))
-            second.write(UPGRADE)
-            said = await everything(reader)
-            first.close()
-            second.close()
-            assert said.startswith(b"HTTP/1.1 503") and b"Retry-After-Ms:" in said
-
-    play(test())
+    async with world(tmp_path, 1, replace(QUICK, shaking=1, handshake_us=5_000_000)) as stand:
+        host, _, port = stand.gate.address.rpartition(":")
+        _, first = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(0.1)
+        reader, second = await asyncio.open_connection(host, int(port))
+        second.write(UPGRADE)
+        said = await everything(reader)
+        first.close()
+        second.close()
+        assert said.startswith(b"HTTP/1.1 503") and b"Retry-After-Ms:" in said
--- a/tests/test_interval_figures.py
+++ b/tests/test_interval_figures.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 
 from faulty_process import controller
-from parties import play
 
 from lapispass import interface
 from lapispass.core.interval_figures import Figures, IntervalFigures
@@ -56,30 +55,22 @@
     )
 
 
-def test_a_request_that_waited_in_the_system_is_logged_with_its_time(tmp_path: Path) -> None:
+async def test_a_request_that_waited_in_the_system_is_logged_with_its_time(tmp_path: Path) -> None:
     """Guards against late answers that no log line tells of: the connection does not end, the loop runs."""
-
-    async def test() -> None:
-        async with controller(tmp_path) as running:
-            reader, writer = await running.connect()
-            writer.write(b"PING\r\n")
-            await reader.readexactly(6)
-            running.signal(signal.SIGSTOP)
-            writer.write(b"PING\r\n")
-            await asyncio.sleep(0.5)
-            running.signal(signal.SIGCONT)
-            await reader.readexactly(6)
-            line = await running.says('event="answer late"')
-            took_us = int(line.partition("took_us=")[2].split()[0])
-            assert 400_000 < took_us < 2_000_000 and "pings=2" in line
-            writer.close()
-            running.signal(signal.SIGTERM)
-            await running.ended()
-        report = next(line for line in running.lines if "event=interval" in line)
-        assert (
-            "answers=2 " in report
-            and "late_answers=1 " in report
-            and f"slowest_answer_us={took_us}" in report
-        )
-
-    play(test())
+    async with controller(tmp_path) as running:
+        reader, writer = await running.connect()
+        writer.write(b"PING\r\n")
+        await reader.readexactly(6)
+        running.signal(signal.SIGSTOP)
+        writer.write(b"PING\r\n")
+        await asyncio.sleep(0.5)
+        running.signal(signal.SIGCONT)
+        await reader.readexactly(6)
+        line = await running.says('event="answer late"')
+        took_us = int(line.partition("took_us=")[2].split()[0])
+        assert 400_000 < took_us < 2_000_000 and "pings=2" in line
+        writer.close()
+        running.signal(signal.SIGTERM)
+        await running.ended()
+    report = next(line for line in running.lines if "event=interval" in line)
+    assert "answers=2 " in report and "late_answers=1 " in report and f"slowest_answer_us={took_us}" in report
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -40,7 +40,7 @@
         self.folder = folder
         tests = folder / "tests"
         tests.mkdir()
-        for name in ("conftest.py", "known_red.py"):
+        for name in ("conftest.py", "known_red.py", "async_tests.py"):
             shutil.copy(HERE / name, tests / name)
         (tests / "test_sample.py").write_text(SAMPLE)
         (folder / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -12,7 +12,7 @@
 
 import h11
 import pytest
-from parties import CODEC, QUICK, Party, answered, play, request, until
+from parties import CODEC, QUICK, Party, answered, request, until
 
 from lapispass import interface
 from lapispass.net.counters import Counters
@@ -52,33 +52,28 @@
     return heard
 
 
-def test_a_dial_that_fails_for_a_moment_is_no_refusal_of_the_server(
+async def test_a_dial_that_fails_for_a_moment_is_no_refusal_of_the_server(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # One probe that found no free port passed for a refused connection, which ends a server that drains.
-    async def test() -> None:
-        dials, found = Dials(monkeypatch), {}
-        async with Party(healthy) as server:
-            for error in (*LOCAL, *ROUTE):
-                dials.left, dials.error = 2, error
-                found[errno.errorcode[error], "for a moment"] = [
-                    told.reason for told in await probe(server.address)
-                ]
-                dials.left = 1_000_000
-                found[errno.errorcode[error], "for good"] = [
-                    told.reason for told in await probe(server.address)
-                ]
-                dials.left = 0
-        expected = {}
+    dials, found = Dials(monkeypatch), {}
+    async with Party(healthy) as server:
         for error in (*LOCAL, *ROUTE):
-            expected[errno.errorcode[error], "for a moment"] = [ANSWERED]
-            expected[errno.errorcode[error], "for good"] = [] if error in LOCAL else [LATE]
-        assert found == expected and dials.failed > 2 * len(expected)
-
-    play(test())
-
-
-def test_a_server_that_resets_each_connection_is_told_as_such(monkeypatch: pytest.MonkeyPatch) -> None:
+            dials.left, dials.error = 2, error
+            found[errno.errorcode[error], "for a moment"] = [
+                told.reason for told in await probe(server.address)
+            ]
+            dials.left = 1_000_000
+            found[errno.errorcode[error], "for good"] = [told.reason for told in await probe(server.address)]
+            dials.left = 0
+    expected = {}
+    for error in (*LOCAL, *ROUTE):
+        expected[errno.errorcode[error], "for a moment"] = [ANSWERED]
+        expected[errno.errorcode[error], "for good"] = [] if error in LOCAL else [LATE]
+    assert found == expected and dials.failed > 2 * len(expected)
+
+
+async def test_a_server_that_resets_each_connection_is_told_as_such(monkeypatch: pytest.MonkeyPatch) -> None:
     # A reset that came before the peer's name was asked for passed for a connect that never began.
     def reset_all(listener: socket.socket) -> None:
         while True:
@@ -97,16 +92,13 @@
         time.sleep(0.01)  # until the reset has come
         connection.setblocking(False)
 
-    async def test() -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            serving = threading.Thread(target=reset_all, args=(listener,))
-            serving.start()
-            address = "{}:{}".format(*listener.getsockname())
-            found = [told.reason for _ in range(50) for told in await probe(address)]
-            monkeypatch.setattr(socket.socket, "connect", connect_and_be_reset)
-            found += [told.reason for _ in range(10) for told in await probe(address)]
-            listener.shutdown(socket.SHUT_RDWR)
-            serving.join()
-        assert len(found) == 60 and set(found) <= {BROKE, UNREACHABLE}
-
-    play(test())
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        serving = threading.Thread(target=reset_all, args=(listener,))
+        serving.start()
+        address = "{}:{}".format(*listener.getsockname())
+        found = [told.reason for _ in range(50) for told in await probe(address)]
+        monkeypatch.setattr(socket.socket, "connect", connect_and_be_reset)
+        found += [told.reason for _ in range(10) for told in await probe(address)]
+        listener.shutdown(socket.SHUT_RDWR)
+        serving.join()
+    assert len(found) == 60 and set(found) <= {BROKE, UNREACHABLE}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,9 +15,10 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as some
-from support_gate import play, until
+from support_gate import until
 
 from lapispass.core import ownership
 from lapispass.core.facts import NEVER, SECOND
@@ -32,6 +33,7 @@
 from lapispass.standins.nodes import clock_us
 from lapispass.standins.xds_client import XdsClient
 
+pytestmark = pytest.mark.time_limit(30)
 NOW = 1_000 * SECOND
 
 
@@ -161,48 +163,45 @@
 # the service
 
 
-def test_the_client_reads_swaps_watches_and_says_what_it_does_not_know() -> None:
-    async def test() -> None:
-        there = Coordination()
-        await there.start()
-        service = Service(there.address, call_us=300_000)
-        lease = await service.grant(1)
-        first = await service.swap([Expect("/a", 0)], [Put("/a", b"1", lease), Put("/b", b"x")])
-        assert first.succeeded and not (await service.swap([Expect("/a", 0)], [Put("/a", b"2")])).succeeded
-        assert (await service.swap([Expect("/a", first.revision, True)], [Put("/b", b"y")])).succeeded
-        revision, keys = await service.read("/")
-        assert {key: kv.value for key, kv in keys.items()} == {"/a": b"1", "/b": b"y"}
-        seen: list[Any] = []
-
-        async def follow() -> None:
-            async for changes in service.watch("/", first.revision, 0):
-                seen.extend((change.key, change.now and change.now.value) for change in changes)
-
-        following = asyncio.create_task(follow())
-        await until(lambda: ("/b", b"y") in seen)
-        await until(lambda: ("/a", None) in seen)  # its lease has ended
-        assert await service.keep(lease) == 0
-        there.faults.lose_answers = 1
-        try:
-            await service.swap([], [Put("/c", b"z")])
-            raise AssertionError("an answer came")
-        except Unknown:
-            pass
-        assert (await service.read("/c"))[1]["/c"].value == b"z"  # carried out all the same
-        await service.swap([], [Delete("/c")])
-        there.state.compact(there.state.revision)
-        try:
-            async for _ in service.watch("/", 2, 0):
-                pass
-            raise AssertionError("not compacted")
-        except Compacted:
+async def test_the_client_reads_swaps_watches_and_says_what_it_does_not_know() -> None:
+    there = Coordination()
+    await there.start()
+    service = Service(there.address, call_us=300_000)
+    lease = await service.grant(1)
+    first = await service.swap([Expect("/a", 0)], [Put("/a", b"1", lease), Put("/b", b"x")])
+    assert first.succeeded and not (await service.swap([Expect("/a", 0)], [Put("/a", b"2")])).succeeded
+    assert (await service.swap([Expect("/a", first.revision, True)], [Put("/b", b"y")])).succeeded
+    revision, keys = await service.read("/")
+    assert {key: kv.value for key, kv in keys.items()} == {"/a": b"1", "/b": b"y"}
+    seen: list[Any] = []
+
+    async def follow() -> None:
+        async for changes in service.watch("/", first.revision, 0):
+            seen.extend((change.key, change.now and change.now.value) for change in changes)
+
+    following = asyncio.create_task(follow())
+    await until(lambda: ("/b", b"y") in seen)
+    await until(lambda: ("/a", None) in seen)  # its lease has ended
+    assert await service.keep(lease) == 0
+    there.faults.lose_answers = 1
+    try:
+        await service.swap([], [Put("/c", b"z")])
+        raise AssertionError("an answer came")
+    except Unknown:
+        pass
+    assert (await service.read("/c"))[1]["/c"].value == b"z"  # carried out all the same
+    await service.swap([], [Delete("/c")])
+    there.state.compact(there.state.revision)
+    try:
+        async for _ in service.watch("/", 2, 0):
             pass
-        assert revision > 1
-        following.cancel()
-        service.close()
-        there.stop()
-
-    play(test())
+        raise AssertionError("not compacted")
+    except Compacted:
+        pass
+    assert revision > 1
+    following.cancel()
+    service.close()
+    there.stop()
 
 
 # hosts
@@ -281,176 +280,152 @@
         stand.service.stop()
 
 
-def test_one_is_killed_and_the_other_takes_its_slices_and_serves_them(tmp_path: Path) -> None:
-    async def test() -> None:
-        async with shared(tmp_path, "a", "b") as stand:
-            assert {len(host.takeover.acting) for host in stand.hosts.values()} != {12}
-            client = XdsClient(stand.hosts["b"].desk.address, "c", 1)
-            running = asyncio.create_task(client.run())
-            await until(lambda: all(client.writes_to(number) for number in range(12)))
-            before = dict(stand.hosts["b"].stands.owners)
-            epochs = {n: r.epoch for n, r in stand.hosts["b"].takeover.records.items()}
-            dead = set(stand.hosts["a"].takeover.acting)
-            await stand.kill("a")
-            await until(stand.whole, 10)
-            host = stand.hosts["b"]
-            assert host.stands.owners == before  # tables are kept
-            assert all(host.takeover.records[n].epoch == epochs[n] + (n in dead) for n in range(12))
-            stand.drain()  # what was taken is served: handovers go on
-            await until(lambda: all(client.writes_to(n) in ("n1", "n2") for n in range(12)), 10)
-            running.cancel()
-            await asyncio.gather(running, return_exceptions=True)
-
-    play(test())
-
-
-def test_a_mark_waits_for_the_clients_of_the_other_controller(tmp_path: Path) -> None:
-    async def test() -> None:
-        async with shared(tmp_path, "a", "b") as stand:
-            clients = [XdsClient(host.desk.address, f"c{name}", 1) for name, host in stand.hosts.items()]
-            running = [asyncio.create_task(client.run()) for client in clients]
-            await until(lambda: all(c.writes_to(n) for c in clients for n in range(12)))
-            clients[1].faults.late_s = 0.05
-            stand.drain()
-            await until(lambda: all(c.writes_to(n) in ("n1", "n2") for c in clients for n in range(12)), 15)
-            for task in running:
-                task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
-
-    play(test())
-
-
-def test_a_newcomer_gets_its_share_without_a_wait_and_one_that_leaves_lets_go(tmp_path: Path) -> None:
-    async def test() -> None:
-        async with shared(tmp_path, "a", "b") as stand:
-            await stand.start("c")
-            await until(lambda: stand.whole() and stand.hosts["c"].takeover.acting, 10)
-            begun = asyncio.get_running_loop().time()
-            await stand.hosts["c"].leave()
-            await asyncio.gather(stand.tasks["c"], return_exceptions=True)
-            del stand.hosts["c"], stand.tasks["c"]
-            await until(stand.whole, 10)
-            assert asyncio.get_running_loop().time() - begun < 3
-
-    play(test())
-
-
-def test_the_service_gone_for_a_while_moves_nothing_and_comes_back_without_a_storm(tmp_path: Path) -> None:
-    async def test() -> None:
-        async with shared(tmp_path, "a", "b") as stand:
-            before = dict(stand.hosts["a"].stands.owners)
-            stand.service.faults.silent = True
-            await until(lambda: not stand.acting(), 10)  # by their own clocks
-            assert all(host.stands.owners == before for host in stand.hosts.values())  # what stands goes on
-            calls = stand.service.calls
-            await asyncio.sleep(1.0)
-            assert stand.service.calls - calls < 60
-            stand.service.faults.silent = False
-            await until(stand.whole, 15)
-            assert all(host.stands.owners == before for host in stand.hosts.values())
-
-    play(test())
-
-
-def test_answers_lost_and_compaction_cost_nothing_but_time(tmp_path: Path) -> None:
-    async def test() -> None:
-        async with shared(tmp_path, "a", "b") as stand:
-            stand.service.faults.lose_answers = 5
-            stand.drain()
-            await asyncio.sleep(0.3)
-            stand.service.state.compact(stand.service.state.revision)
-            stand.service.reset()
-            await until(lambda: stand.whole() and "n0" not in stand.hosts["a"].stands.owners.values(), 15)
-            assert stand.hosts["a"].stands.owners == stand.hosts["b"].stands.owners
+async def test_one_is_killed_and_the_other_takes_its_slices_and_serves_them(tmp_path: Path) -> None:
+    async with shared(tmp_path, "a", "b") as stand:
+        assert {len(host.takeover.acting) for host in stand.hosts.values()} != {12}
+        client = XdsClient(stand.hosts["b"].desk.address, "c", 1)
+        running = asyncio.create_task(client.run())
+        await until(lambda: all(client.writes_to(number) for number in range(12)))
+        before = dict(stand.hosts["b"].stands.owners)
+        epochs = {n: r.epoch for n, r in stand.hosts["b"].takeover.records.items()}
+        dead = set(stand.hosts["a"].takeover.acting)
+        await stand.kill("a")
+        await until(stand.whole, 10)
+        host = stand.hosts["b"]
+        assert host.stands.owners == before  # tables are kept
+        assert all(host.takeover.records[n].epoch == epochs[n] + (n in dead) for n in range(12))
+        stand.drain()  # what was taken is served: handovers go on
+        await until(lambda: all(client.writes_to(n) in ("n1", "n2") for n in range(12)), 10)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+async def test_a_mark_waits_for_the_clients_of_the_other_controller(tmp_path: Path) -> None:
+    async with shared(tmp_path, "a", "b") as stand:
+        clients = [XdsClient(host.desk.address, f"c{name}", 1) for name, host in stand.hosts.items()]
+        running = [asyncio.create_task(client.run()) for client in clients]
+        await until(lambda: all(c.writes_to(n) for c in clients for n in range(12)))
+        clients[1].faults.late_s = 0.05
+        stand.drain()
+        await until(lambda: all(c.writes_to(n) in ("n1", "n2") for c in clients for n in range(12)), 15)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+
+async def test_a_newcomer_gets_its_share_without_a_wait_and_one_that_leaves_lets_go(tmp_path: Path) -> None:
+    async with shared(tmp_path, "a", "b") as stand:
+        await stand.start("c")
+        await until(lambda: stand.whole() and stand.hosts["c"].takeover.acting, 10)
+        begun = asyncio.get_running_loop().time()
+        await stand.hosts["c"].leave()
+        await asyncio.gather(stand.tasks["c"], return_exceptions=True)
+        del stand.hosts["c"], stand.tasks["c"]
+        await until(stand.whole, 10)
+        assert asyncio.get_running_loop().time() - begun < 3
+
+
+async def test_the_service_gone_for_a_while_moves_nothing_and_comes_back_without_a_storm(
+    tmp_path: Path,
+) -> None:
+    async with shared(tmp_path, "a", "b") as stand:
+        before = dict(stand.hosts["a"].stands.owners)
+        stand.service.faults.silent = True
+        await until(lambda: not stand.acting(), 10)  # by their own clocks
+        assert all(host.stands.owners == before for host in stand.hosts.values())  # what stands goes on
+        calls = stand.service.calls
+        await asyncio.sleep(1.0)
+        assert stand.service.calls - calls < 60
+        stand.service.faults.silent = False
+        await until(stand.whole, 15)
+        assert all(host.stands.owners == before for host in stand.hosts.values())
+
 
-    play(test())
+async def test_answers_lost_and_compaction_cost_nothing_but_time(tmp_path: Path) -> None:
+    async with shared(tmp_path, "a", "b") as stand:
+        stand.service.faults.lose_answers = 5
+        stand.drain()
+        await asyncio.sleep(0.3)
+        stand.service.state.compact(stand.service.state.revision)
+        stand.service.reset()
+        await until(lambda: stand.whole() and "n0" not in stand.hosts["a"].stands.owners.values(), 15)
+        assert stand.hosts["a"].stands.owners == stand.hosts["b"].stands.owners
 
 
-def test_a_paused_controller_finds_out_before_its_next_byte(tmp_path: Path) -> None:
+async def test_a_paused_controller_finds_out_before_its_next_byte(tmp_path: Path) -> None:
     """A real process, stopped for longer than its session: nobody's writes go to two nodes meanwhile or
     after."""
-
-    async def test() -> None:
-        async with shared(tmp_path, "a") as stand:
-            environment = {**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)}
-            command = [sys.executable, "-m", "lapispass", "run", "-o", str(stand.file("z"))]
-            process = subprocess.Popen(command, env=environment, stderr=subprocess.DEVNULL)  # noqa: ASYNC220
-            try:
-                host = stand.hosts["a"]
-                await until(lambda: len(host.takeover.acting) < 12, 10)
-                await until(lambda: all(r.holder for r in host.takeover.records.values()), 10)
-                process.send_signal(signal.SIGSTOP)
-                await until(lambda: len(host.takeover.acting) == 12, 10)
-                stand.drain()
-                await until(
-                    lambda: "n0" not in host.stands.owners.values() and len(host.stands.owners) == 12, 15
-                )
-                owners, epochs = (
-                    dict(host.stands.owners),
-                    {n: r.epoch for n, r in host.takeover.records.items()},
-                )
-                process.send_signal(signal.SIGCONT)
-                await asyncio.sleep(0.8)
-                assert all(r.epoch >= epochs[n] for n, r in host.takeover.records.items())
-                assert host.stands.owners == owners
-            finally:
-                process.kill()
-                process.wait()
-
-    play(test())
-
-
-def test_no_block_has_two_writers_while_controllers_are_killed(tmp_path: Path) -> None:
+    async with shared(tmp_path, "a") as stand:
+        environment = {**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)}
+        command = [sys.executable, "-m", "lapispass", "run", "-o", str(stand.file("z"))]
+        process = subprocess.Popen(command, env=environment, stderr=subprocess.DEVNULL)  # noqa: ASYNC220
+        try:
+            host = stand.hosts["a"]
+            await until(lambda: len(host.takeover.acting) < 12, 10)
+            await until(lambda: all(r.holder for r in host.takeover.records.values()), 10)
+            process.send_signal(signal.SIGSTOP)
+            await until(lambda: len(host.takeover.acting) == 12, 10)
+            stand.drain()
+            await until(lambda: "n0" not in host.stands.owners.values() and len(host.stands.owners) == 12, 15)
+            owners, epochs = (
+                dict(host.stands.owners),
+                {n: r.epoch for n, r in host.takeover.records.items()},
+            )
+            process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(0.8)
+            assert all(r.epoch >= epochs[n] for n, r in host.takeover.records.items())
+            assert host.stands.owners == owners
+        finally:
+            process.kill()
+            process.wait()
+
+
+@pytest.mark.time_limit(180)
+async def test_no_block_has_two_writers_while_controllers_are_killed(tmp_path: Path) -> None:
     """`lapispass lab peers` plays this for ten minutes, with pauses."""
-
-    async def test() -> None:
-        chance = random.Random(3)
-        published: list[Published] = []
-        carried: list[Carried] = []
-
-        def watched(host: SharedHost) -> None:
-            show = host.show
-
-            def shown(changes: Any, mark: int | None) -> None:
-                if mark is not None:
-                    for change in changes:
-                        if hasattr(change, "owner"):
-                            published.append(Published(clock_us(), change.slice, change.owner))
-                show(changes, mark)
-
-            host.show = shown  # type: ignore[method-assign]
-
-        async with shared(tmp_path, "a", "b") as stand:
-            for number, owner in stand.hosts["a"].stands.owners.items():
-                published.append(Published(0, number, owner))
-            for host in stand.hosts.values():
-                watched(host)
-            clients = [
-                XdsClient(host.desk.address, f"c{n}", n) for n, host in enumerate(stand.hosts.values())
-            ]
-            running = [asyncio.create_task(client.run()) for client in clients]
-            sent = 0
-            for round_ in range(3):
-                stand.drain("DRAINING" if round_ % 2 == 0 else "READY")
-                attempts, enough = 0, sent + 20
-                # 150 attempts; on a slow machine, where leases run out meanwhile, until so many were written.
-                while attempts < 150 or (sent < enough and attempts < 3000):
-                    attempts += 1
-                    await asyncio.sleep(0.01)
-                    client, key = chance.choice(clients), f"k{chance.randrange(30)}"
-                    if node := client.writes_to(slice_of(key, 12)):
-                        sent += 1
-                        carried.append(Carried(clock_us(), node, key, str(sent)))
-                victim = chance.choice(sorted(stand.hosts))
-                await stand.kill(victim)
-                watched(await stand.start(victim))
-                for client, host in zip(clients, stand.hosts.values(), strict=True):
-                    client.address = host.desk.address
-                    client.drop()
-            await until(stand.whole, 15)
-            for task in running:
-                task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
-            assert sent > 50 and writes(carried, published, lambda key: slice_of(key, 12)) == []
-
-    play(test(), limit_s=180)
+    chance = random.Random(3)
+    published: list[Published] = []
+    carried: list[Carried] = []
+
+    def watched(host: SharedHost) -> None:
+        show = host.show
+
+        def shown(changes: Any, mark: int | None) -> None:
+            if mark is not None:
+                for change in changes:
+                    if hasattr(change, "owner"):
+                        published.append(Published(clock_us(), change.slice, change.owner))
+            show(changes, mark)
+
+        host.show = shown  # type: ignore[method-assign]
+
+    async with shared(tmp_path, "a", "b") as stand:
+        for number, owner in stand.hosts["a"].stands.owners.items():
+            published.append(Published(0, number, owner))
+        for host in stand.hosts.values():
+            watched(host)
+        clients = [XdsClient(host.desk.address, f"c{n}", n) for n, host in enumerate(stand.hosts.values())]
+        running = [asyncio.create_task(client.run()) for client in clients]
+        sent = 0
+        for round_ in range(3):
+            stand.drain("DRAINING" if round_ % 2 == 0 else "READY")
+            attempts, enough = 0, sent + 20
+            # 150 attempts; on a slow machine, where leases run out meanwhile, until so many were written.
+            while attempts < 150 or (sent < enough and attempts < 3000):
+                attempts += 1
+                await asyncio.sleep(0.01)
+                client, key = chance.choice(clients), f"k{chance.randrange(30)}"
+                if node := client.writes_to(slice_of(key, 12)):
+                    sent += 1
+                    carried.append(Carried(clock_us(), node, key, str(sent)))
+            victim = chance.choice(sorted(stand.hosts))
+            await stand.kill(victim)
+            watched(await stand.start(victim))
+            for client, host in zip(clients, stand.hosts.values(), strict=True):
+                client.address = host.desk.address
+                client.drop()
+        await until(stand.whole, 15)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        assert sent > 50 and writes(carried, published, lambda key: slice_of(key, 12)) == []
--- a/tests/test_scale_stand_ins.py
+++ b/tests/test_scale_stand_ins.py
@@ -5,12 +5,11 @@
 import asyncio
 import time
 from collections import defaultdict
-from collections.abc import Coroutine
 from itertools import pairwise
 from statistics import median
-from typing import Any
 
 import pytest
+from async_tests import until
 
 from lapispass.lab.scale.messages import Change, Told, WatchLeft
 from lapispass.lab.scale.stand_in import CountedRelay, RegistryStandIn, RelayStandIn
@@ -24,18 +23,6 @@
 NEWS = request("GET", "/events")
 
 
-def play(test: Coroutine[Any, Any, None]) -> None:
-    asyncio.run(asyncio.wait_for(test, 20))
-
-
-async def until(true: Any) -> None:
-    for _ in range(2000):
-        if true():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("it never came to that")
-
-
 class Client:
     """A connection that keeps all that it reads."""
 
@@ -59,81 +46,69 @@
         self.writer.transport.abort()
 
 
-def test_answers_to_a_mark_of_one_controller_of_many_go_to_one_stream_in_turn() -> None:
-    async def test() -> None:
-        relay = Relay(4, proxies=4, answer_s=0.001, zones=ZONES)
-        relay.shared.add("many")
-        address = await relay.listen("many")
-        clients = [await Client.open(address, NEWS) for _ in range(2)]
-        await until(lambda: len(relay.news.get("many", [])) == 2)
-        call = request("POST", "/", b"Action=ApplyOrders&orders=SYNC%2C7%2C1%3BSYNC%2C8%2C1")
-        caller = await Client.open(address, call)
-        await until(lambda: all(each.said.count(b"event: ACK") == 4 for each in clients))
-        assert sorted(b"nonce=7" in each.said for each in clients) == [False, True]
-        assert b"<ok_count>2</ok_count>" in caller.said
-        for each in (*clients, caller):
-            each.close()
-        relay.stop()
-
-    play(test())
-
-
-def test_proxies_of_a_lost_zone_leave_answer_nothing_and_come_back_cold() -> None:
-    async def test() -> None:
-        relay = Relay(1, proxies=4, answer_s=0.001, zones=ZONES)
-        address = await relay.listen("one")
-        client = await Client.open(address, NEWS)
-        await until(lambda: client.said.count(b"event: SUBSCRIBE") == 4)
-        relay.part("b")
-        relay.carry_out(["SYNC", "7", "1"], "one")
-        await until(lambda: client.said.count(b"event: ACK") == 2)
-        relay.join_cold("b")
-        await until(lambda: client.said.count(b"cold=1") == 2)
-        assert client.said.count(b"event: CLOSED") == 2
-        closed = [line for line in client.said.split(b"\n") if line.startswith(b"data: node=")]
-        assert b"data: node=1" in closed and b"data: node=3" in closed  # those of the second zone
-        client.close()
-        relay.stop()
-
-    play(test())
-
-
-def test_a_stream_that_is_left_unread_is_reset() -> None:
-    async def test() -> None:
-        relay = Relay(1)
-        relay.unread_most = 100_000
-        host, _, port = (await relay.listen("one")).rpartition(":")
-        _, writer = await asyncio.open_connection(host, int(port), limit=1000)
-        writer.write(NEWS)
-        await until(lambda: relay.news.get("one"))
-        for _ in range(200):
-            relay.say([b"x" * 100_000], "one")
-            await asyncio.sleep(0)
-        await until(lambda: not relay.open)
-        assert not relay.news["one"]
-        writer.transport.abort()
-        relay.stop()
-
-    play(test())
-
-
-def test_a_withdrawal_and_its_end_are_noted_at_the_client_that_is_watched() -> None:
-    async def test() -> None:
-        stand_in = RelayStandIn()
-        stand_in.relay = relay = CountedRelay(4, 0, ZONES)
-        relay.charges.update({"one": [0, 1], "other": [2]})
-        for number in range(3):
-            relay.carry_out(["SET", str(number), "s-0", "1"], "one" if number < 2 else "other")
-        await stand_in.carry_out(WatchLeft({"one": "s-0", "other": "s-0"}))
-        relay.carry_out(["DEL", "0"], "one")
-        assert not relay.left_us
-        relay.carry_out(["SET", "1", "s-1", "1"], "one")
-        assert relay.left_us.keys() == {"one"} and not relay.owned_us  # slice 0 has no owner yet
-        relay.carry_out(["SET", "0", "s-1", "1"], "one")
-        assert relay.owned_us.keys() == {"one"}
-        assert relay.counts["one"] == {"SET": 4, "DEL": 1} and not relay.orders and not relay.published
-
-    play(test())
+async def test_answers_to_a_mark_of_one_controller_of_many_go_to_one_stream_in_turn() -> None:
+    relay = Relay(4, proxies=4, answer_s=0.001, zones=ZONES)
+    relay.shared.add("many")
+    address = await relay.listen("many")
+    clients = [await Client.open(address, NEWS) for _ in range(2)]
+    await until(lambda: len(relay.news.get("many", [])) == 2)
+    call = request("POST", "/", b"Action=ApplyOrders&orders=SYNC%2C7%2C1%3BSYNC%2C8%2C1")
+    caller = await Client.open(address, call)
+    await until(lambda: all(each.said.count(b"event: ACK") == 4 for each in clients))
+    assert sorted(b"nonce=7" in each.said for each in clients) == [False, True]
+    assert b"<ok_count>2</ok_count>" in caller.said
+    for each in (*clients, caller):
+        each.close()
+    relay.stop()
+
+
+async def test_proxies_of_a_lost_zone_leave_answer_nothing_and_come_back_cold() -> None:
+    relay = Relay(1, proxies=4, answer_s=0.001, zones=ZONES)
+    address = await relay.listen("one")
+    client = await Client.open(address, NEWS)
+    await until(lambda: client.said.count(b"event: SUBSCRIBE") == 4)
+    relay.part("b")
+    relay.carry_out(["SYNC", "7", "1"], "one")
+    await until(lambda: client.said.count(b"event: ACK") == 2)
+    relay.join_cold("b")
+    await until(lambda: client.said.count(b"cold=1") == 2)
+    assert client.said.count(b"event: CLOSED") == 2
+    closed = [line for line in client.said.split(b"\n") if line.startswith(b"data: node=")]
+    assert b"data: node=1" in closed and b"data: node=3" in closed  # those of the second zone
+    client.close()
+    relay.stop()
+
+
+async def test_a_stream_that_is_left_unread_is_reset() -> None:
+    relay = Relay(1)
+    relay.unread_most = 100_000
+    host, _, port = (await relay.listen("one")).rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port), limit=1000)
+    writer.write(NEWS)
+    await until(lambda: relay.news.get("one"))
+    for _ in range(200):
+        relay.say([b"x" * 100_000], "one")
+        await asyncio.sleep(0)
+    await until(lambda: not relay.open)
+    assert not relay.news["one"]
+    writer.transport.abort()
+    relay.stop()
+
+
+async def test_a_withdrawal_and_its_end_are_noted_at_the_client_that_is_watched() -> None:
+    stand_in = RelayStandIn()
+    stand_in.relay = relay = CountedRelay(4, 0, ZONES)
+    relay.charges.update({"one": [0, 1], "other": [2]})
+    for number in range(3):
+        relay.carry_out(["SET", str(number), "s-0", "1"], "one" if number < 2 else "other")
+    await stand_in.carry_out(WatchLeft({"one": "s-0", "other": "s-0"}))
+    relay.carry_out(["DEL", "0"], "one")
+    assert not relay.left_us
+    relay.carry_out(["SET", "1", "s-1", "1"], "one")
+    assert relay.left_us.keys() == {"one"} and not relay.owned_us  # slice 0 has no owner yet
+    relay.carry_out(["SET", "0", "s-1", "1"], "one")
+    assert relay.owned_us.keys() == {"one"}
+    assert relay.counts["one"] == {"SET": 4, "DEL": 1} and not relay.orders and not relay.published
 
 
 def test_collectors_report_requests_by_zone_and_failures_where_servers_are_lost() -> None:
@@ -180,68 +155,60 @@
     assert min(apart, 0.2 - apart) < 1e-9
 
 
-def test_zones_report_at_their_own_times_also_after_the_process_stood_still() -> None:
-    async def test() -> None:
-        writers: list[asyncio.StreamWriter] = []
-        taken = await asyncio.start_server(lambda reader, writer: writers.append(writer), "127.0.0.1", 0)
-        relay = Relay(4, zones=tuple("abcd"))
-        relay.charges["one"] = [0]
-        collectors = Collectors(relay, Load(800.0, ("look",), interval_s=0.2), 1)
-        loop, sent = asyncio.get_running_loop(), defaultdict(list)
-
-        def lines(client: str, zone: str) -> list[str]:
-            sent[zone].append(loop.time() % 0.2)
-            return []
-
-        collectors.lines = lines  # type: ignore[method-assign]
-        collectors.report_to("one", "{}:{}".format(*taken.sockets[0].getsockname()))
-        await asyncio.sleep(0.3)
-        time.sleep(0.5)  # noqa: ASYNC251
-        sent.clear()
-        await until(lambda: len(sent) == 4 and min(map(len, sent.values())) >= 5)
-        collectors.stop()
-        await asyncio.gather(*collectors.lives, return_exceptions=True)
-        taken.close()
-        for writer in writers:
-            writer.transport.abort()
-        phases = sorted(phase_of(times, 0.2) for times in sent.values())
-        gaps = [after - before for before, after in pairwise([*phases, phases[0] + 0.2])]
-        assert min(gaps) > 0.02, phases  # 0.05 each where nothing is late; 0 where all report together
-
-    play(test())
-
-
-def test_hollow_controllers_hold_watch_and_news_and_keep_their_pace() -> None:
-    async def test() -> None:
-        registry, relay, servers = Registry(), Relay(4, proxies=2), Servers()
-        relay.shared.add("hollow")
-        addresses = await servers.listen_all(0, ["s-0", "s-1"])
-        registry.members = {name: Member(name, address) for name, address in addresses.items()}
-        places = Places(
-            await registry.listen("hollow"), await relay.listen("hollow"), tuple(addresses.values())
-        )
-        herd = Herd(5, places, seed=1)
-        herd.begin(0.05)
-        await until(lambda: len(herd.standing()) == 5)
-        assert len(registry.watches) == 5 and len(relay.news["hollow"]) == 5
-        registry.change(Member("s-0", addresses["s-0"], phase="Terminating"))
-        await until(lambda: len(herd.heard(registry.revision)) == 5)
-        herd.pace = Pace(calls=10.0, marks=1.0, orders=2.0, probes=20.0, watches=2.0)
-        began, seen = asyncio.get_running_loop().time(), registry.traffic["hollow"].calls
-        await until(lambda: servers.hollow.probes >= 100)
-        took_s = asyncio.get_running_loop().time() - began
-        assert took_s >= 0.9  # 100 probes of 5 controllers at 20 a second each
-        assert registry.traffic["hollow"].calls > seen and "SYNC" in relay.orders[-1]
-        assert any(order.startswith("LIMIT") for order in relay.orders)
-        assert servers.real.probes == 0 and not servers.probed
-        registry.reset()  # whoever loses its watch opens it anew
-        await until(lambda: len(registry.watches) == 5)
-        herd.close()
-        for host in (registry, relay, servers):
-            host.stop()
-        await asyncio.sleep(0.05)
-
-    play(test())
+async def test_zones_report_at_their_own_times_also_after_the_process_stood_still() -> None:
+    writers: list[asyncio.StreamWriter] = []
+    taken = await asyncio.start_server(lambda reader, writer: writers.append(writer), "127.0.0.1", 0)
+    relay = Relay(4, zones=tuple("abcd"))
+    relay.charges["one"] = [0]
+    collectors = Collectors(relay, Load(800.0, ("look",), interval_s=0.2), 1)
+    loop, sent = asyncio.get_running_loop(), defaultdict(list)
+
+    def lines(client: str, zone: str) -> list[str]:
+        sent[zone].append(loop.time() % 0.2)
+        return []
+
+    collectors.lines = lines  # type: ignore[method-assign]
+    collectors.report_to("one", "{}:{}".format(*taken.sockets[0].getsockname()))
+    await asyncio.sleep(0.3)
+    time.sleep(0.5)  # noqa: ASYNC251
+    sent.clear()
+    await until(lambda: len(sent) == 4 and min(map(len, sent.values())) >= 5)
+    collectors.stop()
+    await asyncio.gather(*collectors.lives, return_exceptions=True)
+    taken.close()
+    for writer in writers:
+        writer.transport.abort()
+    phases = sorted(phase_of(times, 0.2) for times in sent.values())
+    gaps = [after - before for before, after in pairwise([*phases, phases[0] + 0.2])]
+    assert min(gaps) > 0.02, phases  # 0.05 each where nothing is late; 0 where all report together
+
+
+async def test_hollow_controllers_hold_watch_and_news_and_keep_their_pace() -> None:
+    registry, relay, servers = Registry(), Relay(4, proxies=2), Servers()
+    relay.shared.add("hollow")
+    addresses = await servers.listen_all(0, ["s-0", "s-1"])
+    registry.members = {name: Member(name, address) for name, address in addresses.items()}
+    places = Places(await registry.listen("hollow"), await relay.listen("hollow"), tuple(addresses.values()))
+    herd = Herd(5, places, seed=1)
+    herd.begin(0.05)
+    await until(lambda: len(herd.standing()) == 5)
+    assert len(registry.watches) == 5 and len(relay.news["hollow"]) == 5
+    registry.change(Member("s-0", addresses["s-0"], phase="Terminating"))
+    await until(lambda: len(herd.heard(registry.revision)) == 5)
+    herd.pace = Pace(calls=10.0, marks=1.0, orders=2.0, probes=20.0, watches=2.0)
+    began, seen = asyncio.get_running_loop().time(), registry.traffic["hollow"].calls
+    await until(lambda: servers.hollow.probes >= 100)
+    took_s = asyncio.get_running_loop().time() - began
+    assert took_s >= 0.9  # 100 probes of 5 controllers at 20 a second each
+    assert registry.traffic["hollow"].calls > seen and "SYNC" in relay.orders[-1]
+    assert any(order.startswith("LIMIT") for order in relay.orders)
+    assert servers.real.probes == 0 and not servers.probed
+    registry.reset()  # whoever loses its watch opens it anew
+    await until(lambda: len(registry.watches) == 5)
+    herd.close()
+    for host in (registry, relay, servers):
+        host.stop()
+    await asyncio.sleep(0.05)
 
 
 def test_chance_of_hollow_controllers_follows_the_seed() -> None:
@@ -252,12 +219,9 @@
     assert first == second
 
 
-def test_a_change_counts_as_told_before_its_first_watch_is_written() -> None:
-    async def test() -> None:
-        stand_in = RegistryStandIn()
-        stand_in.registry.change = lambda *members: time.sleep(0.02)  # type: ignore[method-assign]
-        before_us = clock_us()
-        told = await stand_in.carry_out(Change([]))
-        assert isinstance(told, Told) and before_us <= told.at_us < clock_us() - 15_000
-
-    play(test())
+async def test_a_change_counts_as_told_before_its_first_watch_is_written() -> None:
+    stand_in = RegistryStandIn()
+    stand_in.registry.change = lambda *members: time.sleep(0.02)  # type: ignore[method-assign]
+    before_us = clock_us()
+    told = await stand_in.carry_out(Change([]))
+    assert isinstance(told, Told) and before_us <= told.at_us < clock_us() - 15_000
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -66,7 +66,7 @@
     return controller, now
 
 
-def test_a_start_a_list_and_its_changes_of_1024_servers_are_taken_whole(tmp_path) -> None:
+async def test_a_start_a_list_and_its_changes_of_1024_servers_are_taken_whole(tmp_path) -> None:
     settings = {
         "grades": [{"name": "pay", "target-us": 10, "hard-limit-us": 20, "worth": 2.0}],
         "zones": ["east"],
@@ -89,51 +89,42 @@
     )
     launch = Launch.read({"LB_CONFIG": str(tmp_path / "config.json")})
     assert len(launch.known.entries) == MANY and launch.limits.events > 5000 + 2 * 6000
-
-    async def test() -> None:
-        heard: list[interface.Event] = []
-        registry = Registry(
-            "127.0.0.1:1", launch.known, heard.append, Codec(launch.told, 256), launch.limits, Counters()
-        )
-        for state in ("Ready", "Terminating"):
-            text = json.dumps({"revision": 2, "complete": True, "members": members(state)})
-            registry.take(registry.codec.listing(text))
-        assert [(told.kind, len(told.entries)) for told in heard] == [
-            ("remembered", MANY),
-            ("whole", MANY),
-            ("whole", MANY),
-        ]
-        assert len(registry.addresses) == MANY and not registry.counters["registry.too_many"]
-        probes = Probes(heard.append, registry.codec, launch.limits, registry.counters)
-        for backend, address in registry.addresses.items():
-            probes.start(backend, address)
-        assert len(probes.line) + len(probes.under_way) == MANY and not registry.counters["probes.left_out"]
-        ending = probes.close()
-        for task in ending:
-            task.cancel()
-        await asyncio.gather(*ending, return_exceptions=True)
-
-    asyncio.run(test())
-
-
-def test_a_part_of_a_list_that_is_left_out_does_not_pass_for_gone() -> None:
-    async def test() -> None:
-        heard: list[interface.Event] = []
-        limits = Limits(servers=1000)
-        registry = Registry(
-            "127.0.0.1:1",
-            Listing(0, False, (), {}, 0),
-            heard.append,
-            Codec(deployment(), 256),
-            limits,
-            Counters(),
-        )
-        registry.take(
-            registry.codec.listing(json.dumps({"revision": 2, "complete": True, "members": members()}))
-        )
-        assert heard[-1].kind == "changes" and registry.counters["registry.too_many"] == 24
-
-    asyncio.run(test())
+    heard: list[interface.Event] = []
+    registry = Registry(
+        "127.0.0.1:1", launch.known, heard.append, Codec(launch.told, 256), launch.limits, Counters()
+    )
+    for state in ("Ready", "Terminating"):
+        text = json.dumps({"revision": 2, "complete": True, "members": members(state)})
+        registry.take(registry.codec.listing(text))
+    assert [(told.kind, len(told.entries)) for told in heard] == [
+        ("remembered", MANY),
+        ("whole", MANY),
+        ("whole", MANY),
+    ]
+    assert len(registry.addresses) == MANY and not registry.counters["registry.too_many"]
+    probes = Probes(heard.append, registry.codec, launch.limits, registry.counters)
+    for backend, address in registry.addresses.items():
+        probes.start(backend, address)
+    assert len(probes.line) + len(probes.under_way) == MANY and not registry.counters["probes.left_out"]
+    ending = probes.close()
+    for task in ending:
+        task.cancel()
+    await asyncio.gather(*ending, return_exceptions=True)
+
+
+async def test_a_part_of_a_list_that_is_left_out_does_not_pass_for_gone() -> None:
+    heard: list[interface.Event] = []
+    limits = Limits(servers=1000)
+    registry = Registry(
+        "127.0.0.1:1",
+        Listing(0, False, (), {}, 0),
+        heard.append,
+        Codec(deployment(), 256),
+        limits,
+        Counters(),
+    )
+    registry.take(registry.codec.listing(json.dumps({"revision": 2, "complete": True, "members": members()})))
+    assert heard[-1].kind == "changes" and registry.counters["registry.too_many"] == 24
 
 
 def test_1024_draining_servers_and_1024_given_slices_are_decided_on() -> None:
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -7,8 +7,8 @@
 import signal
 from pathlib import Path
 
+import pytest
 from faulty_process import Call, Controller, Faults, free_address, process
-from parties import play
 
 from lapispass.store.assignments import Assignments
 
@@ -54,12 +54,10 @@
     return owners
 
 
-def test_decisions_wait_for_a_disk_that_fails_for_a_while(tmp_path: Path) -> None:
+@pytest.mark.time_limit(60)
+async def test_decisions_wait_for_a_disk_that_fails_for_a_while(tmp_path: Path) -> None:
     # A full disk ended the controller.
-    async def test() -> None:
-        for call in (Call.WRITE, Call.SYNC):
-            for error in (errno.ENOSPC, errno.EIO):
-                owners = await drained(tmp_path / f"{call.name}-{error}", call, error)
-                assert owners == dict.fromkeys(range(SLICES), "n1"), (call, error)
-
-    play(test(), 60)
+    for call in (Call.WRITE, Call.SYNC):
+        for error in (errno.ENOSPC, errno.EIO):
+            owners = await drained(tmp_path / f"{call.name}-{error}", call, error)
+            assert owners == dict.fromkeys(range(SLICES), "n1"), (call, error)
--- a/tests/test_stream_timers.py
+++ b/tests/test_stream_timers.py
@@ -10,13 +10,15 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from support_gate import QUICK, alone, fleet, play, until
+import pytest
+from support_gate import QUICK, alone, fleet, until
 
 from lapispass.gate import wire
 from lapispass.gate.service import Gate
 from lapispass.operator import read as operator
 from lapispass.peers.coordination import Service
 
+pytestmark = pytest.mark.time_limit(30)
 MS = 1000
 UPGRADE = (
     b"GET /board HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
@@ -24,21 +26,18 @@
 )
 
 
-def test_a_gates_stream_outlives_a_process_that_stood_still(tmp_path: Path) -> None:
+async def test_a_gates_stream_outlives_a_process_that_stood_still(tmp_path: Path) -> None:
     # The timer won over the beat that had come: the gate joined anew, and its lease was counted.
-    async def test() -> None:
-        async with fleet(tmp_path, 2) as stand:
-            uplink, counters = stand.gates["g0"].uplink, stand.service.counters
-            assert uplink is not None and uplink.writer is not None
-            for _ in range(3):
-                await asyncio.sleep(0.2)
-                uplink.writer.write(wire.line(wire.Beat(-1)))
-                stand.desk.gates["g0"].writer.write(wire.line(wire.Beat(-1)))
-                time.sleep(stand.desk.limits.quiet_us / 1e6 + 0.1)  # noqa: ASYNC251
-            await asyncio.sleep(0.5)
-            assert counters["gates.joined"] == 1 and counters["gates.left"] == 0
-
-    play(test())
+    async with fleet(tmp_path, 2) as stand:
+        uplink, counters = stand.gates["g0"].uplink, stand.service.counters
+        assert uplink is not None and uplink.writer is not None
+        for _ in range(3):
+            await asyncio.sleep(0.2)
+            uplink.writer.write(wire.line(wire.Beat(-1)))
+            stand.desk.gates["g0"].writer.write(wire.line(wire.Beat(-1)))
+            time.sleep(stand.desk.limits.quiet_us / 1e6 + 0.1)  # noqa: ASYNC251
+        await asyncio.sleep(0.5)
+        assert counters["gates.joined"] == 1 and counters["gates.left"] == 0
 
 
 @asynccontextmanager
@@ -67,76 +66,64 @@
         connection.recv(65536)
 
 
-def test_an_answer_of_the_coordination_service_that_has_come_is_taken() -> None:
+async def test_an_answer_of_the_coordination_service_that_has_come_is_taken() -> None:
     # It counted as unknown: whether the lease was granted.
-    async def test() -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            granted = b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"ID":"7"}'
-            thread = threading.Thread(target=answer_slowly, args=(listener, 0.1, granted))
-            thread.start()
-            service = Service("{}:{}".format(*listener.getsockname()), call_us=300 * MS)
-            call = asyncio.create_task(service.grant(5))
-            await asyncio.sleep(0.05)
-            time.sleep(0.5)  # noqa: ASYNC251
-            try:
-                assert await call == 7
-            finally:
-                service.close()
-                await asyncio.to_thread(thread.join)
-
-    play(test())
-
-
-def test_the_answer_of_a_node_that_has_come_is_taken(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        granted = b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"ID":"7"}'
+        thread = threading.Thread(target=answer_slowly, args=(listener, 0.1, granted))
+        thread.start()
+        service = Service("{}:{}".format(*listener.getsockname()), call_us=300 * MS)
+        call = asyncio.create_task(service.grant(5))
+        await asyncio.sleep(0.05)
+        time.sleep(0.5)  # noqa: ASYNC251
+        try:
+            assert await call == 7
+        finally:
+            service.close()
+            await asyncio.to_thread(thread.join)
+
+
+async def test_the_answer_of_a_node_that_has_come_is_taken(tmp_path: Path) -> None:
     # The node counted as failing, and its refusal passed for a lack of nodes.
-    async def test() -> None:
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            refusal = b"HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\n\r\n"
-            thread = threading.Thread(target=answer_slowly, args=(listener, 0.1, refusal))
-            thread.start()
-            async with world(tmp_path, {"n0": "{}:{}".format(*listener.getsockname())}) as gate:
-                reader, writer = await asyncio.open_connection(*gate.address.split(":"))
-                writer.write(UPGRADE)
-                await asyncio.sleep(0.05)
-                time.sleep(QUICK.upgrade_us / 1e6 + 0.2)  # noqa: ASYNC251
-                said = await asyncio.wait_for(reader.read(), 3)
-                writer.transport.abort()
-                await asyncio.to_thread(thread.join)
-                assert said.startswith(b"HTTP/1.1 403"), said
-
-    play(test())
-
-
-def test_a_head_that_has_come_is_read_though_its_time_is_over(tmp_path: Path) -> None:
-    # It was told 408, though all of it had come.
-    async def test() -> None:
-        async with world(tmp_path, {"n0": "127.0.0.1:1"}) as gate:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        refusal = b"HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\n\r\n"
+        thread = threading.Thread(target=answer_slowly, args=(listener, 0.1, refusal))
+        thread.start()
+        async with world(tmp_path, {"n0": "{}:{}".format(*listener.getsockname())}) as gate:
             reader, writer = await asyncio.open_connection(*gate.address.split(":"))
-            writer.write(UPGRADE[:40])
-            await asyncio.sleep(QUICK.handshake_us / 2e6)
-            writer.write(UPGRADE[40:])
-            time.sleep(QUICK.handshake_us / 1e6)  # noqa: ASYNC251
+            writer.write(UPGRADE)
+            await asyncio.sleep(0.05)
+            time.sleep(QUICK.upgrade_us / 1e6 + 0.2)  # noqa: ASYNC251
             said = await asyncio.wait_for(reader.read(), 3)
             writer.transport.abort()
-            assert said.startswith(b"HTTP/1.1 503"), said  # its node refuses connections
-
-    play(test())
+            await asyncio.to_thread(thread.join)
+            assert said.startswith(b"HTTP/1.1 403"), said
 
 
-def test_an_upgrade_that_waits_to_be_accepted_is_refused_before_the_end(tmp_path: Path) -> None:
+async def test_a_head_that_has_come_is_read_though_its_time_is_over(tmp_path: Path) -> None:
+    # It was told 408, though all of it had come.
+    async with world(tmp_path, {"n0": "127.0.0.1:1"}) as gate:
+        reader, writer = await asyncio.open_connection(*gate.address.split(":"))
+        writer.write(UPGRADE[:40])
+        await asyncio.sleep(QUICK.handshake_us / 2e6)
+        writer.write(UPGRADE[40:])
+        time.sleep(QUICK.handshake_us / 1e6)  # noqa: ASYNC251
+        said = await asyncio.wait_for(reader.read(), 3)
+        writer.transport.abort()
+        assert said.startswith(b"HTTP/1.1 503"), said  # its node refuses connections
+
+
+async def test_an_upgrade_that_waits_to_be_accepted_is_refused_before_the_end(tmp_path: Path) -> None:
     # It was reset with the listening socket.
-    async def test() -> None:
-        async with world(tmp_path, {"n0": "127.0.0.1:1"}) as gate:
-            address = gate.address.split(":")
-            clients = [socket.create_connection((address[0], int(address[1]))) for _ in range(900)]
-            for client in clients[:-1]:
-                client.sendall(UPGRADE)
-            gate.stop()
-            streams = [await asyncio.open_connection(sock=client) for client in clients]
-            said = await asyncio.gather(*(asyncio.wait_for(reader.read(), 3) for reader, _ in streams))
-            for _, writer in streams:
-                writer.transport.abort()
-            assert {answer[:12] for answer in said[:-1]} == {b"HTTP/1.1 503"}
-            assert said[-1] == b""
-
-    play(test())
+    async with world(tmp_path, {"n0": "127.0.0.1:1"}) as gate:
+        address = gate.address.split(":")
+        clients = [socket.create_connection((address[0], int(address[1]))) for _ in range(900)]
+        for client in clients[:-1]:
+            client.sendall(UPGRADE)
+        gate.stop()
+        streams = [await asyncio.open_connection(sock=client) for client in clients]
+        said = await asyncio.gather(*(asyncio.wait_for(reader.read(), 3) for reader, _ in streams))
+        for _, writer in streams:
+            writer.transport.abort()
+        assert {answer[:12] for answer in said[:-1]} == {b"HTTP/1.1 503"}
+        assert said[-1] == b""
--- a/tests/test_target_size.py
+++ b/tests/test_target_size.py
@@ -13,7 +13,7 @@
 import h11
 import pytest
 from fleet import deployment
-from parties import CODEC, TOLD, Party, answered, listening, play, request, running, until
+from parties import CODEC, TOLD, Party, answered, listening, request, running, until
 from test_codec import CONFIG, SETTINGS
 
 from lapispass import interface
@@ -86,32 +86,28 @@
 
 
 @pytest.mark.parametrize("name_bytes", [0, LIMITS.id_bytes])
-def test_a_whole_list_is_fetched_and_watched_over_a_socket(name_bytes: int) -> None:
+async def test_a_whole_list_is_fetched_and_watched_over_a_socket(name_bytes: int) -> None:
     """Also where each id is as long as one may be."""
     body = whole_list(5, name_bytes)
     assert len(body) > 900_000
     gone = {**member(7), "id": f"{7:0{name_bytes}d}" if name_bytes else "s-00000007", "phase": "Gone"}
     change = json.dumps({"revision": 6, "complete": False, "members": [gone]}).encode()
-
-    async def test() -> None:
-        async with ListServer(body, change) as server:
-            heard: list[interface.Listed] = []
-            counters = Counters()
-            registry = Registry(server.address, NOTHING, heard.append, CODEC, LIMITS, counters)
-            async with running(registry.run()):
-                registry.follow()
-                await until(lambda: len(heard) == 4)
-            assert [(told.kind, len(told.entries)) for told in heard] == [
-                ("remembered", 0),
-                ("whole", SERVERS),  # fetched: there was no version to go on from
-                ("whole", SERVERS),  # the first line of the watch
-                ("changes", 1),
-            ]
-            assert server.targets == ["/registry/instances", "/registry/instances?watch=1&from=5"]
-            assert len(registry.addresses) == len(registry.born) == SERVERS
-            assert not counters["registry.too_many"] and not counters["registry.unreadable"]
-
-    play(test())
+    async with ListServer(body, change) as server:
+        heard: list[interface.Listed] = []
+        counters = Counters()
+        registry = Registry(server.address, NOTHING, heard.append, CODEC, LIMITS, counters)
+        async with running(registry.run()):
+            registry.follow()
+            await until(lambda: len(heard) == 4)
+        assert [(told.kind, len(told.entries)) for told in heard] == [
+            ("remembered", 0),
+            ("whole", SERVERS),  # fetched: there was no version to go on from
+            ("whole", SERVERS),  # the first line of the watch
+            ("changes", 1),
+        ]
+        assert server.targets == ["/registry/instances", "/registry/instances?watch=1&from=5"]
+        assert len(registry.addresses) == len(registry.born) == SERVERS
+        assert not counters["registry.too_many"] and not counters["registry.unreadable"]
 
 
 def test_a_start_file_of_the_target_is_read_whole(tmp_path: Path) -> None:
@@ -140,48 +136,35 @@
         Launch.read({"LB_CONFIG": str(file)})
 
 
-def test_a_list_beyond_the_bound_is_still_cut_and_never_passes_for_whole() -> None:
-    async def test() -> None:
-        heard: list[interface.Listed] = []
-        registry = Registry("", NOTHING, heard.append, CODEC, LIMITS, Counters())
-        entries = tuple(interface.Entry(f"s-{n}", "a", "ready", 1.0, None) for n in range(LIMITS.servers + 3))
-        registry.take(Listing(2, True, entries, {}, 0))
-        assert heard[-1].kind == "changes" and len(heard[-1].entries) == LIMITS.servers
-        assert registry.counters["registry.too_many"] == 3
-
-    play(test())
-
-
-def test_what_the_registry_client_keeps_is_bounded_over_a_long_churn() -> None:
-    async def test() -> None:
-        registry = Registry(
-            "", NOTHING, lambda event: None, CODEC, replace(LIMITS, servers=SERVERS), Counters()
-        )
-        for round_ in range(5):
-            entries = tuple(
-                interface.Entry(f"s-{round_}-{n}", "a", "ready", 1.0, None) for n in range(SERVERS)
-            )
-            addresses = {entry.backend: "127.0.0.1:9" for entry in entries}
-            registry.take(Listing(2 + round_, True, entries, addresses, 0))
-            assert all(entry.backend in registry.addresses for entry in entries)
-        assert len(registry.addresses) == len(registry.born) == 2 * SERVERS
+async def test_a_list_beyond_the_bound_is_still_cut_and_never_passes_for_whole() -> None:
+    heard: list[interface.Listed] = []
+    registry = Registry("", NOTHING, heard.append, CODEC, LIMITS, Counters())
+    entries = tuple(interface.Entry(f"s-{n}", "a", "ready", 1.0, None) for n in range(LIMITS.servers + 3))
+    registry.take(Listing(2, True, entries, {}, 0))
+    assert heard[-1].kind == "changes" and len(heard[-1].entries) == LIMITS.servers
+    assert registry.counters["registry.too_many"] == 3
 
-    play(test())
 
+async def test_what_the_registry_client_keeps_is_bounded_over_a_long_churn() -> None:
+    registry = Registry("", NOTHING, lambda event: None, CODEC, replace(LIMITS, servers=SERVERS), Counters())
+    for round_ in range(5):
+        entries = tuple(interface.Entry(f"s-{round_}-{n}", "a", "ready", 1.0, None) for n in range(SERVERS))
+        addresses = {entry.backend: "127.0.0.1:9" for entry in entries}
+        registry.take(Listing(2 + round_, True, entries, addresses, 0))
+        assert all(entry.backend in registry.addresses for entry in entries)
+    assert len(registry.addresses) == len(registry.born) == 2 * SERVERS
 
-def test_every_server_may_wait_for_its_probe() -> None:
-    async def test() -> None:
-        counters = Counters()
-        probes = Probes(lambda event: None, CODEC, LIMITS, counters)
-        for number in range(SERVERS):
-            probes.start(f"s-{number}", "127.0.0.1:9")
-        assert len(probes.line) + len(probes.under_way) == SERVERS and not counters["probes.left_out"]
-        ending = probes.close()
-        for task in ending:
-            task.cancel()
-        await asyncio.gather(*ending, return_exceptions=True)
 
-    play(test())
+async def test_every_server_may_wait_for_its_probe() -> None:
+    counters = Counters()
+    probes = Probes(lambda event: None, CODEC, LIMITS, counters)
+    for number in range(SERVERS):
+        probes.start(f"s-{number}", "127.0.0.1:9")
+    assert len(probes.line) + len(probes.under_way) == SERVERS and not counters["probes.left_out"]
+    ending = probes.close()
+    for task in ending:
+        task.cancel()
+    await asyncio.gather(*ending, return_exceptions=True)
 
 
 def test_orders_for_every_slice_go_out_in_calls_of_bounded_size() -> None:
@@ -196,35 +179,29 @@
     assert all(len(";".join(item.text for item in part)) <= LIMITS.call_bytes for part in parts)
 
 
-def test_a_collector_may_report_every_server_in_one_interval() -> None:
-    async def test() -> None:
-        async with listening(LIMITS) as (collectors, heard, connect):
-            _, writer = await connect()
-            for number in range(SERVERS):
-                writer.write(
-                    b"LOAD locality=a endpoint=s-%08x total=25 errors=0 rtt=41.7 interval=1000.0\r\n" % number
-                )
-                if number % 500 == 0:
-                    await writer.drain()
-            await until(lambda: len(heard) == SERVERS)
-            assert len({told.backend for told in heard}) == SERVERS
-            assert not collectors.counters["collectors.unreadable"]
-
-    play(test())
-
+async def test_a_collector_may_report_every_server_in_one_interval() -> None:
+    async with listening(LIMITS) as (collectors, heard, connect):
+        _, writer = await connect()
+        for number in range(SERVERS):
+            writer.write(
+                b"LOAD locality=a endpoint=s-%08x total=25 errors=0 rtt=41.7 interval=1000.0\r\n" % number
+            )
+            if number % 500 == 0:
+                await writer.drain()
+        await until(lambda: len(heard) == SERVERS)
+        assert len({told.backend for told in heard}) == SERVERS
+        assert not collectors.counters["collectors.unreadable"]
 
-def test_a_collector_of_each_zone_has_a_connection_beside_strangers() -> None:
-    async def test() -> None:
-        async with listening(LIMITS) as (collectors, _, connect):
-            for _ in range(ZONES):
-                await connect()
-            await until(lambda: sum(guest.zone is not None for guest in collectors.open) == ZONES)
-            for _ in range(LIMITS.connections):
-                await connect(b"")
-            await until(lambda: collectors.counters["collectors.opened"] == ZONES + LIMITS.connections)
-            assert sum(guest.zone is not None for guest in collectors.open) == ZONES
 
-    play(test())
+async def test_a_collector_of_each_zone_has_a_connection_beside_strangers() -> None:
+    async with listening(LIMITS) as (collectors, _, connect):
+        for _ in range(ZONES):
+            await connect()
+        await until(lambda: sum(guest.zone is not None for guest in collectors.open) == ZONES)
+        for _ in range(LIMITS.connections):
+            await connect(b"")
+        await until(lambda: collectors.counters["collectors.opened"] == ZONES + LIMITS.connections)
+        assert sum(guest.zone is not None for guest in collectors.open) == ZONES
 
 
 def test_an_operator_file_of_the_target_is_read_and_its_findings_named(tmp_path: Path) -> None:
@@ -251,28 +228,25 @@
         operator.read(file)
 
 
-def test_720_controllers_and_all_slices_are_read_from_the_coordination_service() -> None:
-    async def test() -> None:
-        service = Coordination()
-        await service.start()
-        record = b'{"epoch":3,"holder":"n-007/1796139439123","owner":"s-0000162b","share":1.0,"shut":[]}'
-        keys = {f"/lapispass/members/n-{n:03d}".encode(): b'{"weight":1.0}' for n in range(CONTROLLERS)}
-        keys |= {f"/lapispass/slices/{n:06d}".encode(): record for n in range(SLICES)}
-        keys |= {f"/lapispass/out/n-000/s-{n:08x}".encode(): b"1" for n in range(SERVERS)}
-        for key, value in keys.items():
-            service.state._put(key, value, 0)
-        client = Service(service.address)
-        try:
-            _, read = await client.read("/lapispass/")
-            assert len(read) == CONTROLLERS + SLICES + SERVERS
-        finally:
-            client.close()
-            service.stop()
-        known = Members()
-        come, _ = known.seen({f"n-{n:03d}": (1.0, "1") for n in range(CONTROLLERS)}, 5)
-        assert len(come) == CONTROLLERS
-
-    play(test())
+async def test_720_controllers_and_all_slices_are_read_from_the_coordination_service() -> None:
+    service = Coordination()
+    await service.start()
+    record = b'{"epoch":3,"holder":"n-007/1796139439123","owner":"s-0000162b","share":1.0,"shut":[]}'
+    keys = {f"/lapispass/members/n-{n:03d}".encode(): b'{"weight":1.0}' for n in range(CONTROLLERS)}
+    keys |= {f"/lapispass/slices/{n:06d}".encode(): record for n in range(SLICES)}
+    keys |= {f"/lapispass/out/n-000/s-{n:08x}".encode(): b"1" for n in range(SERVERS)}
+    for key, value in keys.items():
+        service.state._put(key, value, 0)
+    client = Service(service.address)
+    try:
+        _, read = await client.read("/lapispass/")
+        assert len(read) == CONTROLLERS + SLICES + SERVERS
+    finally:
+        client.close()
+        service.stop()
+    known = Members()
+    come, _ = known.seen({f"n-{n:03d}": (1.0, "1") for n in range(CONTROLLERS)}, 5)
+    assert len(come) == CONTROLLERS
 
 
 @pytest.mark.parametrize("odd", [",", ";", "\r", "\n", "a,b", "a;", "\na"])
--- a/tests/test_unasked_answers.py
+++ b/tests/test_unasked_answers.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import pytest
 from faulty_process import Controller, Faults, controller, free_address, process
-from parties import play
 
 PING, PONG = b"PING\r\n", b"PONG\r\n"
 NACK = b"NACK why=unreadable\r\n"
@@ -35,43 +35,38 @@
     return said
 
 
-def test_a_client_that_has_asked_is_told_nothing_more_until_it_asks_again(tmp_path: Path) -> None:
+@pytest.mark.time_limit(40)
+async def test_a_client_that_has_asked_is_told_nothing_more_until_it_asks_again(tmp_path: Path) -> None:
     # Each got `NACK why=unreadable` and a close 15 s after its PONG, in an earlier version after 1 s.
-    async def test() -> None:
-        async with controller(tmp_path) as running:
-            clients = [await running.connect() for _ in range(5)]
-            for _, writer in clients:
-                writer.write(PING)
-            first = await asyncio.gather(*(heard(reader, KEPT_S) for reader, _ in clients))
-            for _, writer in clients:
-                writer.write(PING)
-            second = await asyncio.gather(*(heard(reader, 0.5) for reader, _ in clients))
-            for _, writer in clients:
-                writer.close()
-            assert (set(first), set(second)) == ({PONG}, {PONG})
-
-    play(test(), 40)
+    async with controller(tmp_path) as running:
+        clients = [await running.connect() for _ in range(5)]
+        for _, writer in clients:
+            writer.write(PING)
+        first = await asyncio.gather(*(heard(reader, KEPT_S) for reader, _ in clients))
+        for _, writer in clients:
+            writer.write(PING)
+        second = await asyncio.gather(*(heard(reader, 0.5) for reader, _ in clients))
+        for _, writer in clients:
+            writer.close()
+        assert (set(first), set(second)) == ({PONG}, {PONG})
 
 
-def test_only_what_cannot_be_read_is_rejected(tmp_path: Path) -> None:
+async def test_only_what_cannot_be_read_is_rejected(tmp_path: Path) -> None:
     # A client that had said nothing was told that it was unreadable.
     expected = {b"": b"", b"PI": NACK, b"odd\r\n": NACK, PING + b"PI": PONG + NACK}
-
-    async def test() -> None:
-        async with controller(tmp_path) as running:
-            clients = {said: await running.connect() for said in expected}
-            for said, (_, writer) in clients.items():
-                writer.write(said)
-            got = await asyncio.gather(*(heard(reader, OWED_S) for reader, _ in clients.values()))
-            ended = [reader.at_eof() for reader, _ in clients.values()]
-            for _, writer in clients.values():
-                writer.close()
-            assert dict(zip(expected, got, strict=True)) == expected and all(ended)
-
-    play(test())
+    async with controller(tmp_path) as running:
+        clients = {said: await running.connect() for said in expected}
+        for said, (_, writer) in clients.items():
+            writer.write(said)
+        got = await asyncio.gather(*(heard(reader, OWED_S) for reader, _ in clients.values()))
+        ended = [reader.at_eof() for reader, _ in clients.values()]
+        for _, writer in clients.values():
+            writer.close()
+        assert dict(zip(expected, got, strict=True)) == expected and all(ended)
 
 
-def test_a_ping_in_pieces_is_answered_in_a_crowd(tmp_path: Path) -> None:
+@pytest.mark.time_limit(40)
+async def test_a_ping_in_pieces_is_answered_in_a_crowd(tmp_path: Path) -> None:
     # Whoever had sent half a PING was closed to make room for the next client, 2 ms later.
     async def client(running: Controller, seed: int) -> bytes:
         chance = random.Random(seed)
@@ -89,15 +84,13 @@
             await asyncio.sleep(1)
             writer.close()
 
-    async def test() -> None:
-        async with controller(tmp_path) as running:
-            got = await asyncio.gather(*(client(running, seed) for seed in range(300)))
-            assert set(got) == {PONG}, [said for said in got if said != PONG][:5]
-
-    play(test(), 40)
+    async with controller(tmp_path) as running:
+        got = await asyncio.gather(*(client(running, seed) for seed in range(300)))
+        assert set(got) == {PONG}, [said for said in got if said != PONG][:5]
 
 
-def test_clients_with_half_a_message_keep_nobody_waiting(tmp_path: Path) -> None:
+@pytest.mark.time_limit(40)
+async def test_clients_with_half_a_message_keep_nobody_waiting(tmp_path: Path) -> None:
     # Where all places were theirs, one of them went each 250 ms; hundreds waited behind them.
     async def asks(running: Controller) -> float:
         begun = asyncio.get_running_loop().time()
@@ -107,19 +100,16 @@
         writer.close()
         return asyncio.get_running_loop().time() - begun
 
-    async def test() -> None:
-        async with controller(tmp_path, limits={"sockets": 256}) as running:
-            halves = [await running.connect() for _ in range(400)]
-            for _, writer in halves:
-                writer.write(b"PIN")
-            waits = await asyncio.gather(*(asks(running) for _ in range(20)))
-            ended = await asyncio.gather(*(heard(reader, OWED_S) for reader, _ in halves))
-            for _, writer in halves:
-                writer.close()
-            assert max(waits) < 1.5, waits
-            assert set(ended) <= {b"", NACK} and all(reader.at_eof() for reader, _ in halves)
-
-    play(test(), 40)
+    async with controller(tmp_path, limits={"sockets": 256}) as running:
+        halves = [await running.connect() for _ in range(400)]
+        for _, writer in halves:
+            writer.write(b"PIN")
+        waits = await asyncio.gather(*(asks(running) for _ in range(20)))
+        ended = await asyncio.gather(*(heard(reader, OWED_S) for reader, _ in halves))
+        for _, writer in halves:
+            writer.close()
+        assert max(waits) < 1.5, waits
+        assert set(ended) <= {b"", NACK} and all(reader.at_eof() for reader, _ in halves)
 
 
 @dataclass
@@ -144,7 +134,7 @@
         writer.close()
 
 
-def test_each_request_that_was_read_is_answered_by_a_process_that_ends(tmp_path: Path) -> None:
+async def test_each_request_that_was_read_is_answered_by_a_process_that_ends(tmp_path: Path) -> None:
     # What came between the decision to close a connection and its close had been read, and was dropped.
     async def one(seed: int) -> None:
         chance, count = random.Random(seed), Count()
@@ -162,67 +152,55 @@
         assert read == len(PING) * count.answered, (read / len(PING), count)
         assert count.answered > 200
 
-    async def test() -> None:
-        for seed in range(3):
-            await one(seed)
-
-    play(test())
+    for seed in range(3):
+        await one(seed)
 
 
-def test_connections_that_wait_to_be_accepted_are_answered_before_the_end(tmp_path: Path) -> None:
+async def test_connections_that_wait_to_be_accepted_are_answered_before_the_end(tmp_path: Path) -> None:
     # They were reset with the listening socket.
-    async def test() -> None:
-        async with controller(tmp_path) as running:
-            running.signal(signal.SIGSTOP)
-            clients = [await running.connect() for _ in range(120)]
-            for _, writer in clients:
-                writer.write(PING)
-            running.signal(signal.SIGTERM)
-            running.signal(signal.SIGCONT)
-            got = []
-            for reader, writer in clients:
-                try:
-                    got.append(await heard(reader, 2))
-                except OSError as error:
-                    got.append(repr(error).encode())
-                writer.close()
-            assert set(got) == {PONG}
-            assert await running.ended() == 0
-
-    play(test())
-
-
-def test_counters_have_no_names_of_a_strangers_choice(tmp_path: Path) -> None:
-    # One counter came for each line that a stranger had made up.
-    async def test() -> None:
-        async with controller(tmp_path) as running:
-            names = []
-            for number in range(50):
-                reader, writer = await running.connect()
-                writer.write(b"SOURCE locality=made-up-%d\r\nodd-%d\r\n" % (number, number))
-                await heard(reader, 2)
-                writer.close()
-                if number in (0, 49):
-                    counters = await running.counters()
-                    names.append({name for name in counters if name.startswith("collectors.")})
-            assert names[1] == names[0] and "collectors.ended.unreadable" in names[0]
+    async with controller(tmp_path) as running:
+        running.signal(signal.SIGSTOP)
+        clients = [await running.connect() for _ in range(120)]
+        for _, writer in clients:
+            writer.write(PING)
+        running.signal(signal.SIGTERM)
+        running.signal(signal.SIGCONT)
+        got = []
+        for reader, writer in clients:
+            try:
+                got.append(await heard(reader, 2))
+            except OSError as error:
+                got.append(repr(error).encode())
+            writer.close()
+        assert set(got) == {PONG}
+        assert await running.ended() == 0
 
-    play(test())
 
+async def test_counters_have_no_names_of_a_strangers_choice(tmp_path: Path) -> None:
+    # One counter came for each line that a stranger had made up.
+    async with controller(tmp_path) as running:
+        names = []
+        for number in range(50):
+            reader, writer = await running.connect()
+            writer.write(b"SOURCE locality=made-up-%d\r\nodd-%d\r\n" % (number, number))
+            await heard(reader, 2)
+            writer.close()
+            if number in (0, 49):
+                counters = await running.counters()
+                names.append({name for name in counters if name.startswith("collectors.")})
+        assert names[1] == names[0] and "collectors.ended.unreadable" in names[0]
 
-def test_a_gate_tells_nothing_to_a_client_that_never_asked(tmp_path: Path) -> None:
+
+async def test_a_gate_tells_nothing_to_a_client_that_never_asked(tmp_path: Path) -> None:
     # It was told 408: an answer that would pass for that to its next request.
-    async def test() -> None:
-        faults, address = Faults(tmp_path / "faults"), free_address()
-        file = tmp_path / "operator.textproto"
-        file.write_text(GATE_FILE.format(listen="{}:{}".format(*address)))
-        async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as gate:
-            silent, begun = await gate.connect(), await gate.connect()
-            begun[1].write(b"GET /board HTTP/1.1\r\n")
-            got = [await heard(reader, OWED_S) for reader, _ in (silent, begun)]
-            for _, writer in (silent, begun):
-                writer.close()
-            assert got[0] == b"" and silent[0].at_eof()
-            assert got[1].startswith(b"HTTP/1.1 408 ")
-
-    play(test())
+    faults, address = Faults(tmp_path / "faults"), free_address()
+    file = tmp_path / "operator.textproto"
+    file.write_text(GATE_FILE.format(listen="{}:{}".format(*address)))
+    async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as gate:
+        silent, begun = await gate.connect(), await gate.connect()
+        begun[1].write(b"GET /board HTTP/1.1\r\n")
+        got = [await heard(reader, OWED_S) for reader, _ in (silent, begun)]
+        for _, writer in (silent, begun):
+            writer.close()
+        assert got[0] == b"" and silent[0].at_eof()
+        assert got[1].startswith(b"HTTP/1.1 408 ")
