Split test_balance.py by what decides: controller, health, handovers, placement, channel

`Fleet` says its owners and may have run for a while (`ran_s`); `server` and `changed` in `fleet.py` stand for the list's entry and news that were spelled out in twenty places. Seeds, sizes and bounds are as before.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -49,6 +49,18 @@
     return interface.Deployment(**{**told, **changes})
 
 
+def server(
+    name: int | str, state: str = "ready", zone: str = "east", born_us: int | None = None
+) -> interface.Entry:
+    """A server as the list has it."""
+    return interface.Entry(name, zone, state, 1.0, born_us)
+
+
+def changed(*entries: interface.Entry) -> interface.Listed:
+    """The list's news of some servers."""
+    return interface.Listed("changes", entries)
+
+
 def standing(
     entries: Sequence[interface.Entry], proxies: int, slices: int, first: bool = True
 ) -> list[interface.Event]:
@@ -101,12 +113,12 @@
 class Fleet:
     """One controller, its proxies and the list; each step of 50 ms the rules are looked at."""
 
-    def __init__(self, told: interface.Deployment, backends: int, seed: int, visits: int = 3) -> None:
+    def __init__(
+        self, told: interface.Deployment, backends: int, seed: int, visits: int = 3, ran_s: float = 0
+    ) -> None:
         self.told, self.chance, self.now = told, random.Random(seed), 100 * SECOND
         self.visits = visits
-        self.list = {
-            100 + n: interface.Entry(100 + n, told.zones[n % 2], "ready", 1.0, None) for n in range(backends)
-        }
+        self.list = {100 + n: server(100 + n, zone=told.zones[n % 2]) for n in range(backends)}
         self.up = set(self.list)
         self.store = {s: Table(100 + s % backends) for s in range(told.slices)}
         self.proxies = [Proxy() for _ in range(told.proxies)]
@@ -124,6 +136,10 @@
         self.start()
         for number in range(told.proxies):
             self.join(number)
+        self.run(ran_s)
+
+    def owners(self) -> set[int | None]:
+        return {table.owner for table in self.store.values()}
 
     def start(self) -> None:
         """The controller starts over, with the list and the store only."""
@@ -177,7 +193,7 @@
                 self.unfit_since.pop(entry.backend, None)
             elif entry.state == "draining" or self.told.gone_binds:
                 self.unfit_since.setdefault(entry.backend, self.now)
-        self.news.append(interface.Listed("changes", tuple(entries)))
+        self.news.append(changed(*entries))
 
     def run(self, seconds: float) -> None:
         until = self.now + int(seconds * SECOND)
@@ -214,11 +230,8 @@
                     held.owner = backend
                     message.append((order, held.count))
                 case interface.Empty(table):
-                    self.store[table].owner, self.store[table].writes, self.store[table].share = (
-                        None,
-                        True,
-                        1.0,
-                    )
+                    held = self.store[table]
+                    held.owner, held.writes, held.share = None, True, 1.0
                     message.append((order, 0))
                 case interface.Admit(table, classes, _, share):
                     if classes >> 1 & 1:
--- /dev/null
+++ b/tests/test_controller.py
@@ -0,0 +1,228 @@
+"""The controller beside the plain model: generated days, its start, its registry, and what it forgets."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from fleet import MS, SECOND, Fleet, answers, changed, deployment, server, standing
+
+from lapispass import interface
+from lapispass.controller import Controller
+from lapispass.core.decay import DecayingSum
+from lapispass.core.random_source import RandomSource
+
+
+@pytest.mark.parametrize("seed", range(15))
+def test_generated_days_keep_the_rules(seed: int) -> None:
+    chance = random.Random(seed)
+    size = (
+        dict(proxies=30, slices=90, messages_most=1000, bare_us=24 * SECOND)
+        if seed >= 12
+        else dict(messages_most=chance.choice((1000, 20, 30)))
+    )
+    fleet = Fleet(deployment(**size, gone_binds=seed % 2 == 0), backends=18 if seed >= 12 else 6, seed=seed)
+    for _ in range(14):
+        backend = chance.choice([number for number in fleet.list if number < 900])
+        match chance.randrange(9):
+            case 0 if sum(e.state == "ready" for e in fleet.list.values()) > 3:
+                fleet.change(backend, "draining")
+                fleet.run(chance.uniform(0.1, 4))
+                fleet.change(backend, "gone")
+                fleet.change(max(fleet.list) + 1, "ready", fleet.now)
+            case 1 if sum(e.state == "ready" for e in fleet.list.values()) > 3:
+                fleet.change(backend, "gone")
+                fleet.run(chance.uniform(0.1, 6))
+                fleet.change(backend, "ready", fleet.now)
+            case 2:
+                for number in chance.sample(range(4), 2):
+                    fleet.leave(number)
+                    fleet.run(chance.uniform(0, 2))
+                    fleet.join(number)
+            case 3:
+                chance.choice(fleet.proxies).stalled_until = fleet.now + 1200 * MS
+            case 4:
+                fleet.crash()
+                fleet.run(chance.uniform(2 * fleet.told.linger_us / SECOND, 8))
+                fleet.start()
+                for number in chance.sample(range(4), 4):
+                    fleet.join(number)
+            case 5:
+                fleet.news.append(interface.Listed("lost", ()))
+            case 6:
+                fleet.mute ^= {backend}
+            case 7:  # the list calls running servers gone, drained ones too
+                true = chance.sample(list(fleet.list.values()), 3)
+                fleet.tell([entry._replace(state="gone") for entry in true])
+                fleet.run(chance.uniform(1, 9))
+                fleet.tell(true)
+            case 8:  # servers that do not exist are listed
+                ghosts = [interface.Entry(900 + n, "west", "ready", 2.0, None) for n in range(4)]
+                fleet.tell(ghosts)
+                fleet.run(chance.uniform(1, 9))
+                fleet.tell([ghost._replace(state="gone") for ghost in ghosts])
+        fleet.run(chance.uniform(0.2, 5))
+    fleet.mute.clear()
+    fleet.run(25)
+    assert all(fleet.list[owner].state == "ready" for owner in fleet.owners())
+
+
+def test_same_news_same_orders() -> None:
+    days = [Fleet(deployment(), 5, seed=3) for _ in range(2)]
+    for fleet in days:
+        fleet.change(101, "gone")
+        fleet.run(8)
+    assert days[0].store == days[1].store and days[0].sent == days[1].sent
+
+
+def test_servers_that_are_gone_for_good_are_forgotten() -> None:
+    fleet = Fleet(deployment(bare_us=4 * SECOND, gone_binds=True), backends=4, seed=1, ran_s=3)
+    for round_ in range(60):  # each drains and goes, another one comes; some proxies come back meanwhile
+        first = max(fleet.list) + 1
+        for number in [n for n, e in fleet.list.items() if e.state == "ready"][:2]:
+            fleet.change(number, "draining")
+        fleet.tell([server(n) for n in range(first, first + 2)])
+        fleet.up |= {first, first + 1}
+        fleet.run(9)
+        for number in [n for n, e in fleet.list.items() if e.state == "draining"]:
+            fleet.change(number, "gone")
+        fleet.leave(round_ % 4)
+        fleet.join(round_ % 4)
+    fleet.run(9)
+    kept = fleet.controller
+    table = kept.table
+    assert len(fleet.list) == 124 and fleet.owners() <= set(kept.backends)
+    shut_out, placement = table.shut_out, table.placement
+    for held in (
+        kept.backends,
+        kept.agenda,
+        shut_out.out,
+        shut_out.again,
+        shut_out.said,
+        table.holdings.relief_at,
+        placement.loads,
+    ):
+        assert len(held) <= 8
+    fleet.change(100, "ready")  # one that was forgotten comes back
+    for number in [n for n, e in fleet.list.items() if e.state == "ready" and n != 100]:
+        fleet.change(number, "draining")
+    fleet.run(9)
+    assert fleet.owners() == {100} and not any(100 in proxy.out for proxy in fleet.proxies)
+
+
+def test_without_slices_proxies_are_bound_and_a_draining_server_leaves_the_table() -> None:
+    controller = Controller(deployment(slices=0), 7, 0)
+    entries = tuple(server(n) for n in (5, 6))
+    orders = controller.turn(
+        SECOND, [interface.Listed("remembered", entries), interface.Joined(0, True, "east", 1.0)]
+    )
+    assert {interface.Own(0, 5, 1.0), interface.Own(0, 6, 1.0), interface.Bind(0, 0, 3)} <= set(orders)
+    orders = controller.turn(3 * SECOND, [changed(entries[0]._replace(state="draining"))])
+    assert interface.Own(0, 5, 0.0) in orders
+
+
+@pytest.mark.parametrize("usual", [0, 1, 2, 3])
+@pytest.mark.parametrize("admits", ["share", "rate", "none"])
+def test_no_order_has_a_class_tried_again_that_may_not_simply_be_repeated(usual: int, admits: str) -> None:
+    """With a short window, a further try of a keyed class after any failure would come after its window."""
+    classes = (
+        interface.VisitClass("look", SECOND, 3 * SECOND, 1.0, False, False),
+        interface.VisitClass("hold", SECOND, 3 * SECOND, 2.0, True, False, False),
+        interface.VisitClass("print", SECOND, 3 * SECOND, 1.0, False, False, False),
+    )
+    for slices in (12, 0):
+        told = deployment(classes=classes, usual_retry=usual, admits=admits, slices=slices)
+        ordered: list[interface.Order] = []
+        entries = [server(100 + n) for n in range(3)]
+        for life in range(2):  # a restart says it again
+            controller, now = Controller(told, 7 + life, 100 * SECOND), 100 * SECOND
+            orders = controller.turn(now, standing(entries, 4, slices, first=False))
+            first = [
+                order
+                for order in orders
+                if not isinstance(order, interface.Log | interface.Probe | interface.Follow | interface.Wake)
+            ]
+            if usual > 1:
+                assert first[0] == interface.Admit(None, 0b110, 1, 1.0 if admits == "share" else 1e6)
+            for step in range(600):
+                now += 50 * MS
+                events = answers(orders, 4, MS) + [interface.Woken(0)]
+                if step == 100:
+                    events.append(changed(entries[0]._replace(state="draining")))
+                if step % 20 == 0:
+                    events += [
+                        interface.Met(101, "east", 6, 9, 3 * SECOND, SECOND, None),
+                        *(
+                            interface.Came(n, kind.name, 9, 0, SECOND)
+                            for n in range(slices)
+                            for kind in classes
+                        ),
+                    ]
+                orders = controller.turn(now, events)
+                ordered += orders
+        admitted = [order for order in ordered if isinstance(order, interface.Admit)]
+        assert all(order.retry <= 1 for order in admitted if order.classes & 0b110)
+        assert all(order.retry == usual for order in admitted if order.classes == 0b001)
+        if slices and admits == "share":
+            assert any(order.classes == 0b001 for order in admitted) and any(
+                order.classes & 0b110 for order in admitted
+            )
+
+
+def test_the_list_is_asked_for_again_after_it_was_lost() -> None:
+    controller = Controller(deployment(asks_for_list=True), 7, 0)
+    follows = []
+    for now in range(0, 5 * SECOND, 100 * MS):
+        orders = controller.turn(now, [interface.Listed("lost", ())] if now == 100 * MS else [])
+        follows += [now for order in orders if isinstance(order, interface.Follow)]
+    assert len(follows) == 2 and follows[0] == 0 and follows[1] >= 600 * MS
+
+
+def test_chance_and_fading_sums() -> None:
+    one, two = RandomSource(9), RandomSource(9)
+    draws = [one.draw() for _ in range(100)]
+    assert draws == [two.draw() for _ in range(100)] and 0 <= min(draws) < 0.2 < 0.8 < max(draws) < 1
+    fading = DecayingSum(SECOND)
+    fading.add(0, 8.0)
+    assert fading.read(2 * SECOND) == pytest.approx(2.0)
+
+
+def test_waits_for_a_registry_that_fails_grow_differ_and_end_with_its_answer() -> None:
+    """All controllers ask it at once after a cut; what it has to tell counts as told after 6 s anyway."""
+
+    def waits(seed: int) -> list[int]:
+        now, found = 100 * SECOND, []
+        controller = Controller(deployment(asks_for_list=True), seed, now)
+        assert interface.Follow() in controller.turn(now, [])
+        for _ in range(12):
+            orders, lost = controller.turn(now, [interface.Listed("lost", ())]), now
+            while interface.Follow() not in orders:
+                orders = controller.turn(now := now + 50 * MS, [])
+            found.append(now - lost)
+        controller.turn(now, [changed()])
+        controller.turn(now, [interface.Listed("lost", ())])
+        controller.turn(
+            now + 400 * MS, [interface.Listed("lost", ())]
+        )  # one told twice is asked for no later
+        assert interface.Follow() in controller.turn(now + 1550 * MS, [])
+        return found
+
+    several = [waits(seed) for seed in range(20)]
+    assert max(max(found) for found in several) <= 2.4 * SECOND
+    firsts, lasts = [found[0] for found in several], [sum(found[-4:]) / 4 for found in several]
+    assert max(firsts) <= 1.6 * SECOND and max(firsts) - min(firsts) > 0.5 * SECOND
+    assert sum(lasts) / 20 > 1.4 * SECOND
+
+
+def test_controllers_that_start_at_once_probe_no_server_all_at_once() -> None:
+    servers = tuple(server(n) for n in range(100))
+    at: list[int] = []
+    for seed in range(30):
+        now = 100 * SECOND
+        controller = Controller(deployment(), seed, now)
+        orders = controller.turn(now, [interface.Listed("remembered", servers)])
+        while interface.Probe(0) not in orders:
+            orders = controller.turn(now := now + 50 * MS, [])
+        at.append(now - 100 * SECOND)
+    assert max(at) <= 1.3 * SECOND  # a lease, in which nothing moves yet
+    assert max(at.count(moment) for moment in at) < 6
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,157 @@
+"""A slice's way from one owner to the next, whatever comes between the steps."""
+
+from __future__ import annotations
+
+from fleet import SECOND, Fleet, changed, deployment
+
+from lapispass import interface
+
+
+def test_a_drained_owner_hands_over_in_two_steps() -> None:
+    fleet = Fleet(deployment(), 4, seed=1, ran_s=3)
+    fleet.change(102, "draining")
+    fleet.run(0.4)
+    assert None in fleet.owners()
+    fleet.run(8)
+    assert 102 not in fleet.owners() and None not in fleet.owners()
+    assert all(table.writes for table in fleet.store.values())
+
+
+def test_a_silent_proxy_is_waited_for_until_its_lease_is_out() -> None:
+    fleet = Fleet(deployment(), 4, seed=2, ran_s=3)
+    fleet.proxies[1].stalled_until = fleet.now + 60 * SECOND
+    fleet.change(102, "gone")
+    fleet.run(4)
+    assert None in fleet.owners()
+    fleet.leave(1)
+    fleet.run(6)
+    assert None not in fleet.owners()
+
+
+def test_a_proxy_that_never_answers_does_not_bare_a_slice_for_ever() -> None:
+    fleet = Fleet(deployment(), 4, seed=2, ran_s=3)
+    fleet.proxies[1].stalled_until = fleet.now + 60 * SECOND
+    fleet.change(102, "draining")
+    fleet.run(20)
+    assert None not in fleet.owners()  # reads have an owner ...
+    assert not all(table.writes for table in fleet.store.values())  # ... writes wait for the answer
+
+
+def test_a_returned_server_is_let_in_again_though_proxies_joined_meanwhile() -> None:
+    fleet = Fleet(deployment(), 3, seed=4)
+    fleet.change(101, "gone")  # within the lease after the start: shut out, not yet moved
+    fleet.run(0.6)
+    fleet.leave(2)
+    fleet.run(0.2)
+    fleet.join(2)
+    fleet.run(6)
+    fleet.change(101, "ready", fleet.now)
+    fleet.run(6)
+    assert all(not proxy.out for proxy in fleet.proxies)
+
+
+def test_an_empty_table_in_the_store_gets_an_owner_after_a_crash() -> None:
+    fleet = Fleet(deployment(), 4, seed=6, ran_s=3)
+    fleet.change(102, "gone")
+    fleet.run(0.3)
+    fleet.crash()
+    assert None in fleet.owners()
+    fleet.run(5)
+    fleet.start()
+    for number in range(3):  # one proxy never comes back
+        fleet.join(number)
+    fleet.run(9)
+    assert None not in fleet.owners()
+
+
+def test_where_levels_have_no_effect_the_new_owner_waits_for_the_last_write() -> None:
+    fleet = Fleet(deployment(admits="none"), 4, seed=10, ran_s=3)
+    fleet.change(102, "draining")
+    fleet.run(12)  # the model holds the single owner
+    assert None not in fleet.owners() and all(table.writes for table in fleet.store.values())
+
+
+def test_a_server_that_is_back_before_the_list_tells_may_hold_writes() -> None:
+    fleet = Fleet(deployment(), 4, seed=11, ran_s=4)
+    # The list is late: the process is up again and takes writes.
+    fleet.news.append(changed(fleet.list[102]._replace(state="gone")))
+    fleet.run(3.2)
+    fleet.news.append(changed(fleet.list[102]._replace(born_us=fleet.now - 5 * SECOND)))
+    fleet.run(12)  # the model holds the single owner
+    assert all(table.writes for table in fleet.store.values())
+
+
+def test_a_new_owner_that_drains_while_its_writes_are_shut_is_left_in_time() -> None:
+    fleet = Fleet(deployment(), 4, seed=8, ran_s=3)
+    fleet.proxies[1].stalled_until = fleet.now + 9 * SECOND
+    fleet.change(102, "draining")
+    while None in fleet.owners() or 102 in fleet.owners():
+        fleet.run(0.05)
+    assert not all(table.writes for table in fleet.store.values())
+    fleet.change(next(t.owner for t in fleet.store.values() if not t.writes), "draining")
+    fleet.run(15)  # the model holds the drain grace and the single owner
+
+
+def test_a_change_of_controller_in_a_handover_opens_no_writes_early() -> None:
+    fleet = Fleet(deployment(), 4, seed=12, ran_s=3)
+    moved = [number for number, table in fleet.store.items() if table.owner == 102]
+    fleet.change(102, "draining")
+    while fleet.now < 112 * SECOND:  # whenever the store takes a slice away, its levels are reset
+        fleet.run(0.05)
+        for number in moved:
+            fleet.store[number].writes = True
+            for proxy in fleet.proxies:
+                proxy.tables[number].writes = True
+    assert None not in fleet.owners()
+
+
+def test_a_drained_server_that_the_list_wrongly_calls_gone_has_not_ended() -> None:
+    fleet = Fleet(deployment(gone_binds=False), 4, seed=15, ran_s=3)
+    fleet.change(102, "draining")
+    fleet.run(0.3)
+    fleet.news.append(changed(fleet.list[102]._replace(state="gone")))
+    fleet.run(12)  # the model holds the single owner
+    assert 102 not in fleet.owners() and None not in fleet.owners()
+
+
+def test_an_owner_that_a_fresh_controllers_list_leaves_out_keeps_its_slices_while_it_answers() -> None:
+    fleet = Fleet(deployment(gone_binds=False), 4, seed=19, ran_s=2)
+    true = fleet.list.pop(101)
+    fleet.crash()
+    fleet.run(4)
+    fleet.start()
+    for number in range(4):
+        fleet.join(number)
+    fleet.list[101] = true._replace(state="gone")
+    fleet.run(9)
+    assert sum(table.owner == 101 for table in fleet.store.values()) == 3
+
+
+def test_small_slices_of_the_owner_longest_shut_out_open_before_larger_ones() -> None:
+    fleet = Fleet(deployment(proxies=40, slices=96, queue_lines=2000.0, messages_most=1000), 12, seed=20)
+    for _ in range(4):
+        fleet.news += [interface.Came(number, "look", 40, 0, SECOND) for number in fleet.store if number % 12]
+        fleet.run(1)
+    for backend in range(100, 109):  # the slices of 100 are the small ones
+        fleet.change(backend, "draining")
+        fleet.run(0.4 if backend == 104 else 0)
+    while 100 in fleet.owners():
+        fleet.run(0.05)
+    assert 108 in fleet.owners()
+
+
+def test_a_proxy_that_an_earlier_life_kept_from_a_server_is_let_in_again_in_time() -> None:
+    fleet = Fleet(deployment(), 6, seed=21, ran_s=3)
+    fleet.change(103, "gone")
+    fleet.run(9)
+    assert any(103 in proxy.out for proxy in fleet.proxies)
+    fleet.crash()
+    fleet.change(103, "ready", born=fleet.now)
+    fleet.start()
+    for number in range(4):
+        fleet.join(number)
+    fleet.run(2)
+    for backend in (100, 101, 102, 104):
+        fleet.change(backend, "draining")
+    fleet.run(30)  # the model holds rule 1
+    assert 103 in fleet.owners() and not any(103 in proxy.out for proxy in fleet.proxies)
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,128 @@
+"""When a server counts as failing or silent, and whom its slices leave for it."""
+
+from __future__ import annotations
+
+import pytest
+from fleet import MS, SECOND, Fleet, changed, deployment, server
+
+from lapispass import interface
+from lapispass.policy.health import Backend
+
+
+def test_a_mute_server_loses_its_slices_and_an_overloaded_one_keeps_them() -> None:
+    fleet = Fleet(deployment(), 5, seed=5, ran_s=4)
+    fleet.mute.add(101)
+    fleet.run(12)
+    assert 101 not in fleet.owners() and any("silent" in line for line in fleet.logs)
+    fleet.mute.clear()
+    for _ in range(8):
+        fleet.news.append(interface.Met(103, "east", 30, 50, 1900 * MS, SECOND, None))
+        fleet.run(1)
+    assert not any("failing" in line for line in fleet.logs)
+
+
+@pytest.mark.parametrize(
+    ("lost", "linger", "moves"), [(6, 3, True), (6, 5, False), (8, 5, True), (4, 3, False)]
+)
+def test_a_failing_server_loses_its_slices_where_a_move_bares_them_for_less(lost, linger, moves) -> None:
+    # Half of the tries at jammed servers failed for some seconds; moving their slices bared them for seven.
+    fleet = Fleet(deployment(linger_us=linger * SECOND), backends=4, seed=1, ran_s=4)
+    fleet.losing[101] = lost
+    fleet.run(12)
+    assert any("failing" in line for line in fleet.logs) == moves
+    assert (
+        bool(sum(isinstance(t.owner, int) and t.owner != 100 + s % 4 for s, t in fleet.store.items()))
+        == moves
+    )
+
+
+@pytest.mark.parametrize(
+    ("backends", "failing", "moves"),
+    [(12, (101, 103), True), (12, (101, 103, 105, 107), False), (3, (101,), True)],
+)  # 101 is alone in its zone there
+def test_slices_stay_where_most_servers_of_a_zone_fail_at_once(backends, failing, moves) -> None:
+    # A zone was cut off for some seconds: its slices all went to the others, which could not carry them.
+    fleet = Fleet(deployment(slices=24), backends=backends, seed=1, ran_s=4)
+    fleet.losing.update(dict.fromkeys(failing, 9))
+    fleet.run(4)
+    assert sum("failing" in line for line in fleet.logs) == len(failing)
+    fleet.change(100, "draining")  # what must move goes to a server that is well
+    fleet.run(8)
+    assert fleet.owners().isdisjoint(failing) == moves and 100 not in fleet.owners()
+    assert all(fleet.store[s].owner not in failing for s in (0, 12))
+
+
+@pytest.mark.parametrize(("failing", "moves"), [((101,), True), ((101, 103, 105, 107), False)])
+def test_a_zone_is_judged_by_the_servers_that_a_controller_hears_of(failing, moves) -> None:
+    # Each of five controllers heard of a part of 120 servers: 24 of a zone of 61 failed at once, all that
+    # were heard of, which passed for a minority. A quarter of the fleet's slices left servers that were back,
+    # and lay bare for 6.5 s.
+    fleet = Fleet(deployment(slices=12), backends=40, seed=1)  # 28 of the servers have no slice here
+    fleet.run(4)
+    fleet.losing.update(dict.fromkeys(failing, 9))
+    fleet.run(8)
+    assert sum("failing" in line for line in fleet.logs) >= len(failing)
+    moved = {s for s, table in fleet.store.items() if table.owner != 100 + s}
+    assert moved == ({number - 100 for number in failing} if moves else set())
+
+
+def test_a_failing_server_is_probed_until_it_answers_and_well_as_soon_as_its_visits_are() -> None:
+    # A probe lost just as it turned failing was its last: three servers of a zone stayed left out for good.
+    fleet = Fleet(deployment(slices=24), backends=12, seed=1, ran_s=4)
+    fleet.losing.update({n: 9 for n in (101, 103, 105, 107)})
+    fleet.run(3)
+    fleet.news += [interface.Probed(n, 3, 1000, None) for n in (101, 103)]
+    fleet.losing.clear()
+    fleet.run(5)
+    assert sum("failing->well" in line for line in fleet.logs) == 4
+    fleet.run(12)
+    assert all(table.owner == 100 + s % 12 for s, table in fleet.store.items()), "nothing was moved"
+
+
+def test_late_sums_of_all_make_nobody_silent() -> None:
+    fleet = Fleet(deployment(), 5, seed=5, ran_s=4)
+    fleet.mute.update(fleet.list)
+    fleet.run(9)
+    assert not any("silent" in line for line in fleet.logs)
+
+
+def test_a_listed_server_that_answers_nothing_gets_no_slices() -> None:
+    fleet = Fleet(deployment(gone_binds=False), 4, seed=14)
+    fleet.tell([interface.Entry(900, "east", "ready", 4.0, None)])
+    fleet.run(3)
+    fleet.change(102, "draining")
+    fleet.run(10)
+    assert not fleet.owners() & {900, 102} and None not in fleet.owners()
+
+
+def test_a_list_that_calls_running_servers_gone_moves_nothing() -> None:
+    fleet = Fleet(deployment(gone_binds=False), 4, seed=13, ran_s=4)
+    wrong = [entry._replace(state="gone") for entry in list(fleet.list.values())[:3]]
+    fleet.tell(wrong)
+    fleet.run(8)
+    assert {100, 101, 102} <= fleet.owners() and None not in fleet.owners()
+    fleet.change(101, "gone")  # this one is
+    fleet.run(9)
+    assert 101 not in fleet.owners() and None not in fleet.owners()
+
+
+def test_late_sums_and_answers_wait_for_the_next_look_and_an_announcement_does_not(monkeypatch) -> None:
+    """A large fleet brings some in every turn: a look at all servers for each took all the process's time."""
+    looks = []
+    monkeypatch.setattr(Backend, "judge", lambda backend: looks.append(backend.number))
+    fleet = Fleet(deployment(proxies=40, slices=60), 60, seed=17, ran_s=0.1)
+    looks.clear()
+    turn, now = fleet.controller.turn, fleet.now
+    for step in range(40):  # in 40 ms
+        turn(
+            now + step * MS,
+            [
+                interface.Met(100, "east", 0, 5, 200 * MS, SECOND, None),
+                interface.Answered(step, 1, 90 * MS),
+                interface.Came(3, "look", 5, 0, SECOND),
+            ],
+        )
+    assert len(looks) <= 60  # one look at each
+    looks.clear()
+    orders = turn(now + 41 * MS, [changed(server(107, "draining", "west"))])
+    assert interface.Withdraw(107, True) in orders
