--- a/tests/test_accept_faults.py
+++ b/tests/test_accept_faults.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from faulty_process import Call, Faults, free_address, names, process
+from parties import play
 
 UPGRADE = (
     b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
@@ -36,18 +37,21 @@
     return head
 
 
-async def test_a_gate_accepts_soon_after_accept_has_failed(tmp_path: Path) -> None:
-    faults, address, late = Faults(tmp_path / "faults"), free_address(), {}
-    file = tmp_path / "operator.textproto"
-    file.write_text(FILE.format(listen="{}:{}".format(*address)))
-    async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as running:
-        for error in ACCEPT_ERRORS:
-            faults.set(Call.ACCEPT, error, times=3)
-            got = await answer(running.address)
-            if not got.startswith(b"HTTP/1.1 503"):  # its node refuses
-                late[names(error)] = got
-            faults.clear(Call.ACCEPT)
-    assert not late
+def test_a_gate_accepts_soon_after_accept_has_failed(tmp_path: Path) -> None:
+    async def test() -> None:
+        faults, address, late = Faults(tmp_path / "faults"), free_address(), {}
+        file = tmp_path / "operator.textproto"
+        file.write_text(FILE.format(listen="{}:{}".format(*address)))
+        async with process(("gate", "-o", str(file)), faults, address, "event=listening", {}) as running:
+            for error in ACCEPT_ERRORS:
+                faults.set(Call.ACCEPT, error, times=3)
+                got = await answer(running.address)
+                if not got.startswith(b"HTTP/1.1 503"):  # its node refuses
+                    late[names(error)] = got
+                faults.clear(Call.ACCEPT)
+        assert not late
+
+    play(test())
 
 
 XDS_FILE = """
@@ -73,14 +77,17 @@
     return head[3]
 
 
-async def test_an_xds_controller_accepts_soon_after_accept_has_failed(tmp_path: Path) -> None:
-    faults, address, late = Faults(tmp_path / "faults"), free_address(), {}
-    file = tmp_path / "operator.textproto"
-    file.write_text(XDS_FILE.format(listen="{}:{}".format(*address)))
-    async with process(("run", "-o", str(file)), faults, address, "listening", {}) as running:
-        for error in ACCEPT_ERRORS:
-            faults.set(Call.ACCEPT, error, times=3)
-            if (got := await first_frame(running.address)) != SETTINGS:
-                late[names(error)] = got
-            faults.clear(Call.ACCEPT)
-    assert not late
+def test_an_xds_controller_accepts_soon_after_accept_has_failed(tmp_path: Path) -> None:
+    async def test() -> None:
+        faults, address, late = Faults(tmp_path / "faults"), free_address(), {}
+        file = tmp_path / "operator.textproto"
+        file.write_text(XDS_FILE.format(listen="{}:{}".format(*address)))
+        async with process(("run", "-o", str(file)), faults, address, "listening", {}) as running:
+            for error in ACCEPT_ERRORS:
+                faults.set(Call.ACCEPT, error, times=3)
+                if (got := await first_frame(running.address)) != SETTINGS:
+                    late[names(error)] = got
+                faults.clear(Call.ACCEPT)
+        assert not late
+
+    play(test())
