--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -21,6 +21,13 @@
     "size": 1.0,
     "up_since_ms": 0,
 }
+
+
+def listing(version: int, *members: object, complete: bool = True) -> dict[str, object]:
+    """A list as the registry writes it, whole or some changes."""
+    return {"revision": version, "complete": complete, "members": list(members)}
+
+
 CONFIG = {
     "name": "n",
     "listen": "127.0.0.1:0",
@@ -29,7 +36,7 @@
     "seed": "8c1f",
     "limits": {"sockets": 1024},
     "settings": SETTINGS,
-    "known": {"revision": 43, "complete": True, "members": [MEMBER]},
+    "known": listing(43, MEMBER),
 }
 
 
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -17,6 +17,7 @@
 import h11
 import pytest
 from async_tests import play, running, until  # noqa: F401 - for tests
+from configurations import listing
 from fleet import MS, deployment
 
 from lapispass import interface
@@ -278,11 +279,7 @@
         _, target, _ = await request(reader, state)
         self.targets.append(target)
         if target == "/registry/instances":
-            writer.write(
-                answered(
-                    state, 200, json.dumps({"revision": 9, "complete": True, "members": [MEMBER]}).encode()
-                )
-            )
+            writer.write(answered(state, 200, json.dumps(listing(9, MEMBER)).encode()))
             return None
         steps = self.watches.popleft() if self.watches else [b"\n", 3600.0]
         if steps[0] == 503:
@@ -301,7 +298,7 @@
 
 
 def change(version: int, *members: object) -> bytes:
-    return json.dumps({"revision": version, "complete": False, "members": members}).encode() + b"\n"
+    return json.dumps(listing(version, *members, complete=False)).encode() + b"\n"
 
 
 @asynccontextmanager
@@ -362,16 +359,13 @@
 
 
 def launch(relay: str, registry: str, **changes: Any) -> Launch:
-    listed = CODEC.listed(
-        {"revision": 1, "complete": True, "members": [{**MEMBER, "id": f"s-{n}"} for n in (1, 2)]}
-    )
     values = dict(
         name="n",
         listen="127.0.0.1:0",
         registry=registry,
         relay=relay,
         seed=1,
-        known=listed,
+        known=CODEC.listed(listing(1, *({**MEMBER, "id": f"s-{n}"} for n in (1, 2)))),
         told=replace(TOLD, may_probe=False, asks_for_list=True),
         limits=QUICK,
     )
--- a/tests/rule_world.py
+++ b/tests/rule_world.py
@@ -7,6 +7,7 @@
 import random
 
 import h11
+from configurations import listing
 from parties import MEMBER, TOLD, Party, Relay, answered, request, until
 
 RELAY_FAULTS = ("reset before", "reset after", "silent after", "unreadable", "close", "throttled")
@@ -136,8 +137,7 @@
         await request(reader, state)
         writer.write(answered(state, 200, None))
         while not writer.is_closing():
-            line = {"revision": self.version, "complete": True, "members": list(self.members.values())}
-            text = json.dumps(line) if told != self.version else ""
+            text = json.dumps(listing(self.version, *self.members.values())) if told != self.version else ""
             told = self.version
             writer.write(state.send(h11.Data(data=text.encode() + b"\n")))
             await asyncio.sleep(0.05)
--- a/tests/test_launch.py
+++ b/tests/test_launch.py
@@ -126,19 +126,12 @@
 
 
 def test_settings_of_one_instance_never_show_in_another() -> None:
+    sizes = {"key-ranges": 4, "data-plane-size": 2, "lines-per-s": 1e4, "queue-cap": 2e4}
     one, two = (
         settings.read(
             {
                 "grades": [{**SETTINGS["grades"][0], "name": name}],
-                "extra": {
-                    "key-ranges": 4,
-                    "data-plane-size": 2,
-                    "usual-how": how,
-                    "lines-per-s": 1e4,
-                    "queue-cap": 2e4,
-                    "class-writes": [True],
-                    "lease-us": lease,
-                },
+                "extra": {**sizes, "usual-how": how, "class-writes": [True], "lease-us": lease},
             }
         )
         for name, how, lease in (("pay", 0, 1), ("sign", 3, 2))
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -8,6 +8,7 @@
 import h11
 import pytest
 from async_tests import ended
+from configurations import listing
 from fleet import MS, SECOND, deployment
 from parties import CODEC, KNOWN, MEMBER, QUICK, HeldDials, Party, answered, request, silent, until
 
@@ -20,16 +21,7 @@
 
 @pytest.mark.parametrize(
     ("behaviour", "reason"),
-    [
-        (200, 0),
-        (500, 1),
-        (503, 2),
-        ("silent", 3),
-        ("refused", 4),
-        ("reset", 5),
-        ("odd", 5),
-        ("no address", 4),
-    ],
+    {200: 0, 500: 1, 503: 2, "silent": 3, "refused": 4, "reset": 5, "odd": 5, "no address": 4}.items(),
 )
 async def test_what_a_probe_found_is_told_apart(behaviour: int | str, reason: int) -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> str | None:
@@ -97,7 +89,7 @@
 
         def listed(revision: int, **changes: object) -> None:
             member = {**MEMBER, "host_port": server.address, **changes}
-            registry.take(CODEC.listed({"revision": revision, "complete": False, "members": [member]}))
+            registry.take(CODEC.listed(listing(revision, member, complete=False)))
 
         listed(6)
         probes.start("s-1", registry.addresses["s-1"])
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,7 +14,7 @@
 
 import h11
 import pytest
-from configurations import GRADES, written
+from configurations import GRADES, listing, written
 from parties import MEMBER, Party, Relay, answered, asked, silent
 
 COMMAND = [sys.executable, "-B", "-m", "lapispass"]
@@ -152,11 +152,7 @@
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             listen = f"127.0.0.1:{free.getsockname()[1]}"
-        known = {
-            "revision": 1,
-            "complete": True,
-            "members": [{**MEMBER, "id": f"s-{n}"} for n in range(servers)],
-        }
+        known = listing(1, *({**MEMBER, "id": f"s-{n}"} for n in range(servers)))
         extra = {
             "key-ranges": slices,
             "data-plane-size": proxies,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -8,6 +8,7 @@
 
 import h11
 import pytest
+from configurations import listing
 from fleet import MS, SECOND
 from parties import (
     CODEC,
@@ -99,13 +100,13 @@
     registry = Registry("", KNOWN, heard.append, CODEC, replace(QUICK, servers=2), Counters())
     for start in range(0, 60, 4):
         members = [{**MEMBER, "id": f"s-{start + n}"} for n in range(4)]
-        registry.take(CODEC.listed({"revision": 9, "complete": True, "members": members}))
+        registry.take(CODEC.listed(listing(9, *members)))
     assert all(event.kind == "changes" and len(event.entries) == 2 for event in heard[1:])
     assert list(registry.addresses) == ["s-52", "s-53", "s-56", "s-57"]
 
 
 async def test_an_entry_that_cannot_be_read_does_not_pass_for_gone() -> None:
-    whole = json.dumps({"revision": 7, "complete": True, "members": [{**MEMBER, "id": "s-2"}, {"id": "s-1"}]})
+    whole = json.dumps(listing(7, {**MEMBER, "id": "s-2"}, {"id": "s-1"}))
     async with Book([whole.encode() + b"\n", 3600.0]) as book, following(book, KNOWN) as (_, heard):
         await until(lambda: len(heard) == 2)
         assert heard[1] == interface.Listed("changes", (S1._replace(backend="s-2"),))
@@ -229,7 +230,7 @@
 
 
 async def test_a_whole_list_that_is_fetched_too_slowly_gives_the_next_one_twice_as_long() -> None:
-    body = json.dumps({"revision": 9, "complete": True, "members": [MEMBER] * 50}).encode()
+    body = json.dumps(listing(9, *[MEMBER] * 50)).encode()
 
     async def slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         state = h11.Connection(h11.SERVER)
@@ -302,7 +303,7 @@
     async with Book() as book:
         link = await Link.open(book.address, QUICK)
         link.since = since
-        told = CODEC.listed({"revision": version, "complete": whole, "members": [MEMBER]})
+        told = CODEC.listed(listing(version, MEMBER, complete=whole))
         if taken is None:  # behind even where it was asked from: the whole list is asked for
             with pytest.raises(Exception, match="went back"):
                 registry.take(told, link)
--- a/tests/test_scale_rules.py
+++ b/tests/test_scale_rules.py
@@ -221,16 +221,9 @@
     size = Size(real=2, hollow=718)
     steps = list(sweep.steps(size, sweep.Counts()))
     assert [(step.varies, step.count) for step in steps] == [
-        ("servers", 200),
-        ("servers", 1000),
-        ("servers", 2850),
-        ("servers", 5700),
-        ("controllers", 5),
-        ("controllers", 240),
-        ("controllers", 720),
-        ("proxies", 20),
-        ("proxies", 320),
-        ("proxies", 1600),
+        *(("servers", count) for count in (200, 1000, 2850, 5700)),
+        *(("controllers", count) for count in (5, 240, 720)),
+        *(("proxies", count) for count in (20, 320, 1600)),
     ]
     by_count = {(step.varies, step.count): step.size for step in steps}
     assert by_count["controllers", 720] == size and by_count["controllers", 5].hollow == 3
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -12,7 +12,7 @@
 
 import pytest
 from async_tests import ended
-from configurations import CONFIG, GRADES, MEMBER, written
+from configurations import CONFIG, GRADES, MEMBER, listing, written
 from fleet import MS, SECOND, answers, changed, deployment, server, standing
 from full_look import FullLook
 
@@ -72,7 +72,7 @@
         "group-size": MANY,
         "extra": {"key-ranges": 6000, "data-plane-size": 5000, "class-writes": [True]},
     }
-    known = {"revision": 1, "complete": True, "members": members()}
+    known = listing(1, *members())
     config = {**CONFIG, "name": "n1023", "settings": settings, "known": known}
     launch = Launch.read(written(tmp_path / "config.json", config))
     assert len(launch.known.entries) == MANY and launch.limits.events > 5000 + 2 * 6000
@@ -81,7 +81,7 @@
         "127.0.0.1:1", launch.known, heard.append, Codec(launch.told, 256), launch.limits, Counters()
     )
     for state in ("Ready", "Terminating"):
-        text = json.dumps({"revision": 2, "complete": True, "members": members(state)})
+        text = json.dumps(listing(2, *members(state)))
         registry.take(registry.codec.listing(text))
     assert [(told.kind, len(told.entries)) for told in heard] == [
         ("remembered", MANY),
@@ -107,7 +107,7 @@
         limits,
         Counters(),
     )
-    registry.take(registry.codec.listing(json.dumps({"revision": 2, "complete": True, "members": members()})))
+    registry.take(registry.codec.listing(json.dumps(listing(2, *members()))))
     assert heard[-1].kind == "changes" and registry.counters["registry.too_many"] == 24
 
 
--- a/tests/test_target_size.py
+++ b/tests/test_target_size.py
@@ -13,7 +13,7 @@
 import h11
 import pytest
 from async_tests import ended
-from configurations import CONFIG, SETTINGS
+from configurations import CONFIG, SETTINGS, listing
 from fleet import deployment
 from parties import CODEC, TOLD, Party, answered, listening, request, running, until
 
@@ -58,7 +58,7 @@
     members = [
         member(number, name=f"{number:0{name_bytes}d}" if name_bytes else "") for number in range(SERVERS)
     ]
-    return json.dumps({"revision": revision, "complete": True, "members": members}).encode()
+    return json.dumps(listing(revision, *members)).encode()
 
 
 class ListServer(Party):
@@ -92,7 +92,7 @@
     body = whole_list(5, name_bytes)
     assert len(body) > 900_000
     gone = {**member(7), "id": f"{7:0{name_bytes}d}" if name_bytes else "s-00000007", "phase": "Gone"}
-    change = json.dumps({"revision": 6, "complete": False, "members": [gone]}).encode()
+    change = json.dumps(listing(6, gone, complete=False)).encode()
     async with ListServer(body, change) as server:
         heard: list[interface.Listed] = []
         counters = Counters()
