--- a/tests/parties.py
+++ b/tests/parties.py
@@ -15,12 +15,16 @@
 from urllib.parse import parse_qs
 
 import h11
+import pytest
+from async_tests import play, running, until  # noqa: F401 - for tests
+from configurations import listing
 from fleet import MS, deployment
 
 from lapispass import interface
 from lapispass.net.codec import Codec, Listing
 from lapispass.net.collectors import Collectors
 from lapispass.net.counters import Counters
+from lapispass.net.http import Link
 from lapispass.net.launch import Launch
 from lapispass.net.limits import Limits
 from lapispass.net.registry import Registry
@@ -56,26 +60,24 @@
 NOTHING = Listing(0, False, (), {}, 0)
 
 
-def play(test: Coroutine[Any, Any, None], limit_s: float = 20) -> None:
-    """A test's life; it leaves no task behind."""
+class HeldDials:
+    """Dials that wait: to an address in `gates` until its gate opens, and to one in `refused` not at all."""
 
-    async def whole() -> None:
-        await asyncio.wait_for(test, limit_s)
-        left = asyncio.all_tasks() - {asyncio.current_task()}
-        if left:  # ended by the test: they may need a round to be gone
-            await asyncio.wait(left, timeout=1)
-        pending = [task for task in left if not task.done()]
-        assert not pending, pending
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.gates: dict[str, asyncio.Event] = {}
+        self.refused: set[str] = set()
+        self.dialed: list[str] = []
+        dial = Link._dial
 
-    asyncio.run(whole())
+        async def late(address: str, limits: Limits) -> Link:
+            self.dialed.append(address)
+            if address in self.refused:
+                raise ConnectionRefusedError(address)
+            if address in self.gates:
+                await self.gates[address].wait()
+            return await dial(address, limits)
 
-
-async def until(true: Callable[[], Any]) -> None:
-    for _ in range(2000):
-        if true():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("it never came to that")
+        monkeypatch.setattr(Link, "_dial", late)
 
 
 class Party:
@@ -111,6 +113,11 @@
         self.writers.clear()
 
 
+async def silent(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+    """A party that reads to the end and says nothing."""
+    await reader.read()
+
+
 async def asked(reader: asyncio.StreamReader, state: h11.Connection) -> tuple[str, str, bytes] | None:
     """A whole request, or None at the end."""
     head, body = None, b""
@@ -219,13 +226,13 @@
 
 
 @asynccontextmanager
-async def running(life: Coroutine[Any, Any, Any]):
-    task = asyncio.create_task(life)
+async def calls_to(relay: Party, limits: Limits = QUICK):
+    """A client of the relay's calls."""
+    calls = Calls(relay.address, CODEC, limits, Counters())
     try:
-        yield task
+        yield calls
     finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        calls.close()
 
 
 STANDS = [
@@ -272,11 +279,7 @@
         _, target, _ = await request(reader, state)
         self.targets.append(target)
         if target == "/registry/instances":
-            writer.write(
-                answered(
-                    state, 200, json.dumps({"revision": 9, "complete": True, "members": [MEMBER]}).encode()
-                )
-            )
+            writer.write(answered(state, 200, json.dumps(listing(9, MEMBER)).encode()))
             return None
         steps = self.watches.popleft() if self.watches else [b"\n", 3600.0]
         if steps[0] == 503:
@@ -295,13 +298,14 @@
 
 
 def change(version: int, *members: object) -> bytes:
-    return json.dumps({"revision": version, "complete": False, "members": members}).encode() + b"\n"
+    return json.dumps(listing(version, *members, complete=False)).encode() + b"\n"
 
 
 @asynccontextmanager
-async def following(book: Book, known: Listing = NOTHING):
+async def following(book: Party, known: Listing = NOTHING, limits: Limits = QUICK):
+    """A registry client that has been asked to follow, and what it tells."""
     heard: list[interface.Event] = []
-    registry = Registry(book.address, known, heard.append, CODEC, QUICK, Counters())
+    registry = Registry(book.address, known, heard.append, CODEC, limits, Counters())
     async with running(registry.run()):
         registry.follow()
         yield registry, heard
@@ -355,16 +359,13 @@
 
 
 def launch(relay: str, registry: str, **changes: Any) -> Launch:
-    listed = CODEC.listed(
-        {"revision": 1, "complete": True, "members": [{**MEMBER, "id": f"s-{n}"} for n in (1, 2)]}
-    )
     values = dict(
         name="n",
         listen="127.0.0.1:0",
         registry=registry,
         relay=relay,
         seed=1,
-        known=listed,
+        known=CODEC.listed(listing(1, *({**MEMBER, "id": f"s-{n}"} for n in (1, 2)))),
         told=replace(TOLD, may_probe=False, asks_for_list=True),
         limits=QUICK,
     )
--- a/tests/support_gate.py
+++ b/tests/support_gate.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+from async_tests import ended, until
+from fleet import deployment
+
 from lapispass.cli.fronts import attach, joined
 from lapispass.core.tables import slice_of
 from lapispass.gate.desk import Desk
 from lapispass.gate.limits import Limits
 from lapispass.gate.service import Gate
-from lapispass.interface import Deployment, VisitClass
+from lapispass.gate.upgrade import accept_of
+from lapispass.interface import Deployment
 from lapispass.net import limits as net
 from lapispass.net.codec import Listing
 from lapispass.net.launch import Launch
@@ -55,12 +59,18 @@
     asyncio.run(asyncio.wait_for(test, limit_s))
 
 
-async def until(true: Callable[[], Any], seconds: float = 10) -> None:
-    for _ in range(int(seconds / 0.005)):
-        if true():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("it never came to that")
+async def take_upgrade(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Answers an upgrade as a node does; false, with nothing said, for any other request."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    lines = (line.partition(": ") for line in head.split("\r\n"))
+    key = next((value for name, _, value in lines if name.lower() == "sec-websocket-key"), None)
+    if key is not None:
+        writer.write(
+            b"HTTP/1.1 101 x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Accept: "
+            + accept_of(key.encode())
+            + b"\r\n\r\n"
+        )
+    return key is not None
 
 
 def alone(nodes: dict[str, tuple[str, str]], grace_ms: int = 600, more: str = "", bounds: str = "") -> str:
@@ -128,14 +138,8 @@
             await node.stop()
 
 
-TOLD = Deployment(
-    classes=(
-        VisitClass("look", 1_500_000, 5_000_000, 1.0, False, False),
-        VisitClass("pay", 2_000_000, 4_000_000, 3.0, True, False),
-    ),
-    zones=("east", "west"),
+TOLD = deployment(
     proxies=1,
-    slices=12,
     lease_us=600 * MS,
     linger_us=300 * MS,
     bare_us=8_000 * MS,
@@ -143,17 +147,8 @@
     head_lines=2.0,
     queue_lines=1e5,
     messages_most=1000,
-    messages_over_us=10_000_000,
-    report_every_us=1_000_000,
-    usual_retry=1,
     asks_for_list=True,
-    may_probe=True,
-    gone_binds=True,
-    admits="share",
     cold_us=2_000 * MS,
-    cold_share=0.2,
-    fall_multiple=2.5,
-    load_fields=(),
 )
 
 
@@ -227,8 +222,7 @@
 
     async def kill_controller(self) -> None:
         task = self.tasks.pop("controller")
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await ended(task)
 
     async def gate(self, name: str) -> Gate:
         """Starts a gate, and waits until it has a whole table and a plan."""
@@ -251,8 +245,7 @@
             if tunnel.node is not None:
                 tunnel.node.writer.transport.abort()
         gate.limits = replace(gate.limits, stop_us=0)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await ended(task)
 
     def url(self, name: str, target: str) -> str:
         return f"ws://{self.gates[name].address}{target}"
