A process that ends answers what it has read, however many requests come meanwhile

Cause: a read that finds something never waits, so the time of a connection that is to end was never over; StreamReader resumed the transport that we had paused; and each connection had up to 256 KiB read ahead, which nobody answered once the process gave up waiting.

--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -74,14 +74,16 @@
         has_room: Callable[[], bool] = lambda: True,
         make_room: Callable[[], bool] = lambda: True,
         exhausted: Callable[[], object] = lambda: None,
+        read_most: int | None = None,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         """`name` begins the names of the counters. Without `has_room`, `make_room` is asked for each
         connection that waits; where it makes none, the connection waits on. `exhausted` may free a
-        descriptor of this process, once it has had none for a while."""
+        descriptor of this process, once it has had none for a while. `read_most` bounds the bytes that one
+        connection gives at a time, until others have their turn."""
         listener.setblocking(False)
         self.listener, self.protocol, self.name, self.tls = listener, protocol, name, tls
-        self.at_once = at_once
+        self.at_once, self.read_most = at_once, read_most
         self.log, self.counters, self.exhausted = log, counters, exhausted
         self.has_room, self.make_room = has_room, make_room
         self.loop = asyncio.get_running_loop()
@@ -160,7 +162,9 @@
             self._begin(connection)
 
     def _begin(self, connection: socket.socket) -> None:
-        task = self.loop.create_task(self._run(ResilientSocket.adopt(connection)))
+        adopted = ResilientSocket.adopt(connection)
+        adopted.read_most = self.read_most
+        task = self.loop.create_task(self._run(adopted))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/lapispass/net/client_connection.py
+++ b/lapispass/net/client_connection.py
@@ -97,19 +97,27 @@
 
         Raises `Ended` once its time is over, and nothing has come meanwhile.
         """
+        # Guards the end of a process against clients that go on asking: a read that finds something never
+        # waits, and its time is never over.
+        if self.closing is not None:
+            piece = await self._read_last()
+        else:
+            piece = await self._read_in_time()
+        self.heard_at = self.loop.time()
+        return piece
+
+    async def _read_in_time(self) -> bytes:
         waiting = asyncio.timeout_at(self.deadline())
         try:
             async with waiting:
                 self.waiting = waiting
-                piece = await self.reader.read(self.most_bytes)
+                return await self.reader.read(self.most_bytes)
         except TimeoutError:
             if not waiting.expired():
                 raise  # the connection's own (ETIMEDOUT)
-            piece = await self._read_last()
+            return await self._read_last()
         finally:
             self.waiting = None
-        self.heard_at = self.loop.time()
-        return piece
 
     async def _read_last(self) -> bytes:
         """What has come although its time is over, once; then it ends.
@@ -122,11 +130,16 @@
             piece = await read_arrived(self.reader, self.writer, self.most_bytes, self.limits.late_us)
             if piece is not None:
                 return piece
-        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        self._pause_reading()
         if unread(self.reader):
-            return await self.reader.read(self.most_bytes)
+            piece = await self.reader.read(self.most_bytes)  # does not wait, and lets the transport read on
+            self._pause_reading()
+            return piece
         raise Ended(self.reason())
 
+    def _pause_reading(self) -> None:
+        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+
     def end_soon(self, reason: CloseReason) -> None:
         """Has it closed once what has come is answered; at once where it has been rejected already."""
         self.closing = self.closing or reason
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -62,7 +62,7 @@
         """Accepts as many connections as there is room for; the others wait in the system's queue."""
         self.server = Acceptor(
             listener_at(address, self.limits.backlog),
-            streams(self.serve, self.limits.read_bytes),
+            streams(self.serve, self.limits.turn_bytes),
             name="collectors",
             at_once=self.limits.at_once,
             log=self.log,
@@ -70,6 +70,7 @@
             has_room=self.has_room,
             make_room=self.make_room,
             exhausted=self.end_longest_silent,
+            read_most=self.limits.turn_bytes,
         )
 
     def stop_listening(self) -> None:
--- a/lapispass/net/resilient_socket.py
+++ b/lapispass/net/resilient_socket.py
@@ -36,6 +36,8 @@
     `close` raise no OSError: an option is a wish, and a descriptor is closed whatever close(2) says.
     """
 
+    read_most: int | None = None  # bytes that one `recv` takes at most
+
     @classmethod
     def adopt(cls, plain: socket.socket) -> ResilientSocket:
         """Takes the descriptor over; `plain` is detached."""
@@ -55,9 +57,11 @@
             status = fcntl.fcntl(self, fcntl.F_GETFL) & ~os.O_NONBLOCK
             fcntl.fcntl(self, fcntl.F_SETFL, status if flag else status | os.O_NONBLOCK)
 
-    def recv(self, *arguments: Any) -> bytes:
+    def recv(self, size: int, *flags: int) -> bytes:
+        if self.read_most is not None:
+            size = min(size, self.read_most)
         with _again("recv"):
-            return super().recv(*arguments)
+            return super().recv(size, *flags)
 
     def recv_into(self, *arguments: Any) -> int:
         with _again("recv"):
