Tests: starts of gates and xDS controllers where setting up fails for a moment

Callers saw nobody listen: `listener_at` is called once by gates and xDS controllers, and the process ends with status 2 where bind or listen fails (EADDRINUSE while the process before still holds the address, ENOBUFS). The platform's controller tries again (`Service.listen`). All three end where epoll_ctl fails with ENOSPC, which `momentary.LOCAL` does not hold.

--- a/tests/test_setup_faults.py
+++ b/tests/test_setup_faults.py
@@ -65,19 +65,22 @@
 
 
 @asynccontextmanager
-async def front(name: str, folder: Path) -> AsyncIterator[Controller]:
-    """A process that listens, once it has nothing more to set up."""
+async def front(name: str, folder: Path, fails: Trouble | None = None) -> AsyncIterator[Controller]:
+    """A process that listens, once it has nothing more to set up; a call may fail three times meanwhile."""
     folder.mkdir(parents=True)
+    faults, address = Faults(folder / "faults"), free_address()
+    file = folder / ("config.json" if name == "controller" else "operator.textproto")
+    watched = {"LAPISPASS_FAULTS_OPEN": str(file)}
+    if fails is not None:
+        faults.set(*fails, times=3)
     if name == "controller":
-        async with controller(folder) as running:
+        async with controller(folder, faults=faults, environment=watched) as running:
             await running.says("watch open")
             yield running
         return
     verb, form = {"gate": ("gate", FILE), "xds": ("run", XDS_FILE)}[name]
-    faults, address = Faults(folder / "faults"), free_address()
-    file = folder / "operator.textproto"
     file.write_text(form.format(listen="{}:{}".format(*address)))
-    async with process((verb, "-o", str(file)), faults, address, "listening", {}) as running:
+    async with process((verb, "-o", str(file)), faults, address, "listening", watched) as running:
         yield running
 
 
@@ -247,27 +250,22 @@
     return wrong
 
 
-async def starts(call: Call, error: int, folder: Path) -> Wrong:
-    """The controller is started while a call fails a few times."""
-    folder.mkdir()
-    faults = Faults(folder / "faults")
-    faults.set(call, error, times=3)
-    watched = {"LAPISPASS_FAULTS_OPEN": str(folder / "config.json")}
+async def starts(name: str, call: Call, error: int, folder: Path) -> Wrong:
+    """A process is started while a call fails a few times."""
+    where = f"start of {name}, {call.name} {names(error)}"
     try:
-        async with controller(folder, faults=faults, environment=watched) as running:
-            failed, met = faults.injected(call), await ask(running, "controller")
+        async with front(name, folder, (call, error)) as running:
+            failed, met = running.faults.injected(call), await ask(running, name)
             found = await ended_in_order(running)
     except AssertionError as failure:
-        return {("start", call.name, names(error)): str(failure)[-400:]}
-    sound = failed and met == "answered" and not found
-    return {} if sound else {("start", call.name, names(error)): (failed, met, found)}
+        return {where: str(failure)[-300:]}
+    return {} if failed and met == "answered" and not found else {where: (failed, met, found)}
 
 
 STARTS = (
     (Call.EPOLL_CREATE, (errno.EMFILE, errno.ENOMEM)),
     (Call.EPOLL_CTL, (errno.ENOMEM,)),
     (Call.SOCKETPAIR, (errno.ENFILE, errno.ENOBUFS)),
-    (Call.LISTEN, (errno.EADDRINUSE,)),
     (Call.SETSOCKOPT, EXHAUSTED),
     (Call.IOCTL, (errno.ENOMEM,)),
     (Call.STAT, (errno.ENOMEM,)),
@@ -276,12 +274,15 @@
 )
 
 
-def test_a_start_goes_on_where_setting_up_fails_for_a_moment(tmp_path: Path) -> None:
+@pytest.mark.parametrize("name", FRONTS)
+def test_a_start_goes_on_where_setting_up_fails_for_a_moment(tmp_path: Path, name: str) -> None:
     async def test() -> None:
         wrong: Wrong = {}
+        if name == "controller":
+            wrong |= await starts(name, Call.LISTEN, errno.EADDRINUSE, tmp_path / "listen")
         for call, errors in STARTS:
             for error in errors:
-                wrong |= await starts(call, error, tmp_path / f"{call.name}-{error}")
+                wrong |= await starts(name, call, error, tmp_path / f"{call.name}-{error}")
         assert wrong == {}
 
     play(test(), 60)
@@ -289,7 +290,8 @@
 
 def test_clients_are_answered_or_freed_where_epoll_ctl_close_or_send_fails(tmp_path: Path) -> None:
     """A connection that epoll_ctl refused was never read, and a listening socket never watched again; a close
-    that failed left traces, and its status to the process; an answer that met ENOBUFS was dropped.
+    that failed left traces, and its status to the process; an answer that met ENOBUFS was dropped; a gate or
+    an xDS controller ended at its start where bind or listen failed.
 
     One test for all, since each of them is known to fail; each that is mended may become one of its own.
     """
@@ -312,7 +314,11 @@
             wrong |= await works_on(Call.EPOLL_CTL, error, tmp_path / f"work-{error}")
         wrong |= await makes_room(errno.ENOMEM, tmp_path / "room")
         wrong |= await works_on(Call.CLOSE, errno.EIO, tmp_path / "work-close")
-        wrong |= await starts(Call.EPOLL_CTL, errno.ENOSPC, tmp_path / "start")
+        for name in FRONTS:
+            wrong |= await starts(name, Call.EPOLL_CTL, errno.ENOSPC, tmp_path / f"{name}-start")
+        for name, call in product(("gate", "xds"), (Call.LISTEN, Call.BIND)):
+            for error in (errno.EADDRINUSE, errno.ENOBUFS):
+                wrong |= await starts(name, call, error, tmp_path / f"{name}-{call.name}-{error}")
         assert not wrong, "\n".join(f"{case}: {found}" for case, found in wrong.items())
 
     play(test(), 150)
