Count a message's pieces in one place for both sides of a held connection

The tunnel bounded the messages of the client and of the node by two copies of the same lines; Side.count does for both. No change of behaviour: test_gate, test_gate_answers, test_gate_fleet, test_stream_timers and test_uplink: 86 passed.

--- a/lapispass/gate/frames.py
+++ b/lapispass/gate/frames.py
@@ -84,6 +84,16 @@
         if not self.got_close and self.state.state in (ConnectionState.OPEN, ConnectionState.LOCAL_CLOSING):
             self.state.receive_data(piece)
 
+    def count(self, event: Message[Any], most: int) -> bool:
+        """Counts a piece of a message that it sends; False where the message is too long by now."""
+        self.size += len(event.data)
+        if self.size > most:
+            return False
+        self.inside = not event.message_finished
+        if event.message_finished:
+            self.size = 0
+        return True
+
     def send(self, event: Event) -> bool:
         """Whether it could be sent; nothing can behind a close, or into a connection that is lost."""
         if self.sent_close or self.writer.transport.is_closing():
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -149,16 +149,11 @@
 
     def from_client(self, event: Message[Any], now: int) -> None:
         """A message or a piece of it; where it began is where it ends."""
-        client, node = self.client, self.node
-        client.size += len(event.data)
-        if client.size > self.limits.message_bytes:
+        if not self.client.count(event, self.limits.message_bytes):
             self.close(1009, "message too long", now)
             return
-        client.inside = not event.message_finished
-        if event.message_finished:
-            client.size = 0
-        self.held.inside = client.inside
-        if node is not None and node.pass_on(event):
+        self.held.inside = self.client.inside
+        if self.node is not None and self.node.pass_on(event):
             self.gate.steering.wrote(now, self.held, len(event.data))
             self.gate.counters["messages.up"] += event.message_finished
 
@@ -178,13 +173,9 @@
                 return
             match event:
                 case Message():
-                    node.size += len(event.data)
-                    if node.size > self.limits.message_bytes:
+                    if not node.count(event, self.limits.message_bytes):
                         self.close(1009, "message too long", now)
                         return
-                    node.inside = not event.message_finished
-                    if event.message_finished:
-                        node.size = 0
                     self.client.pass_on(event)
                     self.held.last_us = now
                     self.held.messages += 1
