--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -607,7 +607,7 @@
     tasks = [asyncio.create_task(host.run()) for host in made]
     try:
         until = time.monotonic() + 60
-        while not all(len(host.stands.owners) == 12 for host in made):
+        while not all(len(host.snapshot.owners) == 12 for host in made):
             assert time.monotonic() < until, "the controllers did not settle"
             await asyncio.sleep(0.1)
         await asyncio.sleep(6)
@@ -636,7 +636,7 @@
             began = time.monotonic()
             for host in made:
                 host.read_again()
-            while any("n0" in host.stands.owners.values() for host in made):
+            while any("n0" in host.snapshot.owners.values() for host in made):
                 assert time.monotonic() - began < 60, "the drain did not end"
                 await asyncio.sleep(0.05)
             await asyncio.sleep(3)
--- a/lapispass/core/takeover.py
+++ b/lapispass/core/takeover.py
@@ -63,7 +63,7 @@
         self.records: dict[int, Record] = {}
         self.acting: set[int] = set()
 
-    def told(self, number: int, record: Record) -> None:
+    def received(self, number: int, record: Record) -> None:
         """A record as the service has it now; an older one than known is passed over."""
         if record.revision >= self.records.get(number, FRESH).revision:
             self.records[number] = record
--- a/lapispass/peers/host.py
+++ b/lapispass/peers/host.py
@@ -59,7 +59,7 @@
         self.gone_at: dict[str, int] = {}
         self.takeover = Takeover(self.told.slices, self.lease.holder, linger_us=ttl_s * 100_000)
         self.writer = RecordWriter(self.service, self.lease, self.takeover, self.counters)
-        self.stands = tables.Tables(self.told.slices)  # what all controllers together have published
+        self.snapshot = tables.Tables(self.told.slices)  # what all controllers together have published
         self.mine = Picture(self.told.slices, self.told.classes, self.told.admits == "share")
         self.revision, self.read_at = 0, 0
         self.pending: deque[tuple[int, int]] = deque(maxlen=4096)  # our turn, the revision of others it shows
@@ -68,9 +68,8 @@
         self.peer_answers: dict[str, int] = {}
         self.peer_marks: dict[str, int] = {}
         self.out: set[str] = set()
-        self.unsaid: dict[
-            str, bool
-        ] = {}  # nodes to be shut out, or let in, that the service has not been told
+        # Nodes to be shut out, or let in, that the service has not been told.
+        self.unreported: dict[str, bool] = {}
         self.leaving = False
         self.synced = asyncio.Event()
 
@@ -88,9 +87,8 @@
         self.counters["peers.sessions_lost"] += 1
         self.lease.give_up()
         self.takeover.name = self.lease.holder
-        self.unsaid.update(
-            dict.fromkeys(self.mine.stands.out, True)
-        )  # what we said of nodes has ended with it
+        # What we reported of nodes has ended with it.
+        self.unreported.update(dict.fromkeys(self.mine.stands.out, True))
         self.stop_all()
 
     def stop_all(self) -> None:
@@ -208,7 +206,7 @@
         new = records.decode_slice(kv)
         if kv.changed < self.writer.known(number).revision:
             return []
-        self.takeover.told(number, new)
+        self.takeover.received(number, new)
         if number in self.under_way:
             return []  # our own word, shown when it is known to be carried out
         return [
@@ -225,11 +223,11 @@
 
     def show(self, changes: Sequence[tables.Change], mark: int | None) -> None:
         """Published to our clients."""
-        self.stands.nodes = dict(self.desk.addresses)
-        told = [
-            change for change in changes if self.stands.apply(change) or isinstance(change, tables.SetOut)
+        self.snapshot.nodes = dict(self.desk.addresses)
+        published = [
+            change for change in changes if self.snapshot.apply(change) or isinstance(change, tables.SetOut)
         ]
-        self.desk.publish(self.stands, told, mark)
+        self.desk.publish(self.snapshot, published, mark)
 
     # what others wait for, and we for them
 
@@ -317,7 +315,7 @@
             events, orders = self.decide()
             self.carry_out([order for order in orders if not isinstance(order, interface.Mark)])
             changes, mark = self.mine.turn(events, orders, self.desk.addresses)
-            self.unsaid.update(
+            self.unreported.update(
                 {change.node: change.out for change in changes if isinstance(change, tables.SetOut)}
             )
             if mark is None:
@@ -325,7 +323,7 @@
             slices = self.as_records(changes)
             steps = [
                 Put(self.out_key(node), b"1", self.lease.session.lease) if out else Delete(self.out_key(node))
-                for node, out in self.unsaid.items()
+                for node, out in self.unreported.items()
             ]
             revision = self.revision
             if slices or steps:
@@ -349,9 +347,9 @@
                 # Nobody can write by what is shown while the fence is down.
                 self.show(shown, None)
                 continue
-            for node, out in self.unsaid.items():
+            for node, out in self.unreported.items():
                 shown += self.shut(f"{self.name}/{node}", out)
-            self.unsaid.clear()
+            self.unreported.clear()
             self.show(shown, mark)
             self.counters["host.commits"] += bool(slices)
             self.marks.append((mark, revision, self.clock.now()))
--- a/lapispass/peers/record_writer.py
+++ b/lapispass/peers/record_writer.py
@@ -63,5 +63,5 @@
     def wrote(self, slices: dict[int, Record], revision: int) -> int:
         """Notes what was carried out."""
         for number, record in slices.items():
-            self.takeover.told(number, record._replace(revision=revision))
+            self.takeover.received(number, record._replace(revision=revision))
         return revision
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -79,7 +79,7 @@
 
 def test_a_slice_of_a_dead_one_is_claimed_after_the_wait_and_under_a_higher_epoch() -> None:
     made = Takeover(1, "a/1", linger_us=300)
-    made.told(0, Record(4, "b/1", "n0", 1.0, False, 10))
+    made.received(0, Record(4, "b/1", "n0", 1.0, False, 10))
     free = lambda number: False  # noqa: E731
     assert not made.look(NOW, {"a": 1.0, "b": 1.0}, {}, True, free).claims
     work = made.look(NOW, {"a": 1.0}, {"b/1": NOW}, True, free)
@@ -90,7 +90,7 @@
 
 def test_without_a_session_nothing_is_ours() -> None:
     made = Takeover(2, "a/1", 0)
-    made.told(0, Record(1, "a/1", None, 1.0, False, 3))
+    made.received(0, Record(1, "a/1", None, 1.0, False, 3))
     assert made.look(NOW, {"a": 1.0}, {}, True, lambda n: False).start == [0]
     work = made.look(NOW, {"a": 1.0}, {}, False, lambda n: False)
     assert work.stop == [0] and not work.claims and not made.acting
@@ -99,16 +99,16 @@
 def test_a_holder_that_died_before_we_came_is_dead_all_the_same() -> None:
     """Found by killing two of three: slices of a life that nobody left had seen alive were never claimed."""
     made = Takeover(2, "a/1", linger_us=300)
-    made.told(0, Record(4, "b/old", "n0", 1.0, False, 10))
-    made.told(1, Record(4, "b/new", "n0", 1.0, False, 11))
+    made.received(0, Record(4, "b/old", "n0", 1.0, False, 10))
+    made.received(1, Record(4, "b/new", "n0", 1.0, False, 11))
     assert made.orphans({"a/1", "b/new"}, {}) == {"b/old"}
     assert made.orphans({"a/1", "b/new"}, {"b/old": NOW}) == set()
 
 
 def test_an_older_record_than_known_is_passed_over_and_a_holder_unheard_of_is_not_dead() -> None:
     made = Takeover(1, "a/1", 0)
-    made.told(0, Record(5, "b/1", "n1", 1.0, False, 9))
-    made.told(0, Record(4, "a/1", "n0", 1.0, False, 8))
+    made.received(0, Record(5, "b/1", "n1", 1.0, False, 9))
+    made.received(0, Record(4, "a/1", "n0", 1.0, False, 8))
     assert made.records[0].epoch == 5
     assert made.free_at(made.records[0], {}, {"a"}) == NEVER and made.free_at(FRESH, {}, {"a"}) == 0
 
@@ -136,7 +136,7 @@
         for name in names:
             for _ in range(chance.randrange(3)):
                 if lag[name]:
-                    made[name].told(*lag[name].pop(0))
+                    made[name].received(*lag[name].pop(0))
             if not session[name]:
                 continue
             work = made[name].look(now, alive, dead, True, lambda n: chance.random() < 0.2)
@@ -146,7 +146,7 @@
                     truth[claim.slice] = claim.record._replace(revision=revision)
                     assert claim.record.epoch >= epochs.get(claim.slice, 0)
                     epochs[claim.slice] = claim.record.epoch
-                    made[name].told(claim.slice, truth[claim.slice])
+                    made[name].received(claim.slice, truth[claim.slice])
                     for other in names:
                         lag[other].append((claim.slice, truth[claim.slice]))
         for number in range(6):
@@ -258,7 +258,7 @@
 
     def whole(self) -> bool:
         """Each slice is held by just one, and has an owner."""
-        owners = [host.stands.owners for host in self.hosts.values()]
+        owners = [host.snapshot.owners for host in self.hosts.values()]
         return (
             set(self.acting().values()) == {1}
             and len(self.acting()) == 12
@@ -288,13 +288,13 @@
             client = XdsClient(stand.hosts["b"].desk.address, "c", 1)
             running = asyncio.create_task(client.run())
             await until(lambda: all(client.writes_to(number) for number in range(12)))
-            before = dict(stand.hosts["b"].stands.owners)
+            before = dict(stand.hosts["b"].snapshot.owners)
             epochs = {n: r.epoch for n, r in stand.hosts["b"].takeover.records.items()}
             dead = set(stand.hosts["a"].takeover.acting)
             await stand.kill("a")
             await until(stand.whole, 10)
             host = stand.hosts["b"]
-            assert host.stands.owners == before  # tables are kept
+            assert host.snapshot.owners == before  # tables are kept
             assert all(host.takeover.records[n].epoch == epochs[n] + (n in dead) for n in range(12))
             stand.drain()  # what was taken is served: handovers go on
             await until(lambda: all(client.writes_to(n) in ("n1", "n2") for n in range(12)), 10)
@@ -338,16 +338,16 @@
 def test_the_service_gone_for_a_while_moves_nothing_and_comes_back_without_a_storm(tmp_path: Path) -> None:
     async def test() -> None:
         async with shared(tmp_path, "a", "b") as stand:
-            before = dict(stand.hosts["a"].stands.owners)
+            before = dict(stand.hosts["a"].snapshot.owners)
             stand.service.faults.silent = True
             await until(lambda: not stand.acting(), 10)  # by their own clocks
-            assert all(host.stands.owners == before for host in stand.hosts.values())  # what stands goes on
+            assert all(host.snapshot.owners == before for host in stand.hosts.values())  # what stands goes on
             calls = stand.service.calls
             await asyncio.sleep(1.0)
             assert stand.service.calls - calls < 60
             stand.service.faults.silent = False
             await until(stand.whole, 15)
-            assert all(host.stands.owners == before for host in stand.hosts.values())
+            assert all(host.snapshot.owners == before for host in stand.hosts.values())
 
     play(test())
 
@@ -360,8 +360,8 @@
             await asyncio.sleep(0.3)
             stand.service.state.compact(stand.service.state.revision)
             stand.service.reset()
-            await until(lambda: stand.whole() and "n0" not in stand.hosts["a"].stands.owners.values(), 15)
-            assert stand.hosts["a"].stands.owners == stand.hosts["b"].stands.owners
+            await until(lambda: stand.whole() and "n0" not in stand.hosts["a"].snapshot.owners.values(), 15)
+            assert stand.hosts["a"].snapshot.owners == stand.hosts["b"].snapshot.owners
 
     play(test())
 
@@ -383,16 +383,16 @@
                 await until(lambda: len(host.takeover.acting) == 12, 10)
                 stand.drain()
                 await until(
-                    lambda: "n0" not in host.stands.owners.values() and len(host.stands.owners) == 12, 15
+                    lambda: "n0" not in host.snapshot.owners.values() and len(host.snapshot.owners) == 12, 15
                 )
                 owners, epochs = (
-                    dict(host.stands.owners),
+                    dict(host.snapshot.owners),
                     {n: r.epoch for n, r in host.takeover.records.items()},
                 )
                 process.send_signal(signal.SIGCONT)
                 await asyncio.sleep(0.8)
                 assert all(r.epoch >= epochs[n] for n, r in host.takeover.records.items())
-                assert host.stands.owners == owners
+                assert host.snapshot.owners == owners
             finally:
                 process.kill()
                 process.wait()
@@ -421,7 +421,7 @@
             host.show = shown  # type: ignore[method-assign]
 
         async with shared(tmp_path, "a", "b") as stand:
-            for number, owner in stand.hosts["a"].stands.owners.items():
+            for number, owner in stand.hosts["a"].snapshot.owners.items():
                 published.append(Published(0, number, owner))
             for host in stand.hosts.values():
                 watched(host)
