--- a/lapispass/xds/write_routes.py
+++ b/lapispass/xds/write_routes.py
@@ -15,7 +15,7 @@
 
 
 class WriteRoutes:
-    """Opens and closes the write routes of a desk's clients."""
+    """Opens and closes the write routes of a desk's clients. What is offered of routes never changes."""
 
     def __init__(self, offered: Shelf) -> None:
         self.offered = offered
--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -117,6 +117,10 @@
         return PORT_COUNT.unpack_from(self.records, RECORD.size * len(Call) + PORT_COUNT.size * port)[0]
 
 
+class NotStarted(AssertionError):
+    """A process has ended, or said nothing, before it was ready."""
+
+
 class Controller:
     """A running controller process."""
 
@@ -176,7 +180,10 @@
     )
     running = Controller(child, faults, address)
     try:
-        await running.says(ready)
+        try:
+            await running.says(ready)
+        except (AssertionError, TimeoutError) as error:
+            raise NotStarted(str(error) or f"no {ready!r} in time") from error
         yield running
     finally:
         if child.returncode is None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,10 +16,12 @@
 import signal
 import sys
 import time
+from collections.abc import Callable, Coroutine, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import Any
 
 from faulty_process import Controller, Faults, controller, free_address
 
@@ -47,9 +49,10 @@
     answered: int = 0
     killed: int = 0  # processes that had not ended by the kill
     slowest_s: float = 0.0  # answer, pauses left out
+    more: str = ""  # further figures of the day
 
     def __str__(self) -> str:
-        figures = f"{self.asked} asked, {self.answered} answered, {self.killed} killed"
+        figures = f"{self.asked} asked, {self.answered} answered, {self.killed} killed{self.more}"
         return f"seed {self.seed}: {figures}, slowest {self.slowest_s:.3f} s, breaches {self.breaches[:5]}"
 
 
@@ -270,15 +273,20 @@
     day.breach_lines()
 
 
-async def life(day: Day) -> None:
-    """One process, from its start to its end."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + LIFE_S
+def controllers_clients(day: Day) -> list[Coroutine[Any, Any, None]]:
+    """Whoever speaks with a controller at its address."""
     rounds = (day.chance.randint(1, 4), 1000)
     clients = [converse(day, day.chance.choice(rounds), 1.2) for _ in range(CLIENTS)]
     clients += [misbehave(day)]
     if day.is_crowded:
         clients += [crowd(day)]
+    return clients
+
+
+async def life(day: Day, clients: Sequence[Coroutine[Any, Any, None]]) -> None:
+    """One process, from its start to its end; the clients end with it by themselves."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + LIFE_S
     reading = asyncio.create_task(read_log(day))
     tasks = [asyncio.create_task(client) for client in clients]
     await trouble(day, until)
@@ -304,7 +312,8 @@
         async with controller(folder, faults=faults, address=address) as running:
             if time.monotonic() - begun > READY_S:
                 verdict.breaches.append(f"ready after {time.monotonic() - begun:.1f} s")
-            await life(Day(running, chance, verdict, is_crowded))
+            day = Day(running, chance, verdict, is_crowded)
+            await life(day, controllers_clients(day))
     return verdict
 
 
@@ -314,16 +323,16 @@
         return asyncio.run(play_day(seed, Path(folder)))
 
 
-def main() -> int:
-    """The long run, by hand."""
-    parser = argparse.ArgumentParser(description=__doc__)
+def main(play: Callable[[int], Any], about: str | None) -> int:
+    """The long run, by hand: each seed's verdict as it comes, and 1 where one has a breach."""
+    parser = argparse.ArgumentParser(description=about)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--seed", type=int, default=1000)
     parser.add_argument("--at-once", type=int, default=3)
     given = parser.parse_args()
     broken = 0
     with ProcessPoolExecutor(given.at_once) as pool:
-        for verdict in pool.map(play_seed, range(given.seed, given.seed + given.seeds)):
+        for verdict in pool.map(play, range(given.seed, given.seed + given.seeds)):
             print(verdict, flush=True)
             broken += bool(verdict.breaches)
     print(f"{given.seeds} days, {broken} broken")
@@ -331,4 +340,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(play_seed, __doc__))
--- a/tests/xds_process.py
+++ b/tests/xds_process.py
@@ -11,25 +11,26 @@
 
 SLICES = 6
 FILE = """
-xds {{ listen: "{listen}" late_ms: 400 new_per_s: {per_s} burst: {per_s} }}
-alone {{ store_file: "store" slices: 6 lease_ms: 400 write_life_ms: 100 bare_ms: 4000
+xds {{ listen: "{listen}" late_ms: 400 new_per_s: 1000 burst: 1000 }}
+alone {{ store_file: "store" slices: 6 lease_ms: 700 write_life_ms: 100 bare_ms: 4000
   visit_class {{ name: "look" agreed_ms: 500 patience_ms: 1000 benefit: 1 }}
   visit_class {{ name: "trade-order" agreed_ms: 500 patience_ms: 1000 benefit: 3 writes: true }} }}
 node {{ id: "n0" address: "127.0.0.1:9000" zone: "east" state: {n0} }}
-node {{ id: "n1" address: "127.0.0.1:9001" zone: "west" }}
+node {{ id: "n1" address: "127.0.0.1:9001" zone: "west" state: {n1} }}
 """
 
 
-def write_file(folder: Path, address: tuple[str, int], n0: str = "READY", per_s: int = 1000) -> Path:
-    """The operator file, with the state of one of the two servers."""
+def write_file(folder: Path, address: tuple[str, int], draining: str = "") -> Path:
+    """The operator file, with at most one server that drains."""
     file = folder / "operator.textproto"
-    file.write_text(FILE.format(listen="{}:{}".format(*address), n0=n0, per_s=per_s))
+    states = {name: "DRAINING" if name == draining else "READY" for name in ("n0", "n1")}
+    file.write_text(FILE.format(listen="{}:{}".format(*address), **states))
     return file
 
 
-def set_state(running: Controller, folder: Path, state: str) -> None:
-    """Tells the running process that a server drains, or is ready."""
-    write_file(folder, running.address, state)
+def drain(running: Controller, folder: Path, name: str) -> None:
+    """Tells the running process that this server drains, and no other one."""
+    write_file(folder, running.address, name)
     running.signal(signal.SIGHUP)
 
 
