--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -152,6 +152,10 @@
         return PORT_COUNT.unpack_from(self.records, RECORD.size * len(Call) + PORT_COUNT.size * port)[0]
 
 
+class NotStarted(AssertionError):
+    """A process has ended, or said nothing, before it was ready."""
+
+
 class Controller:
     """A running controller process."""
 
@@ -237,10 +241,13 @@
     )
     running = Controller(child, faults, address)
     try:
-        if ready is None:
-            await running.answers()
-        else:
-            await running.says(ready)
+        try:
+            if ready is None:
+                await running.answers()
+            else:
+                await running.says(ready)
+        except (AssertionError, TimeoutError) as error:
+            raise NotStarted(str(error) or f"no {ready!r} in time") from error
         yield running
     finally:
         if child.returncode is None:
--- a/tests/two_controllers.py
+++ b/tests/two_controllers.py
@@ -27,7 +27,7 @@
 
 from faulty_process import Controller, Faults, controller, free_address
 from rule_world import changed
-from soak import DUE_S, Day, Verdict, life
+from soak import DUE_S, Day, Verdict, controllers_clients, life
 
 from lapispass import deployment
 from lapispass.lab.scale import settings
@@ -229,7 +229,7 @@
         day = Day(running, self.chance, self.verdict, self.is_crowded, due_s=DUE_S, is_faulty=self.is_faulty)
         judging = [asyncio.create_task(one) for one in (self.judge(day), self.churn())]
         try:
-            await life(day, life_s, ENDING)
+            await life(day, controllers_clients(day), life_s, ENDING)
         finally:
             for task in judging:
                 task.cancel()
