--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -85,6 +85,15 @@
     *((Call.RECEIVE, error) for error in (SHORT, errno.EINTR, errno.EAGAIN)),
     (Call.WAIT, errno.EINTR),
     *((Call.PIPE, error) for error in (SHORT, errno.EAGAIN, errno.ENOSPC)),
+    *((Call.EPOLL_CTL, error) for error in (errno.ENOMEM, errno.ENOSPC)),
+    *((Call.CLOSE, error) for error in (errno.EINTR, errno.EIO)),
+    *((Call.SEND, error) for error in (errno.ENOBUFS, errno.ENOMEM)),
+    *((Call.SETSOCKOPT, error) for error in (errno.ENOBUFS, errno.ENOMEM)),
+    *((Call.GETSOCKOPT, error) for error in (errno.ENOBUFS, errno.ENOMEM)),
+    *((Call.GETPEERNAME, error) for error in (errno.ENOBUFS, errno.ENOTCONN)),
+    (Call.GETSOCKNAME, errno.ENOBUFS),
+    (Call.SHUTDOWN, errno.ENOTCONN),
+    *((Call.POLL, error) for error in (errno.EINTR, errno.ENOMEM)),
 )
 
 
