Clients that wait for room wait together, not one after the other

Callers saw: where all places are taken by clients that ask, the last of a queue of newcomers got its answer seconds late (on a real process, 512 busy clients, 30 newcomers that stay: slowest 3.3 s, 26 over 0.5 s; in the test, 64 places, 20 newcomers: slowest 2.1 s, 16 over 0.5 s).

Cause: Collectors.make_room set back full_since with each client it let in, so that each one in the queue waited room_us anew, or until the one before had become idle (fresh_us).

Now all that stand in the queue when the first has waited room_us are let in, and the wait begins anew only once the queue is empty. A place is still taken from fresh clients after room_us only.

test_newcomers_to_a_full_process_wait_together_and_not_one_after_the_other failed before, passes now.

--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -56,6 +56,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: Acceptor | None = None
         self.full_since: float | None = None  # since when one waits that cannot be accepted for lack of room
+        self.overdue = 0  # of those that wait for room, how many have waited for long enough
         self.closed = False
 
     async def listen(self, address: str) -> None:
@@ -259,7 +260,8 @@
         """Whether a further connection can be accepted as it is."""
         if self.standing() >= self.limits.connections:
             return False
-        self.full_since = None
+        if self.full_since is not None and not self.waiting_to_be_accepted():
+            self.nobody_waits()
         return True
 
     def standing(self) -> int:
@@ -270,21 +272,34 @@
         """Ends a client for the one that waits to be accepted; False where none can go just now.
 
         Guards against clients that connect and stay, with half a message too. Guards those that have just
-        come or whose message comes in pieces: where all are such, the next one waits, for `Limits.room_us`
-        at most.
+        come or whose message comes in pieces: where all are such, those in the queue wait, for
+        `Limits.room_us` at most, all of them at the same time.
         """
         if self.standing() >= self.limits.connections + self.limits.at_once:
             return False  # those that are being ended still hold their descriptors
         now = asyncio.get_running_loop().time()
-        if self.full_since is None:
-            self.full_since = now
+        self.note_overdue(now)
         if (leaving := self.who_may_leave()) is not None:
             self.crowd_out(leaving)
-        elif now - self.full_since < self.limits.room_us / 1e6 or not self.end_longest_silent():
+        elif not self.overdue or not self.end_longest_silent():
             return False
-        self.full_since = None
+        self.overdue = max(0, self.overdue - 1)
+        if (self.waiting_to_be_accepted() or 0) <= 1:  # the one for whom there is room now
+            self.nobody_waits()
         return True
 
+    def note_overdue(self, now: float) -> None:
+        """All that stand in the queue `Limits.room_us` after the first one came are let in."""
+        if self.full_since is None:
+            self.full_since = now
+        elif now - self.full_since >= self.limits.room_us / 1e6:
+            self.overdue = self.waiting_to_be_accepted() or 1
+            self.full_since = now
+
+    def nobody_waits(self) -> None:
+        """The next one that finds no room begins a wait of its own."""
+        self.full_since, self.overdue = None, 0
+
     def who_may_leave(self) -> ClientConnection | None:
         """An idle client, or one whose message has been left unfinished; the longest silent first."""
         idle = next((connection for connection in self.candidates() if self.is_idle(connection)), None)
--- /dev/null
+++ b/tests/test_review_finds.py
@@ -0,0 +1,63 @@
+"""Answers in time where other peers take the process's places or its time, on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from faulty_process import Controller, controller
+from parties import play
+
+PING, PONG = b"PING\r\n", b"PONG\r\n"
+DUE_S = 0.5  # for an answer
+SOCKETS = 128  # half of which are places for clients
+PLACES = SOCKETS // 2
+NEWCOMERS = 20
+BUSY_PAUSE_S = 0.04  # less than what makes a client an idle one
+
+
+async def ask_on_and_on(running: Controller) -> None:
+    """A client that asks again soon after each answer, until it is ended."""
+    reader, writer = await running.connect()
+    try:
+        while True:
+            writer.write(PING)
+            if await reader.read(len(PONG)) != PONG:
+                return
+            await asyncio.sleep(BUSY_PAUSE_S)
+    except OSError:
+        return
+    finally:
+        writer.close()
+
+
+async def ask_and_stay(running: Controller, opened: list[asyncio.StreamWriter]) -> float:
+    """How long a new connection and its first answer took; it stays."""
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    reader, writer = await running.connect()
+    opened.append(writer)
+    writer.write(PING)
+    assert await reader.readexactly(len(PONG)) == PONG
+    return loop.time() - begun
+
+
+def test_newcomers_to_a_full_process_wait_together_and_not_one_after_the_other(tmp_path: Path) -> None:
+    """Guards against a wait for room that began anew with each client accepted: where all places are taken by
+    clients that ask, the last of those in the queue waited for the sum of the waits before it."""
+
+    async def test() -> None:
+        opened: list[asyncio.StreamWriter] = []
+        async with controller(tmp_path, limits={"sockets": SOCKETS}) as running:
+            busy = [asyncio.create_task(ask_on_and_on(running)) for _ in range(PLACES)]
+            await asyncio.sleep(0.5)
+            took_s = await asyncio.gather(*(ask_and_stay(running, opened) for _ in range(NEWCOMERS)))
+            for each in busy:
+                each.cancel()
+            await asyncio.gather(*busy, return_exceptions=True)
+            for writer in opened:
+                writer.close()
+        late = sorted(round(s, 2) for s in took_s if s > DUE_S)
+        assert not late, f"{len(late)} of {NEWCOMERS} late, s: {late}"
+
+    play(test())
