A collector that reports without a pause leaves others their turn, as any client does

Callers saw: beside collectors that send reports as fast as they can, PING was answered late: on a real process 0.36 s on a kept connection and 0.49 s on new ones beside 4, 1.15 and 1.41 s beside 20; in the test 1.27 s beside 12 (0.5 s are due).

Cause: turn_bytes held for clients that had not joined only; of a collector 64 KiB of lines were handled before others had their turn, which is some 900 reports.

test_clients_are_answered_in_time_beside_collectors_that_report_without_a_pause failed before, passes now.

--- a/lapispass/net/client_connection.py
+++ b/lapispass/net/client_connection.py
@@ -61,11 +61,6 @@
         """Whether a message comes in pieces."""
         return bool(self.lines.rest)
 
-    @property
-    def most_bytes(self) -> int:
-        """How much is read and handled at a time, until other connections have their turn."""
-        return self.limits.turn_bytes if self.zone is None else self.limits.read_bytes
-
     def silent_us(self) -> int:
         """For how long nothing has come."""
         return int((self.loop.time() - self.heard_at) * 1e6)
@@ -101,7 +96,7 @@
         try:
             async with waiting:
                 self.waiting = waiting
-                piece = await self.reader.read(self.most_bytes)
+                piece = await self.reader.read(self.limits.turn_bytes)
         except TimeoutError:
             if not waiting.expired():
                 raise  # the connection's own (ETIMEDOUT)
@@ -119,12 +114,12 @@
         """
         if not self.expired:
             self.expired = True
-            piece = await read_arrived(self.reader, self.writer, self.most_bytes, self.limits.late_us)
+            piece = await read_arrived(self.reader, self.writer, self.limits.turn_bytes, self.limits.late_us)
             if piece is not None:
                 return piece
         self.writer.transport.pause_reading()  # type: ignore[attr-defined]
         if unread(self.reader):
-            return await self.reader.read(self.most_bytes)
+            return await self.reader.read(self.limits.turn_bytes)
         raise Ended(self.reason())
 
     def end_soon(self, reason: CloseReason) -> None:
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -13,7 +13,7 @@
 
     # sizes in bytes
     read_bytes: int = 64 << 10  # one read
-    turn_bytes: int = 4 << 10  # of a client that has not joined, until other connections have their turn
+    turn_bytes: int = 4 << 10  # of one connection, until others have their turn
     message_bytes: int = 1 << 20  # a line of a collector or of the news
     answer_bytes: int = 64 << 10  # what a relay call or a probe may answer
     list_bytes: int = 8 << 20  # the whole list, as a body or a line of a watch: `servers` of 512 bytes each
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -1,6 +1,7 @@
 """Clients that send requests as fast as they can, in a process of their own.
 
-`python tests/flood.py HOST PORT CONNECTIONS SECONDS`; they read all answers.
+`python tests/flood.py HOST PORT CONNECTIONS SECONDS [FIRST LINE]`; they read all answers. In place of PING,
+each sends the line FIRST once, and then LINE again and again.
 """
 
 from __future__ import annotations
@@ -10,21 +11,26 @@
 import sys
 import time
 
-REQUESTS = b"PING\r\n" * 10_000
+PING, REPEATED = "PING", 10_000
 
 
-def flood(address: tuple[str, int], connections: int, for_s: float) -> None:
+def flood(
+    address: tuple[str, int], connections: int, for_s: float, first: str = "", line: str = PING
+) -> None:
     """Writes and reads on all connections until the time is over, or none is left."""
+    requests = f"{line}\r\n".encode() * REPEATED
     clients = [socket.create_connection(address) for _ in range(connections)]
     sent = dict.fromkeys(clients, 0)
     for client in clients:
+        if first:
+            client.sendall(f"{first}\r\n".encode())
         client.setblocking(False)
     until = time.monotonic() + for_s
     while sent and time.monotonic() < until:
         readable, writable, _ = select.select(sent, sent, (), 0.1)
         for client in writable:
             try:
-                sent[client] += client.send(memoryview(REQUESTS)[sent[client] % len(REQUESTS) :])
+                sent[client] += client.send(memoryview(requests)[sent[client] % len(requests) :])
             except OSError:
                 sent.pop(client)
         for client in readable:
@@ -39,5 +45,5 @@
 
 
 if __name__ == "__main__":
-    host, port, connections, for_s = sys.argv[1:]
-    flood((host, int(port)), int(connections), float(for_s))
+    host, port, connections, for_s, *lines = sys.argv[1:]
+    flood((host, int(port)), int(connections), float(for_s), *lines)
--- a/tests/test_review_finds.py
+++ b/tests/test_review_finds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from pathlib import Path
 
 from faulty_process import Controller, controller
@@ -14,6 +15,9 @@
 PLACES = SOCKETS // 2
 NEWCOMERS = 20
 BUSY_PAUSE_S = 0.04  # less than what makes a client an idle one
+FLOOD = Path(__file__).with_name("flood.py")
+COLLECTORS, FLOOD_S = 12, 4.0  # that report without a pause, and for how long
+REPORT = "LOAD endpoint=s-1 errors=0 total=9 rtt=3 interval=100"
 
 
 async def ask_on_and_on(running: Controller) -> None:
@@ -61,3 +65,38 @@
         assert not late, f"{len(late)} of {NEWCOMERS} late, s: {late}"
 
     play(test())
+
+
+async def slowest_answer_s(running: Controller, until_ended: asyncio.subprocess.Process) -> float:
+    """The slowest answer, on a connection that is kept and on new ones, while another process runs."""
+    loop, slowest_s = asyncio.get_running_loop(), 0.0
+    opened: list[asyncio.StreamWriter] = []
+    reader, writer = await running.connect()
+    while until_ended.returncode is None:
+        begun = loop.time()
+        writer.write(PING)
+        assert await reader.readexactly(len(PONG)) == PONG
+        slowest_s = max(slowest_s, loop.time() - begun, await ask_and_stay(running, opened))
+        opened.pop().close()
+        await asyncio.sleep(0.02)
+    writer.close()
+    return slowest_s
+
+
+def test_clients_are_answered_in_time_beside_collectors_that_report_without_a_pause(tmp_path: Path) -> None:
+    """Guards against 64 KiB of reports being handled at a time, for each collector, while all others wait."""
+
+    async def test() -> None:
+        async with controller(tmp_path) as running:
+            host, port = running.address
+            flood = await asyncio.create_subprocess_exec(
+                *(sys.executable, str(FLOOD), host, str(port), str(COLLECTORS), str(FLOOD_S)),
+                *("SOURCE", REPORT),
+            )
+            await asyncio.sleep(0.5)
+            slowest_s = await slowest_answer_s(running, flood)
+            counters = await running.counters()
+        assert counters["collectors.LOAD"] > COLLECTORS * 1000
+        assert slowest_s <= DUE_S
+
+    play(test())
