News in many small chunks leave others their turn

Callers saw: PING answered late while the relay's stream told much at once; on a real process, with 240,000 chunks of a sign of life written at once, slowest answer 0.78 s (0.5 s are due); 0.46 s with 60,000. With events in place of signs: 0.40 s with 20,000 and 0.28 s with 40,000, within the bound.

Cause: a read that finds its buffer filled does not give the loop back; all chunks that were there were handled in one go, h11's work for each included.

Now the stream yields after turn_bytes of news: 0.13 s with 240,000 chunks, 0.07 s with 60,000 (one run each).

test_clients_are_answered_in_time_beside_news_in_many_small_chunks failed before with 240,000 chunks, passes now. With 60,000, as first written, it passed without the change.

--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -227,7 +227,7 @@
                 raise EOFError(f"status {status}")
             self.counters["news.opened"] += 1
             self.log.say("news open", joined=len(self.joined), slices=len(self.calls.rows))
-            lines, kind, data = Lines(self.limits.message_bytes), "", ""
+            lines, kind, data, handled = Lines(self.limits.message_bytes), "", "", 0
             async with Quiet(self.limits.late_us) as quiet:
                 while True:
                     if self.picture is None:
@@ -257,6 +257,10 @@
                         # Only whole lines are signs of life: bytes may dribble in that never make one.
                         if self.picture is None:
                             quiet.hear(self.limits.news_quiet_us)
+                    handled += len(piece)
+                    if handled >= self.limits.turn_bytes:  # a piece that is there already is no wait
+                        handled = 0
+                        await asyncio.sleep(0)
         except (*BROKEN, UnicodeError, TooLong, WireError) as error:
             why = f"{type(error).__name__} {error}"
         except Exception as error:  # a fault of our own costs this stream, not the controller
--- a/tests/test_review_finds.py
+++ b/tests/test_review_finds.py
@@ -6,8 +6,9 @@
 import sys
 from pathlib import Path
 
+import h11
 from faulty_process import Controller, controller
-from parties import play
+from parties import Relay, play, until
 
 PING, PONG = b"PING\r\n", b"PONG\r\n"
 DUE_S = 0.5  # for an answer
@@ -18,6 +19,8 @@
 FLOOD = Path(__file__).with_name("flood.py")
 COLLECTORS, FLOOD_S = 12, 4.0  # that report without a pause, and for how long
 REPORT = "LOAD endpoint=s-1 errors=0 total=9 rtt=3 interval=100"
+CHUNKS = 240_000  # of news, written at once
+NEWS_S = 3.0  # for which answers are looked at after that
 
 
 async def ask_on_and_on(running: Controller) -> None:
@@ -100,3 +103,28 @@
         assert slowest_s <= DUE_S
 
     play(test())
+
+
+def test_clients_are_answered_in_time_beside_news_in_many_small_chunks(tmp_path: Path) -> None:
+    """Guards against a stream of news that goes on without a pause while its buffer holds a further chunk."""
+
+    async def test() -> None:
+        relay, slowest_s = Relay(), 0.0
+        async with controller(tmp_path, relay=relay) as running:
+            loop = asyncio.get_running_loop()
+            reader, writer = await running.connect()
+            await until(lambda: relay.streams)
+            await asyncio.sleep(0.5)
+            state, news = relay.streams[-1]
+            news.write((state.send(h11.Data(data=b":\n")) or b"") * CHUNKS)
+            begun = loop.time()
+            while (asked_at := loop.time()) < begun + NEWS_S:
+                writer.write(PING)
+                assert await reader.readexactly(len(PONG)) == PONG
+                slowest_s = max(slowest_s, loop.time() - asked_at)
+                await asyncio.sleep(0.01)
+            writer.close()
+        assert len(relay.streams) == 1
+        assert slowest_s <= DUE_S
+
+    play(test())
