--- a/lapispass/net/client_connection.py
+++ b/lapispass/net/client_connection.py
@@ -61,11 +61,6 @@
         """Whether a message comes in pieces."""
         return bool(self.lines.rest)
 
-    @property
-    def most_bytes(self) -> int:
-        """How much is read and handled at a time, until other connections have their turn."""
-        return self.limits.turn_bytes if self.zone is None else self.limits.read_bytes
-
     def silent_us(self) -> int:
         """For how long nothing has come."""
         return int((self.loop.time() - self.heard_at) * 1e6)
@@ -111,7 +106,7 @@
         try:
             async with waiting:
                 self.waiting = waiting
-                return await self.reader.read(self.most_bytes)
+                return await self.reader.read(self.limits.turn_bytes)
         except TimeoutError:
             if not waiting.expired():
                 raise  # the connection's own (ETIMEDOUT)
@@ -127,12 +122,13 @@
         """
         if not self.expired:
             self.expired = True
-            piece = await read_arrived(self.reader, self.writer, self.most_bytes, self.limits.late_us)
+            piece = await read_arrived(self.reader, self.writer, self.limits.turn_bytes, self.limits.late_us)
             if piece is not None:
                 return piece
         self._pause_reading()
         if unread(self.reader):
-            piece = await self.reader.read(self.most_bytes)  # does not wait, and lets the transport read on
+            # This does not wait, and lets the transport read on.
+            piece = await self.reader.read(self.limits.turn_bytes)
             self._pause_reading()
             return piece
         raise Ended(self.reason())
--- /dev/null
+++ b/tests/test_review_finds.py
@@ -0,0 +1,130 @@
+"""Answers in time where other peers take the process's places or its time, on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import h11
+from faulty_process import Controller, controller
+from parties import Relay, play, until
+
+PING, PONG = b"PING\r\n", b"PONG\r\n"
+DUE_S = 0.5  # for an answer
+SOCKETS = 128  # half of which are places for clients
+PLACES = SOCKETS // 2
+NEWCOMERS = 20
+BUSY_PAUSE_S = 0.04  # less than what makes a client an idle one
+FLOOD = Path(__file__).with_name("flood.py")
+COLLECTORS, FLOOD_S = 12, 4.0  # that report without a pause, and for how long
+REPORT = "LOAD endpoint=s-1 errors=0 total=9 rtt=3 interval=100"
+CHUNKS = 240_000  # of news, written at once
+NEWS_S = 3.0  # for which answers are looked at after that
+
+
+async def ask_on_and_on(running: Controller) -> None:
+    """A client that asks again soon after each answer, until it is ended."""
+    reader, writer = await running.connect()
+    try:
+        while True:
+            writer.write(PING)
+            if await reader.read(len(PONG)) != PONG:
+                return
+            await asyncio.sleep(BUSY_PAUSE_S)
+    except OSError:
+        return
+    finally:
+        writer.close()
+
+
+async def ask_and_stay(running: Controller, opened: list[asyncio.StreamWriter]) -> float:
+    """How long a new connection and its first answer took; it stays."""
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    reader, writer = await running.connect()
+    opened.append(writer)
+    writer.write(PING)
+    assert await reader.readexactly(len(PONG)) == PONG
+    return loop.time() - begun
+
+
+def test_newcomers_to_a_full_process_wait_together_and_not_one_after_the_other(tmp_path: Path) -> None:
+    """Guards against a wait for room that began anew with each client accepted: where all places are taken by
+    clients that ask, the last of those in the queue waited for the sum of the waits before it."""
+
+    async def test() -> None:
+        opened: list[asyncio.StreamWriter] = []
+        async with controller(tmp_path, limits={"sockets": SOCKETS}) as running:
+            busy = [asyncio.create_task(ask_on_and_on(running)) for _ in range(PLACES)]
+            await asyncio.sleep(0.5)
+            took_s = await asyncio.gather(*(ask_and_stay(running, opened) for _ in range(NEWCOMERS)))
+            for each in busy:
+                each.cancel()
+            await asyncio.gather(*busy, return_exceptions=True)
+            for writer in opened:
+                writer.close()
+        late = sorted(round(s, 2) for s in took_s if s > DUE_S)
+        assert not late, f"{len(late)} of {NEWCOMERS} late, s: {late}"
+
+    play(test())
+
+
+async def slowest_answer_s(running: Controller, until_ended: asyncio.subprocess.Process) -> float:
+    """The slowest answer, on a connection that is kept and on new ones, while another process runs."""
+    loop, slowest_s = asyncio.get_running_loop(), 0.0
+    opened: list[asyncio.StreamWriter] = []
+    reader, writer = await running.connect()
+    while until_ended.returncode is None:
+        begun = loop.time()
+        writer.write(PING)
+        assert await reader.readexactly(len(PONG)) == PONG
+        slowest_s = max(slowest_s, loop.time() - begun, await ask_and_stay(running, opened))
+        opened.pop().close()
+        await asyncio.sleep(0.02)
+    writer.close()
+    return slowest_s
+
+
+def test_clients_are_answered_in_time_beside_collectors_that_report_without_a_pause(tmp_path: Path) -> None:
+    """Guards against 64 KiB of reports being handled at a time, for each collector, while all others wait."""
+
+    async def test() -> None:
+        async with controller(tmp_path) as running:
+            host, port = running.address
+            flood = await asyncio.create_subprocess_exec(
+                *(sys.executable, str(FLOOD), host, str(port), str(COLLECTORS), str(FLOOD_S)),
+                *("SOURCE", REPORT),
+            )
+            await asyncio.sleep(0.5)
+            slowest_s = await slowest_answer_s(running, flood)
+            counters = await running.counters()
+        assert counters["collectors.LOAD"] > COLLECTORS * 1000
+        assert slowest_s <= DUE_S
+
+    play(test())
+
+
+def test_clients_are_answered_in_time_beside_news_in_many_small_chunks(tmp_path: Path) -> None:
+    """Guards against a stream of news that goes on without a pause while its buffer holds a further chunk."""
+
+    async def test() -> None:
+        relay, slowest_s = Relay(), 0.0
+        async with controller(tmp_path, relay=relay) as running:
+            loop = asyncio.get_running_loop()
+            reader, writer = await running.connect()
+            await until(lambda: relay.streams)
+            await asyncio.sleep(0.5)
+            state, news = relay.streams[-1]
+            news.write((state.send(h11.Data(data=b":\n")) or b"") * CHUNKS)
+            begun = loop.time()
+            while (asked_at := loop.time()) < begun + NEWS_S:
+                writer.write(PING)
+                assert await reader.readexactly(len(PONG)) == PONG
+                slowest_s = max(slowest_s, loop.time() - asked_at)
+                await asyncio.sleep(0.01)
+            writer.close()
+        assert len(relay.streams) == 1
+        assert slowest_s <= DUE_S
+
+    play(test())
