--- a/lapispass/gate/desk.py
+++ b/lapispass/gate/desk.py
@@ -16,7 +16,7 @@
 from lapispass.core.plans import Plan, Version
 from lapispass.gate import wire
 from lapispass.gate.channel import STREAM_ENDS, read_line
-from lapispass.net.acceptor import Acceptor, listener_in_time, streams
+from lapispass.net.acceptor import Acceptor, bound_address, listener_in_time, streams
 from lapispass.net.log import Part
 from lapispass.net.service import Service
 from lapispass.operator import read as operator
@@ -117,7 +117,7 @@
             log=self.log,
             counters=self.counters,
         )
-        self.address = "{}:{}".format(*listener.getsockname()[:2])
+        self.address = await bound_address(listener)
         self.log.say("listening for gates", address=self.address, gates=",".join(self.numbers))
         try:
             while True:
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -18,7 +18,7 @@
 from lapispass.gate.tunnel import Tunnel
 from lapispass.gate.uplink import Uplink
 from lapispass.net import call_failures, log, process
-from lapispass.net.acceptor import Acceptor, listener_in_time
+from lapispass.net.acceptor import Acceptor, bound_address, listener_in_time
 from lapispass.net.clock import Clock
 from lapispass.net.counters import Counters
 from lapispass.net.log import Part
@@ -122,7 +122,7 @@
             log=self.log,
             counters=self.counters,
         )
-        self.address = "{}:{}".format(*listener.getsockname()[:2])
+        self.address = await bound_address(listener)
         lives = [
             loop.create_task(life)
             for life in (self.ticks(), self.ended.wait(), *([self.uplink.run()] if self.uplink else []))
@@ -201,6 +201,7 @@
         tick_us = self.limits.tick_us
         while True:
             await asyncio.sleep(tick_us / 1e6)
+            log.write_on()
             now = self.clock.now()
             was = self.steering.writable
             for number in self.steering.expired(now):
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -37,6 +37,11 @@
     return await retry(lambda: listener_at(address, backlog), _may_be_had)
 
 
+async def bound_address(listener: socket.socket) -> str:
+    """The `host:port` that a listener has got."""
+    return await retry(lambda: "{}:{}".format(*listener.getsockname()[:2]), _may_be_had)
+
+
 def _may_be_had(error: Exception) -> bool:
     """Whether a further attempt at an address may succeed."""
     return isinstance(error, OSError) and error.errno in momentary.LOCAL
--- a/lapispass/xds/desk.py
+++ b/lapispass/xds/desk.py
@@ -22,6 +22,7 @@
 from lapispass.core.clients import TTL_FEATURE, Client, Doorway, Numbers, Step, Terms
 from lapispass.core.picture import Picture
 from lapispass.core.versions import Shelf, Update
+from lapispass.net import log
 from lapispass.net.counters import Counters
 from lapispass.net.http import within
 from lapispass.net.log import Part
@@ -132,6 +133,7 @@
         """So that `awake` can tell a pause from quiet."""
         while True:
             await asyncio.sleep(LOOK_S)
+            log.write_on()
             self.awake()
 
     # its life
--- a/lapispass/xds/server.py
+++ b/lapispass/xds/server.py
@@ -19,7 +19,7 @@
 from grpclib.server import Server
 
 from lapispass.core import momentary
-from lapispass.net.acceptor import Acceptor, listener_in_time
+from lapispass.net.acceptor import Acceptor, bound_address, listener_in_time
 from lapispass.net.counters import Counters
 from lapispass.net.log import Part
 from lapispass.retry import START
@@ -67,7 +67,7 @@
             counters=counters,
             tls=tls,
         )
-        return "{}:{}".format(*listener.getsockname()[:2])
+        return await bound_address(listener)
 
     async def start_in_time(self, listener: socket.socket, tls: ssl.SSLContext | None) -> None:
         """Starts on a socket that listens; asyncio has it listen once more, which may fail for a moment."""
--- a/tests/test_front_starts.py
+++ b/tests/test_front_starts.py
@@ -23,6 +23,7 @@
     (Call.SOCKET, errno.ENOBUFS),
     (Call.BIND, errno.EADDRINUSE),
     (Call.BIND, errno.EADDRNOTAVAIL),
+    (Call.GETSOCKNAME, errno.ENOBUFS),
 ]
 NAMES = [f"{call.name}-{names(error)}" for call, error in MOMENTS]
 GATE_FILE = """
