Log since when proxies have no line for a slice, and what its handover waits for

An interval now tells it, how many slices stand in each step, the proxy that has not answered for longest, slices given and taken, and turns that left slices for want of room. Nothing is decided by it.

--- a/lapispass/controller.py
+++ b/lapispass/controller.py
@@ -15,6 +15,7 @@
 from lapispass import interface
 from lapispass.core.agenda import Agenda
 from lapispass.core.fleet_index import FleetIndex
+from lapispass.core.handover_state import HandoverState, Progress, handover_state, progress
 from lapispass.core.messages import Standing
 from lapispass.core.random_source import RandomSource
 from lapispass.core.turn import Turn
@@ -92,6 +93,20 @@
         """How each server stood when it was last looked at, for fronts that hold connections there."""
         return [server.standing() for server in self.backends.values()]
 
+    def progress(self) -> Progress:
+        """How far all handovers are, for the log."""
+        table = self.table
+        if not isinstance(table, Ledger):
+            return Progress()
+        return progress(table.holdings, self.channel.proxies, self.current.now, table.turns_without_room)
+
+    def handover(self, number: int) -> HandoverState | None:
+        """How far the handover of a slice is, for the log; None for a slice that is not ours."""
+        slices = self.table.holdings.slices if isinstance(self.table, Ledger) else {}
+        if (slice_ := slices.get(number)) is None:
+            return None
+        return handover_state(slice_, self.channel.proxies, self.current.now, self.rules.lease_us)
+
     def at_rest(self, number: int) -> bool:
         """Whether no handover of a slice is under way; one that was emptied and has no owner is under way."""
         slices = self.table.holdings.slices if isinstance(self.table, Ledger) else {}
--- a/lapispass/core/channel_state.py
+++ b/lapispass/core/channel_state.py
@@ -74,7 +74,7 @@
         lines = len(orders) + 1 + self.head_lines
         self.waiting, self.at = self.backlog() + self.joined * lines, self.turn.now
         self.mark, self.unmarked = self.mark + 1, False
-        self.proxies.write()
+        self.proxies.write(self.turn.now)
         self.written.append(self.turn.now)
         self.turns.append((self.mark, self.lines))
         self.lines += lines
--- a/lapispass/core/interval_figures.py
+++ b/lapispass/core/interval_figures.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, fields
 
 from lapispass import interface
+from lapispass.core.handover_state import Progress
+from lapispass.core.slice_lines import SliceLines
+from lapispass.core.units import NEVER
 from lapispass.interface import BackendId
 
 
@@ -31,6 +34,17 @@
     handovers: int = 0  # that ended
     without_owner: int = 0
     longest_without_owner_us: int = 0  # of handovers that ended, and of those that go on
+    without_line: int = 0  # slices that stand so now: without an owner, or with one that is shut out
+    longest_without_line_us: int = 0  # of gaps that ended, and of those that go on
+    given: int = 0  # slices, to this controller
+    taken: int = 0  # slices, from it
+    emptied: int = 0  # slices that stand so now: the first step of a handover
+    closing: int = 0  # slices that stand so now: the last step
+    longest_closing_us: int = 0  # of those
+    unanswered: int = 0  # proxies that have not answered the last message
+    longest_unanswered_us: int = 0  # of those
+    longest_unanswered: int | None = None  # the proxy
+    turns_without_room: int = 0  # slices were left for a later turn
 
     def shown(self) -> dict[str, object]:
         """The figures by name, those that are zero left out."""
@@ -44,9 +58,12 @@
 class IntervalFigures:
     """Gathers the figures of an interval from what is told and ordered."""
 
-    def __init__(self, answer_late_us: int) -> None:
+    def __init__(self, answer_late_us: int, line_overdue_us: int = NEVER) -> None:
+        """An answer is late after `answer_late_us`; a slice's gap is overdue after `line_overdue_us`."""
         self.answer_late_us = answer_late_us
         self.current = Figures()
+        self.lines = SliceLines(line_overdue_us)
+        self.turns_without_room = 0  # until the last report
         self.unowned: dict[int, int] = {}  # slice: since when it has had no owner
 
     def answered(self, took_us: int) -> bool:
@@ -66,8 +83,9 @@
         self.current.slowest_call_us = max(self.current.slowest_call_us, took_us)
 
     def event(self, now: int, event: interface.Event) -> None:
-        """Something was told."""
+        """Something was received."""
         current = self.current
+        self.lines.event(now, event)
         match event:
             case interface.Met():
                 self._met(event)
@@ -79,8 +97,10 @@
                 current.left += 1
             case interface.Given(slice_, ours):
                 if ours:
+                    current.given += 1
                     self.unowned.setdefault(slice_, now)
                 else:
+                    current.taken += 1
                     self.unowned.pop(slice_, None)
             case interface.Held(slice_):
                 self.unowned.pop(slice_, None)
@@ -94,6 +114,7 @@
 
     def order(self, now: int, order: interface.Order) -> None:
         """Something was ordered."""
+        self.lines.order(now, order)
         match order:
             case interface.Empty(table):
                 self.unowned.setdefault(table, now)
@@ -106,10 +127,19 @@
     def _without_owner(self, for_us: int) -> None:
         self.current.longest_without_owner_us = max(self.current.longest_without_owner_us, for_us)
 
-    def take(self, now: int) -> Figures:
+    def take(self, now: int, progress: Progress = Progress()) -> Figures:
         """The figures of the interval that ends now; the next one begins."""
         taken, self.current = self.current, Figures()
         taken.without_owner = len(self.unowned)
+        taken.without_line = len(self.lines.since)
+        taken.longest_without_line_us = self.lines.take_longest(now)
+        taken.emptied, taken.closing = progress.emptied, progress.closing
+        taken.longest_closing_us = progress.longest_closing_us
+        taken.unanswered = progress.unanswered
+        taken.longest_unanswered = progress.longest_unanswered
+        taken.longest_unanswered_us = progress.longest_unanswered_us
+        taken.turns_without_room = progress.turns_without_room - self.turns_without_room
+        self.turns_without_room = progress.turns_without_room
         if self.unowned:
             oldest = now - min(self.unowned.values())
             taken.longest_without_owner_us = max(taken.longest_without_owner_us, oldest)
--- a/lapispass/core/proxies.py
+++ b/lapispass/core/proxies.py
@@ -20,6 +20,7 @@
     since: float = 0.0  # lines written to each proxy until it joined
     took: int = -1  # the last mark answered on earlier streams of this life
     behind: bool = False  # it has not answered the last message that was written to it
+    behind_since: int = 0  # when the first of those that it has not answered was written
 
 
 class Proxies:
@@ -52,10 +53,11 @@
                 break
             del self.departed[first]
 
-    def write(self) -> None:
+    def write(self, now: int) -> None:
         """A message is written to all whose streams stand."""
         for proxy in self.joined.values():
-            proxy.behind = True
+            if not proxy.behind:
+                proxy.behind, proxy.behind_since = True, now
         self.behind = len(self.joined)
 
     def answer(self, proxy: Proxy, answered: int, last: int) -> None:
@@ -72,6 +74,22 @@
             self.behind -= 1
         return proxy
 
+    def longest_behind(self) -> tuple[int | None, int]:
+        """The proxy that has been behind for longest, and since when."""
+        behind = ((proxy.behind_since, number) for number, proxy in self.joined.items() if proxy.behind)
+        since, number = min(behind, default=(0, None))
+        return number, since
+
+    def unclear(self, mark: int, now: int, lease_us: int) -> list[int]:
+        """Those that keep a mark from being clear (see `cleared`)."""
+        joined = [number for number, proxy in self.joined.items() if proxy.answered < mark]
+        departed = [
+            number
+            for number, proxy in self.departed.items()
+            if proxy.gone_at > now - lease_us and proxy.answered < mark
+        ]
+        return joined + departed
+
     def cleared(self, now: int, lease_us: int) -> int:
         """No proxy can write by what is older than its last answer, nor a lease after its stream."""
         recent = [proxy.answered for proxy in self.departed.values() if proxy.gone_at > now - lease_us]
--- a/lapispass/core/slices.py
+++ b/lapispass/core/slices.py
@@ -24,6 +24,7 @@
     since: int
     owner: BackendId | None = None
     step: str = "emptied"  # emptied, closing, steady
+    stepped_at: int = 0
     mark: int = NEVER  # of the step's message
     gate_at: int | None = None  # when every proxy had taken the step that ended an earlier owner's writes
     shut: bool = False  # its writes are not let in
@@ -78,7 +79,7 @@
         """A slice without an owner; one of that number is replaced."""
         self.remove(number)
         self._serial += 1
-        self.slices[number] = slice_ = Slice(number, self._serial, kept_until, now)
+        self.slices[number] = slice_ = Slice(number, self._serial, kept_until, now, stepped_at=now)
         self._moving[number] = slice_
         self.touched.add(number)
         return slice_
--- a/lapispass/net/interval_report.py
+++ b/lapispass/net/interval_report.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
+from lapispass.core.handover_state import Progress
 from lapispass.core.interval_figures import IntervalFigures
 from lapispass.net.clock import Clock
 from lapispass.net.collectors import Collectors
@@ -14,10 +16,16 @@
     """Writes the figures of each interval, and those of the last one when it is cancelled."""
 
     def __init__(
-        self, figures: IntervalFigures, clock: Clock, every_us: int, log: Part, collectors: Collectors
+        self,
+        figures: IntervalFigures,
+        clock: Clock,
+        every_us: int,
+        log: Part,
+        collectors: Collectors,
+        progress: Callable[[], Progress],
     ) -> None:
         self.figures, self.clock, self.every_us = figures, clock, every_us
-        self.log, self.collectors = log, collectors
+        self.log, self.collectors, self.progress = log, collectors, progress
 
     async def run(self) -> None:
         """Until it is cancelled."""
@@ -35,5 +43,5 @@
             "accept_queue": self.collectors.waiting_to_be_accepted(),
             "unsent_bytes": self.collectors.unsent_bytes(),
         }
-        shown = self.figures.take(self.clock.now()).shown()
+        shown = self.figures.take(self.clock.now(), self.progress()).shown()
         self.log.say("interval", **{name: value for name, value in waiting.items() if value}, **shown)
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -75,6 +75,7 @@
     clock_step_us: int = 100_000  # of the wall clock, from which on it is logged
     log_every_us: int = 1_000_000  # for lines that a peer can cause
     report_us: int = 10_000_000  # between two reports of what was slow
+    slice_lines: int = 50  # of the log, on slices without a line, between two such reports
     bind_us: int = 3_000_000  # for a process that still holds the listening address to end
     # The end, which is over before a SIGKILL 0.7 s after SIGTERM.
     drain_us: int = 150_000  # clients that go on asking are served for so long ...
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -28,6 +28,7 @@
 from lapispass.net.process import to_the_end
 from lapispass.net.registry import Registry
 from lapispass.net.relay import Calls, News
+from lapispass.net.slice_report import SliceReport
 
 
 class Beside(Protocol):
@@ -55,9 +56,10 @@
         self.news = News(launch.relay, self.calls, self.tell, *common)
         self.probes = Probes(self.tell, *common)
         self.registry = Registry(launch.registry, launch.known, self.tell, *common, self.probes.forget)
-        self.figures = IntervalFigures(self.limits.late_us)
+        self.figures = IntervalFigures(self.limits.late_us, launch.told.bare_us // 2)
         self.collectors = Collectors(self.tell, *common, self.figures)
         self.controller = Controller(launch.told, launch.seed, self.clock.now())
+        self.slice_report = SliceReport(self.figures.lines, self.controller.handover, self.limits)
         self.beside: list[Beside] = []
 
     def tell(self, event: interface.Event) -> None:
@@ -100,7 +102,12 @@
                 self.ended.wait(),
                 LoopLag(self.limits.late_us, self.log, self.counters).run(),
                 IntervalReport(
-                    self.figures, self.clock, self.limits.report_us, self.log, self.collectors
+                    self.figures,
+                    self.clock,
+                    self.limits.report_us,
+                    self.log,
+                    self.collectors,
+                    self.controller.progress,
                 ).run(),
                 *(front.run() for front in self.beside),
             )
@@ -197,6 +204,7 @@
             self.figures.event(now, event)
         for order in orders:
             self.figures.order(now, order)
+        self.slice_report.turned(now)
 
     def note_time(self, began: int) -> None:
         """Logs what a reader of the log must know of time: a turn that took long, a wall clock that was
--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -28,11 +28,13 @@
         self.placement, self.admission = Placement(*common), Admission(*common)
         self.withdrawals = Withdrawals(*common)
         self.offer = Offer(0, 0, 0, rules.lease_us, False)
+        self.turns_without_room = 0  # slices were left for a later turn
 
     def act(self, offer: Offer) -> int:
         """One message to the proxies, where there is something to say; returns when something is due next."""
         self.offer = offer
         left_over = self.compose()
+        self.turns_without_room += left_over
         return self.next_due(left_over)
 
     def next_due(self, left_over: bool) -> int:
@@ -81,6 +83,7 @@
             slice_.gate_at = None
         self.holdings.assign(slice_, None)
         slice_.step, slice_.since, slice_.mark = "emptied", self.turn.now, self.offer.mark
+        slice_.stepped_at = self.turn.now
         self.holdings.stepped(slice_)
         return interface.Empty(slice_.number)
 
@@ -113,6 +116,7 @@
         if slice_.step != "emptied":
             if answered:
                 slice_.step, slice_.shut = "steady", slice_.shut and not clean
+                slice_.stepped_at = now
                 self.holdings.stepped(slice_)
                 self.holdings.unsettled.update([] if slice_.owner is None else [slice_.owner])
             return []
@@ -127,6 +131,7 @@
         self.placement.give(slice_, owner)
         self.holdings.unsettled.add(owner)
         slice_.step, slice_.mark, slice_.shut = "closing", self.offer.mark, not clean
+        slice_.stepped_at = now
         self.holdings.stepped(slice_)
         slice_.levels = {} if clean else dict.fromkeys(rules.writes, 0.0)
         shut = [self.admission.order(slice_, place, 0.0) for place in slice_.levels]
--- a/tests/test_interval_figures.py
+++ b/tests/test_interval_figures.py
@@ -25,7 +25,13 @@
     figures.order(7 * SECOND, interface.Own(1, "t", 1.0))
     figures.order(7 * SECOND, interface.Own(2, "t", 1.0))  # it had an owner
     assert figures.take(8 * SECOND) == Figures(
-        handovers=1, without_owner=1, longest_without_owner_us=8 * SECOND
+        handovers=1,
+        without_owner=1,
+        longest_without_owner_us=8 * SECOND,
+        without_line=1,
+        longest_without_line_us=8 * SECOND,
+        given=4,
+        taken=1,
     )
     figures.order(9 * SECOND, interface.Own(3, "t", 1.0))
     taken = figures.take(10 * SECOND)
