--- /dev/null
+++ b/lapispass/standins/proxy_streams.py
@@ -0,0 +1,247 @@
+"""The platform's relay with proxies that each have a stream of their own, written from its protocol page.
+
+A proxy reads the store a moment after it has joined, takes messages late and in order, and answers their
+marks. Streams break and are made anew; a proxy that stands still takes nothing and keeps its stream. What
+each proxy could pick is told to a checker of the rules; no controller is asked what it believes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from lapispass.rules.five import Checker
+from lapispass.standins.http import CHUNKED, Conversation, chunk
+from lapispass.standins.nodes import clock_us
+from lapispass.standins.platform import Relay, event
+
+READ_LEAST_S, READ_MOST_S = 0.05, 0.5  # from joining until a proxy has read the store
+HEAD_LINES = 12  # of each message
+
+
+class Pace(NamedTuple):
+    """How fast orders travel, and how long writes last; times in seconds."""
+
+    lines_per_s: float  # of the channel to all proxies
+    least_s: float  # from leaving the channel until a proxy has applied a message
+    most_s: float
+    lease_s: float  # a proxy goes on with writes for so long after its stream broke
+    linger_s: float  # a write may stay in hand for so long
+    writes: str  # the class of requests that write
+    notice_s: float = 0.3  # until the relay has noticed that a stream broke
+
+
+class Row(NamedTuple):
+    """A slice's table: its owner, the count of changes so far, and whether writes are let in."""
+
+    owner: str | None = None
+    step: int = 0
+    writes: bool = True
+
+
+@dataclass
+class Message:
+    """The orders of one turn."""
+
+    orders: list[list[str]] = field(default_factory=list)
+    steps: dict[int, int] = field(default_factory=dict)  # of the slices' tables once it is carried out
+
+
+@dataclass
+class Proxy:
+    """One proxy: its stream, what it holds, and what it has been told to shut out."""
+
+    joined: bool = False
+    stream: int = 0  # how many it has had
+    has_read: bool = False  # the store, on this stream
+    joined_us: int = 0
+    broken_at: float = 0.0
+    stalled_until: float = 0.0
+    last_at: float = 0.0  # when the last message that was sent to it comes
+    rows: dict[int, Row] = field(default_factory=dict)
+    out: set[str] = field(default_factory=set)
+
+
+class ProxyStreams(Relay):
+    """One controller's relay, store and proxies."""
+
+    def __init__(
+        self, slices: Sequence[int], proxies: int, pace: Pace, checker: Checker, chance: random.Random
+    ) -> None:
+        super().__init__(len(slices), proxies, zones=("east", "west"))
+        self.charges[""] = slices
+        self.pace, self.checker, self.chance = pace, checker, chance
+        self.store: dict[int, Row] = {number: Row() for number in slices}
+        self.parties = [Proxy() for _ in range(proxies)]
+        self.message = Message()
+        self.channel_free_at = 0.0
+
+    def own(self, servers: Sequence[str]) -> None:
+        """What stands before the first controller; all proxies have joined and hold it."""
+        for place, number in enumerate(self.store):
+            self.store[number] = Row(servers[place % len(servers)])
+            self.owners[number] = servers[place % len(servers)]
+        for proxy in self.parties:
+            proxy.joined, proxy.has_read, proxy.rows = True, True, dict(self.store)
+
+    # the relay's side
+
+    def tell_all(self, stream: Conversation) -> None:
+        """News: the proxies whose streams stand, the slices and their owners."""
+        lines = [self.joining(number) for number, proxy in enumerate(self.parties) if proxy.joined]
+        for number, row in self.store.items():
+            lines.append(event("GRANT", shard=number, set=1))
+            if row.owner is not None:
+                lines.append(event("ROW", shard=number, endpoint=row.owner, w=1))
+        stream.write(CHUNKED + chunk(b"".join(lines) + b":\n\n"), len(lines))
+        self.news.setdefault(stream.client, []).append(stream)
+        if self.signs is None:
+            self.signs = asyncio.get_running_loop().call_later(self.sign_s, self.sign)
+
+    def carry_out(self, order: list[str], client: str = "") -> None:
+        """The store takes an order; the mark, which is a turn's last order, sends the message off."""
+        match order:
+            case ["SYNC", mark, _]:
+                self.orders.append(",".join(order))
+                self.send(mark)
+                return
+            case ["SET", number, owner, _]:
+                row = self.store[int(number)]
+                self.store[int(number)] = Row(owner, row.step + 1, row.writes)
+            case ["DEL", number]:
+                self.store[int(number)] = Row(None, self.store[int(number)].step + 1)
+            case ["LIMIT", number, classes, share, _] if self.shuts_writes(number, classes):
+                row = self.store[int(number)]
+                self.store[int(number)] = row._replace(writes=float(share) > 0)
+        if order[0] in ("SET", "DEL"):
+            self.message.steps[int(order[1])] = self.store[int(order[1])].step
+        self.message.orders.append(order)
+        super().carry_out(order, client)
+
+    def send(self, mark: str) -> None:
+        """A message for each proxy whose stream stands leaves the channel, one after the other."""
+        message, self.message = self.message, Message()
+        loop = asyncio.get_running_loop()
+        issued = loop.time()
+        self.channel_free_at = max(self.channel_free_at, issued)
+        lines = len(message.orders) + 1 + HEAD_LINES
+        for number, proxy in enumerate(self.parties):
+            if not proxy.joined:
+                continue
+            self.channel_free_at += lines / self.pace.lines_per_s
+            travels_s = self.chance.uniform(self.pace.least_s, self.pace.most_s)
+            proxy.last_at = max(proxy.last_at + 1e-6, self.channel_free_at + travels_s)
+            loop.call_at(proxy.last_at, self.take, number, proxy.stream, message, mark, issued)
+
+    def shuts_writes(self, number: str, classes: str) -> bool:
+        """Whether a level is that of a slice's writes."""
+        return number != "*" and self.pace.writes in classes.split("+")
+
+    # a proxy's side
+
+    def take(self, number: int, stream: int, message: Message, mark: str, issued: float) -> None:
+        """A message has come to a proxy, which applies it once it can."""
+        proxy, loop = self.parties[number], asyncio.get_running_loop()
+        if not proxy.joined or proxy.stream != stream:
+            return  # lost with the stream
+        if loop.time() < proxy.stalled_until or not proxy.has_read:
+            later = max(proxy.stalled_until, loop.time() + READ_LEAST_S)
+            proxy.last_at = max(proxy.last_at + 1e-6, later)
+            loop.call_at(proxy.last_at, self.take, number, stream, message, mark, issued)
+            return
+        for order in message.orders:
+            self.apply(proxy, order, message.steps)
+        took_ms = 1000 * (loop.time() - issued)
+        self.say([event("ACK", node=number, nonce=mark, latency=f"{took_ms:.1f}")])
+
+    def apply(self, proxy: Proxy, order: list[str], steps: Mapping[int, int]) -> None:
+        """One order; a table that the store gave later than it was ordered stays."""
+        match order:
+            case ["SET", number, owner, _]:
+                row, step = proxy.rows[int(number)], steps[int(number)]
+                if step > row.step:
+                    proxy.rows[int(number)] = Row(owner, step, row.writes)
+            case ["DEL", number]:
+                if (step := steps[int(number)]) > proxy.rows[int(number)].step:
+                    proxy.rows[int(number)] = Row(None, step)
+            case ["LIMIT", number, classes, share, _] if self.shuts_writes(number, classes):
+                row = proxy.rows[int(number)]
+                proxy.rows[int(number)] = row._replace(writes=float(share) > 0)
+            case ["OUT", server]:
+                proxy.out.add(server)
+            case ["IN", server]:
+                proxy.out.discard(server)
+
+    def join(self, number: int, restarted: bool = False) -> None:
+        """A proxy's stream stands; it reads the store a moment later."""
+        proxy = self.parties[number]
+        if proxy.joined:
+            return
+        proxy.joined, proxy.has_read, proxy.joined_us = True, False, clock_us()
+        proxy.stream += 1
+        if restarted:
+            proxy.rows, proxy.out = {slice_: Row(step=-1) for slice_ in self.store}, set()
+        self.say([self.joining(number, cold=int(restarted))])
+        read_s = self.chance.uniform(READ_LEAST_S, READ_MOST_S)
+        asyncio.get_running_loop().call_later(read_s, self.read_store, number, proxy.stream)
+
+    def read_store(self, number: int, stream: int) -> None:
+        """A proxy has read all slices' tables."""
+        proxy, loop = self.parties[number], asyncio.get_running_loop()
+        if not proxy.joined or proxy.stream != stream:
+            return
+        if loop.time() < proxy.stalled_until:
+            loop.call_at(proxy.stalled_until, self.read_store, number, stream)
+            return
+        proxy.has_read, proxy.rows = True, dict(self.store)
+
+    def leave(self, number: int) -> None:
+        """A proxy's stream breaks; the relay notices a little later."""
+        proxy, loop = self.parties[number], asyncio.get_running_loop()
+        if not proxy.joined:
+            return
+        proxy.joined, proxy.broken_at = False, loop.time()
+        self.checker.parted(f"p{number}")
+        notice_s = self.chance.uniform(0, self.pace.notice_s)
+        loop.call_later(notice_s, self.say, [event("CLOSED", node=number)])
+
+    def rejoin(self, number: int, restarted: bool, away_s: float) -> None:
+        """A proxy's stream breaks and is made anew."""
+        self.leave(number)
+        later_s = self.pace.notice_s + away_s
+        asyncio.get_running_loop().call_later(later_s, self.join, number, restarted)
+
+    # what is judged
+
+    def look(self, told_us: Mapping[str, int], since_us: int) -> None:
+        """Tells the checker what each proxy could pick now; no time limit runs before `since_us`."""
+        for server, at_us in told_us.items():
+            if server not in self.checker.told:
+                self.checker.drains(at_us, server, True)
+        now = clock_us()
+        for number, proxy in enumerate(self.parties):
+            if asyncio.get_running_loop().time() < proxy.stalled_until:
+                self.checker.parted(f"p{number}")  # it picks nothing, and sends nothing
+                continue
+            if proxy.joined:
+                self.look_at_picks(now, number, proxy, since_us)
+            self.look_at_writes(now, number, proxy)
+
+    def look_at_picks(self, now: int, number: int, proxy: Proxy, since_us: int) -> None:
+        """Rules 1 and 3, for a proxy that has joined."""
+        for slice_, row in proxy.rows.items():
+            reached = None if row.owner in proxy.out else row.owner
+            self.checker.pick(now, f"p{number}", slice_, reached, max(since_us, proxy.joined_us))
+
+    def look_at_writes(self, now: int, number: int, proxy: Proxy) -> None:
+        """Rule 2: writes go on for a lease after the stream broke, then none until the store is read."""
+        lease_ends_at = proxy.broken_at + self.pace.lease_s
+        if not (proxy.joined and proxy.has_read) and asyncio.get_running_loop().time() > lease_ends_at:
+            return
+        until_us = now + int(self.pace.linger_s * 1e6)
+        for slice_, row in proxy.rows.items():
+            if row.owner is not None and row.owner not in proxy.out and row.writes:
+                self.checker.write(now, f"p{number}", slice_, row.owner, row.step, until_us)
--- a/tests/two_controllers.py
+++ b/tests/two_controllers.py
@@ -135,8 +135,10 @@
 class Fleet:
     """The servers of a day, and the registry that lists them."""
 
-    def __init__(self, chance: random.Random) -> None:
-        self.chance = chance
+    def __init__(
+        self, chance: random.Random, replaced_s: float = REPLACED_S, drains_s: float = DRAINS_S
+    ) -> None:
+        self.chance, self.replaced_s, self.drains_s = chance, replaced_s, drains_s
         self.registry, self.servers = Registry(), Servers()
         self.told_us: dict[str, int] = {}  # servers that drain: since when the list says so
         self.started = 0
@@ -160,14 +162,14 @@
         """One server after the other drains and is followed by a new one, all day."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(self.chance.uniform(0.3, 1.6) * REPLACED_S)
+            await asyncio.sleep(self.chance.uniform(0.3, 1.6) * self.replaced_s)
             ready = [one for one in self.registry.members.values() if one.phase == "Ready"]
             leaving = self.chance.choice(ready[: SIZE.servers // 2])
             new = await self.server(up_since_ms=time.time_ns() // 1_000_000)
             leaving.phase = "Terminating"
             self.told_us[leaving.id] = clock_us()
             self.registry.change(leaving, new)
-            loop.call_later(DRAINS_S, self.gone, leaving)
+            loop.call_later(self.drains_s, self.gone, leaving)
 
     def gone(self, member: Member) -> None:
         """A server that drained has ended."""
