Proxy stand-in: messages in order, versions of tables, and leases by the wire's words

A message that waited for a proxy's store read could be passed by a later one, a stream that broke while its proxy was away was told as joined and left the wrong way round, a level could be set by an older order than the table read, and a stream on which nothing was read renewed the lease.

--- a/lapispass/standins/proxy_streams.py
+++ b/lapispass/standins/proxy_streams.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -40,14 +41,16 @@
     owner: str | None = None
     step: int = 0
     writes: bool = True
+    version: int = 0  # of the last order that concerned it
 
 
 @dataclass
 class Message:
     """The orders of one turn."""
 
-    orders: list[list[str]] = field(default_factory=list)
-    steps: dict[int, int] = field(default_factory=dict)  # of the slices' tables once it is carried out
+    orders: list[tuple[list[str], Row | None]] = field(default_factory=list)  # and the table that it made
+    mark: str = ""
+    issued: float = 0.0
 
 
 @dataclass
@@ -58,11 +61,12 @@
     stream: int = 0  # how many it has had
     has_read: bool = False  # the store, on this stream
     joined_us: int = 0
-    broken_at: float = 0.0
+    broken_at: float = 0.0  # the last stream on which it had read the store
     stalled_until: float = 0.0
     last_at: float = 0.0  # when the last message that was sent to it comes
     rows: dict[int, Row] = field(default_factory=dict)
     out: set[str] = field(default_factory=set)
+    inbox: deque[Message] = field(default_factory=deque)  # come on this stream, not applied yet
 
 
 class ProxyStreams(Relay):
@@ -76,7 +80,7 @@
         self.pace, self.checker, self.chance = pace, checker, chance
         self.store: dict[int, Row] = {number: Row() for number in slices}
         self.parties = [Proxy() for _ in range(proxies)]
-        self.message = Message()
+        self.message, self.version = Message(), 0
         self.channel_free_at = 0.0
 
     def own(self, servers: Sequence[str]) -> None:
@@ -103,30 +107,35 @@
 
     def carry_out(self, order: list[str], client: str = "") -> None:
         """The store takes an order; the mark, which is a turn's last order, sends the message off."""
+        if order[0] == "SYNC":
+            self.orders.append(",".join(order))
+            self.send(order[1])
+            return
+        self.version += 1
+        made = self.changed(order)
+        if made is not None:
+            self.store[int(order[1])] = made
+        self.message.orders.append((order, made))
+        super().carry_out(order, client)
+
+    def changed(self, order: list[str]) -> Row | None:
+        """A slice's table as an order leaves it in the store; None for an order of another kind."""
         match order:
-            case ["SYNC", mark, _]:
-                self.orders.append(",".join(order))
-                self.send(mark)
-                return
             case ["SET", number, owner, _]:
                 row = self.store[int(number)]
-                self.store[int(number)] = Row(owner, row.step + 1, row.writes)
+                return Row(owner, row.step + 1, row.writes, self.version)
             case ["DEL", number]:
-                self.store[int(number)] = Row(None, self.store[int(number)].step + 1)
+                return Row(None, self.store[int(number)].step + 1, version=self.version)
             case ["LIMIT", number, classes, share, _] if self.shuts_writes(number, classes):
-                row = self.store[int(number)]
-                self.store[int(number)] = row._replace(writes=float(share) > 0)
-        if order[0] in ("SET", "DEL"):
-            self.message.steps[int(order[1])] = self.store[int(order[1])].step
-        self.message.orders.append(order)
-        super().carry_out(order, client)
+                return self.store[int(number)]._replace(writes=float(share) > 0, version=self.version)
+        return None
 
     def send(self, mark: str) -> None:
         """A message for each proxy whose stream stands leaves the channel, one after the other."""
         message, self.message = self.message, Message()
         loop = asyncio.get_running_loop()
-        issued = loop.time()
-        self.channel_free_at = max(self.channel_free_at, issued)
+        message.mark, message.issued = mark, loop.time()
+        self.channel_free_at = max(self.channel_free_at, message.issued)
         lines = len(message.orders) + 1 + HEAD_LINES
         for number, proxy in enumerate(self.parties):
             if not proxy.joined:
@@ -134,7 +143,7 @@
             self.channel_free_at += lines / self.pace.lines_per_s
             travels_s = self.chance.uniform(self.pace.least_s, self.pace.most_s)
             proxy.last_at = max(proxy.last_at + 1e-6, self.channel_free_at + travels_s)
-            loop.call_at(proxy.last_at, self.take, number, proxy.stream, message, mark, issued)
+            loop.call_at(proxy.last_at, self.arrive, number, proxy.stream, message)
 
     def shuts_writes(self, number: str, classes: str) -> bool:
         """Whether a level is that of a slice's writes."""
@@ -142,38 +151,36 @@
 
     # a proxy's side
 
-    def take(self, number: int, stream: int, message: Message, mark: str, issued: float) -> None:
-        """A message has come to a proxy, which applies it once it can."""
+    def arrive(self, number: int, stream: int, message: Message) -> None:
+        """A message has come to a proxy; what came on an earlier stream is lost with it."""
+        if self.parties[number].stream == stream:
+            self.parties[number].inbox.append(message)
+            self.take(number, stream)
+
+    def take(self, number: int, stream: int) -> None:
+        """A proxy applies what has come, in order, once it has read the store and does not stand still."""
         proxy, loop = self.parties[number], asyncio.get_running_loop()
-        if not proxy.joined or proxy.stream != stream:
-            return  # lost with the stream
-        if loop.time() < proxy.stalled_until or not proxy.has_read:
-            later = max(proxy.stalled_until, loop.time() + READ_LEAST_S)
-            proxy.last_at = max(proxy.last_at + 1e-6, later)
-            loop.call_at(proxy.last_at, self.take, number, stream, message, mark, issued)
+        if not proxy.joined or proxy.stream != stream or not proxy.has_read or not proxy.inbox:
             return
-        for order in message.orders:
-            self.apply(proxy, order, message.steps)
-        took_ms = 1000 * (loop.time() - issued)
-        self.say([event("ACK", node=number, nonce=mark, latency=f"{took_ms:.1f}")])
-
-    def apply(self, proxy: Proxy, order: list[str], steps: Mapping[int, int]) -> None:
-        """One order; a table that the store gave later than it was ordered stays."""
+        if loop.time() < proxy.stalled_until:
+            loop.call_at(proxy.stalled_until, self.take, number, stream)
+            return
+        while proxy.inbox:
+            message = proxy.inbox.popleft()
+            for order, made in message.orders:
+                self.apply(proxy, order, made)
+            took_ms = 1000 * (loop.time() - message.issued)
+            self.say([event("ACK", node=number, nonce=message.mark, latency=f"{took_ms:.1f}")])
+
+    def apply(self, proxy: Proxy, order: list[str], made: Row | None) -> None:
+        """One order; a table that the store gave in a later version stays."""
         match order:
-            case ["SET", number, owner, _]:
-                row, step = proxy.rows[int(number)], steps[int(number)]
-                if step > row.step:
-                    proxy.rows[int(number)] = Row(owner, step, row.writes)
-            case ["DEL", number]:
-                if (step := steps[int(number)]) > proxy.rows[int(number)].step:
-                    proxy.rows[int(number)] = Row(None, step)
-            case ["LIMIT", number, classes, share, _] if self.shuts_writes(number, classes):
-                row = proxy.rows[int(number)]
-                proxy.rows[int(number)] = row._replace(writes=float(share) > 0)
             case ["OUT", server]:
                 proxy.out.add(server)
             case ["IN", server]:
                 proxy.out.discard(server)
+            case [_, number, *_] if made is not None and made.version > proxy.rows[int(number)].version:
+                proxy.rows[int(number)] = made
 
     def join(self, number: int, restarted: bool = False) -> None:
         """A proxy's stream stands; it reads the store a moment later."""
@@ -182,8 +189,9 @@
             return
         proxy.joined, proxy.has_read, proxy.joined_us = True, False, clock_us()
         proxy.stream += 1
+        proxy.inbox.clear()
         if restarted:
-            proxy.rows, proxy.out = {slice_: Row(step=-1) for slice_ in self.store}, set()
+            proxy.rows, proxy.out = {slice_: Row(version=-1) for slice_ in self.store}, set()
         self.say([self.joining(number, cold=int(restarted))])
         read_s = self.chance.uniform(READ_LEAST_S, READ_MOST_S)
         asyncio.get_running_loop().call_later(read_s, self.read_store, number, proxy.stream)
@@ -197,19 +205,24 @@
             loop.call_at(proxy.stalled_until, self.read_store, number, stream)
             return
         proxy.has_read, proxy.rows = True, dict(self.store)
+        self.take(number, stream)
 
     def leave(self, number: int) -> None:
         """A proxy's stream breaks; the relay notices a little later."""
         proxy, loop = self.parties[number], asyncio.get_running_loop()
         if not proxy.joined:
             return
-        proxy.joined, proxy.broken_at = False, loop.time()
+        proxy.joined = False
+        if proxy.has_read:  # else its writes have ended, or end, by the lease of an earlier stream
+            proxy.broken_at = loop.time()
         self.checker.parted(f"p{number}")
         notice_s = self.chance.uniform(0, self.pace.notice_s)
         loop.call_later(notice_s, self.say, [event("CLOSED", node=number)])
 
     def rejoin(self, number: int, restarted: bool, away_s: float) -> None:
-        """A proxy's stream breaks and is made anew."""
+        """A proxy's stream breaks and is made anew, where it stands; the relay tells one after the other."""
+        if not self.parties[number].joined:
+            return
         self.leave(number)
         later_s = self.pace.notice_s + away_s
         asyncio.get_running_loop().call_later(later_s, self.join, number, restarted)
--- a/tests/test_proxy_days.py
+++ b/tests/test_proxy_days.py
@@ -11,7 +11,7 @@
 
 from lapispass.rules.five import Bounds, Checker
 from lapispass.standins.nodes import clock_us
-from lapispass.standins.proxy_streams import Pace, ProxyStreams
+from lapispass.standins.proxy_streams import Pace, Proxy, ProxyStreams, Row
 
 LIMIT_S = 60  # for a day of 24 s
 
@@ -49,9 +49,9 @@
 class LosesOwnersAtOneProxy(ProxyStreams):
     """No new owner reaches one proxy, whose stream stands."""
 
-    def apply(self, proxy, order, steps) -> None:
+    def apply(self, proxy: Proxy, order: list[str], made: Row | None) -> None:
         if order[0] != "SET" or proxy is not self.parties[7]:
-            super().apply(proxy, order, steps)
+            super().apply(proxy, order, made)
 
 
 @pytest.mark.time_limit(LIMIT_S)
