A handover waits for each proxy once, however many join meanwhile

Cause: a mark counted as clear only at an instant in which every proxy whose stream stands had answered it on that stream; each newcomer began at none. At 4.5 joinings a second and answers after up to 1.4 s such instants hardly come (log: step=closing waiting_for=8, other proxies each time). Now an answer counts over a proxy's later streams that read the store, and one that joins a lease or more after the first answer reads the step itself: it is waited for a second and its former lease, or not at all after a restart.

--- a/lapispass/controller.py
+++ b/lapispass/controller.py
@@ -105,7 +105,7 @@
         slices = self.table.holdings.slices if isinstance(self.table, Ledger) else {}
         if (slice_ := slices.get(number)) is None:
             return None
-        return handover_state(slice_, self.channel.proxies, self.current.now, self.rules.lease_us)
+        return handover_state(slice_, self.channel.proxies, self.current.now)
 
     def at_rest(self, number: int) -> bool:
         """Whether no handover of a slice is under way; one that was emptied and has no owner is under way."""
--- a/lapispass/core/channel_state.py
+++ b/lapispass/core/channel_state.py
@@ -39,7 +39,7 @@
     def join(self, event: interface.Joined) -> Missed:
         """A proxy's stream stands."""
         self.unmarked = True
-        return Missed(event.first, self.proxies.join(event.proxy, event.first, self.lines).took)
+        return Missed(event.first, self.proxies.join(event, self.lines, self.turn.now).took)
 
     def leave(self, proxy: int) -> None:
         """A proxy's stream has ended."""
@@ -50,7 +50,7 @@
         now, proxy = self.turn.now, self.proxies.joined.get(event.proxy)
         if proxy is None:
             return
-        self.proxies.answer(proxy, self.mark - (self.mark - event.mark) % MARKS, self.mark)
+        self.proxies.answer(proxy, self.mark - (self.mark - event.mark) % MARKS, self.mark, now)
         while self.turns and self.turns[0][0] <= proxy.answered:
             self.left = self.turns.popleft()[1]
         self.slowest.add(now, max(0.0, event.took_us - self.slowest.read(now)))
--- a/lapispass/core/handover_state.py
+++ b/lapispass/core/handover_state.py
@@ -31,9 +31,9 @@
     turns_without_room: int = 0  # since the start: slices were left for a later turn
 
 
-def handover_state(slice_: Slice, proxies: Proxies, now: int, lease_us: int) -> HandoverState:
+def handover_state(slice_: Slice, proxies: Proxies, now: int) -> HandoverState:
     """How far the handover of a slice is."""
-    waiting = [] if slice_.step == "steady" else proxies.unclear(slice_.mark, now, lease_us)
+    waiting = [] if slice_.step == "steady" else proxies.unclear(slice_.mark, now)
     for_us = now - slice_.stepped_at
     return HandoverState(slice_.step, for_us, len(waiting), tuple(waiting[:PROXIES_NAMED]))
 
--- a/lapispass/drill/codec.py
+++ b/lapispass/drill/codec.py
@@ -60,7 +60,7 @@
     "MESSAGE": ((whole, lambda text: b"" if text == "-" else bytes.fromhex(text)), interface.Said),
     "ENROLLED": (
         (flag, whole, str, number),
-        lambda first, proxy, zone, visits_per_s: interface.Joined(proxy, first, zone, visits_per_s),
+        lambda first, proxy, zone, visits_per_s: interface.Joined(proxy, first, zone, visits_per_s, True),
     ),
     "DROPPED_OFF": ((whole,), interface.Left),
     "STATS": (
--- a/lapispass/interface.py
+++ b/lapispass/interface.py
@@ -90,12 +90,17 @@
 
 
 class Joined(NamedTuple):
-    """A proxy's stream stands."""
+    """A proxy's stream stands.
+
+    `reads_store`: the stream stands since just now, and the proxy reads the slices' tables from the store on
+    it. Until then it writes by what it holds, for a lease after its last stream ended.
+    """
 
     proxy: int
     first: bool
     zone: str
     visits_per_s: float | None
+    reads_store: bool = False
 
 
 class Left(NamedTuple):
--- a/lapispass/net/codec.py
+++ b/lapispass/net/codec.py
@@ -176,6 +176,7 @@
                         flag(value["cold"]),
                         self._where(value),
                         rate,
+                        reads_store=True,
                     )
                 case "CLOSED":
                     return interface.Left(self._below(value["node"], self.told.proxies))
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -355,8 +355,8 @@
         for number in sorted(set(self.calls.rows) - ours):
             self.pass_on(interface.Given(number, False))
         for event in picture:
-            if isinstance(event, interface.Joined):
-                self.pass_on(event)
+            if isinstance(event, interface.Joined):  # its stream may have stood all the time
+                self.pass_on(event._replace(reads_store=False))
         for number in sorted(ours):
             # A slice that still stands as ordered was not given anew; its handover goes on.
             if number not in self.calls.rows or self.calls.rows[number] != held.get(number):
--- a/lapispass/policy/channel.py
+++ b/lapispass/policy/channel.py
@@ -15,7 +15,7 @@
     """How much may be written to the proxies, and when."""
 
     def __init__(self, turn: Turn, rules: Rules, proxies: int) -> None:
-        known = Proxies(range(proxies), turn.now, rules.keep_us)
+        known = Proxies(range(proxies), turn.now, rules.keep_us, rules.lease_us)
         slowest = DecayingSum(8 * SECOND, float(SECOND), turn.now)
         super().__init__(turn, known, rules.lines_per_us, slowest)
         self.rules, self.head_lines, self.first = rules, rules.head_lines, list(rules.first)
--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -56,7 +56,7 @@
         moving = self.holdings.moving()
         given = [slice_ for slice_ in moving if slice_.mark == NEVER]
         room, spare = offer.lines - len(orders), offer.ordinary - len(orders)
-        cleared = self.channel.proxies.cleared(now, self.rules.lease_us) if moving else NEVER
+        cleared = self.channel.proxies.cleared(now) if moving else NEVER
         for slice_ in moving:
             slice_.mark = min(slice_.mark, offer.mark)  # none yet: given with an empty table
             if room > 0 and (step := self.advance(slice_, cleared)):
