A server that leaves before it is let in again no longer holds up those behind it

What callers would see: a proxy that an earlier life of the controller, or an earlier stream, kept from a server is not told that it is in again, and has no line for its slices (rule 1). Cause: servers about to be let in again wait in one set, and the next ones are gathered only once it is empty; one that drained meanwhile and owned no slice was neither told nor taken off, for the 26 s and more until it is forgotten. Such a server goes back to those of which joiners have still to be told. The test failed before with 'rule 1: slice 0 without a line at proxy 3 for too long'.

--- a/lapispass/core/shut_out.py
+++ b/lapispass/core/shut_out.py
@@ -38,6 +38,11 @@
         for server in servers:
             self.again.discard(server)
 
+    def postpone(self, number: interface.BackendId) -> None:
+        """A server that was about to be let in leaves; once it is back, joiners have still to be told."""
+        self.repeats.discard(number)
+        self.again.add([number])
+
     def say(self, server: Server, out: bool, mark: int, now: int) -> bool:
         """Notes what is said of a server; whether it is let in that was shut out."""
         number, was_out = server.number, server.number in self.out
--- a/lapispass/policy/withdrawals.py
+++ b/lapispass/policy/withdrawals.py
@@ -25,6 +25,7 @@
     def orders(self, offer: Offer) -> list[interface.Order]:
         """So many as fit into the turn; the rest comes first next time."""
         now, noted = self.turn.now, self.shut_out
+        self.postpone_repeats()
         # Guards the channel: who is in was said again of all servers at once, every 2 s while proxies joined,
         # and the next withdrawals waited behind that. It takes its time now, a part of what rule 1 allows.
         if now >= self.repeat_at and not noted.repeats and (again := self.to_repeat()):
@@ -48,6 +49,12 @@
         noted.repeats -= noted.out.keys()
         return orders
 
+    def postpone_repeats(self) -> None:
+        """Guards the next repeats, which wait for these, against one that leaves and owns no slice."""
+        for server in self.fleet.in_order(self.shut_out.repeats):
+            if server.state == "out" and server.number not in self.holdings.owned:
+                self.shut_out.postpone(server.number)
+
     def concerns(self, server: Backend, room: int) -> bool:
         """Whether it has to be said that a server is out, or in again."""
         number, noted = server.number, self.shut_out
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -194,3 +194,23 @@
         fleet.change(backend, "draining")
     fleet.run(30)  # the model holds rule 1
     assert 103 in fleet.owners() and not any(103 in proxy.out for proxy in fleet.proxies)
+
+
+def test_a_server_that_leaves_before_it_is_let_in_again_does_not_hold_up_others() -> None:
+    fleet = Fleet(deployment(), 6, seed=21, ran_s=3)
+    fleet.change(103, "gone")
+    fleet.run(9)
+    fleet.crash()
+    fleet.change(103, "ready", born=fleet.now)
+    fleet.start()
+    fleet.change(106, "ready")
+    fleet.run(0.05)
+    fleet.controller.table.shut_out.repeats.add(106)  # there was no room for it yet
+    fleet.change(106, "draining")
+    for number in range(4):
+        fleet.join(number)
+    fleet.run(2)
+    for backend in (100, 101, 102, 104):
+        fleet.change(backend, "draining")
+    fleet.run(30)  # the model holds rule 1
+    assert 103 in fleet.owners() and not any(103 in proxy.out for proxy in fleet.proxies)
