A server that a controller learns of later is let in again by whoever still keeps it out

What callers would see: proxies with no line for the slices of a server that came back under its id (rule 1, over 20 s). Cause: a proxy keeps withdrawals over its streams; a controller that starts says of all servers who is in, but only of those known when the proxy joined. One that the list had dropped, and that returned later, was not among them. So it was, too, where a server had been forgotten while a proxy was away. Servers that become known later now count as ones of which joiners may have heard otherwise, until it is said: one line when they first own a slice. Both tests failed before with 'rule 1: slice 0 without a line at proxy ..'.

--- a/lapispass/core/shut_out.py
+++ b/lapispass/core/shut_out.py
@@ -19,7 +19,7 @@
         self.repeats: set[interface.BackendId] = set()  # of these, those that are about to be let in again
         self.said: dict[interface.BackendId, int] = {}  # whether it is out was last said under this mark
 
-    def missed(self, note: Missed, last_place: int) -> None:
+    def missed(self, note: Missed) -> None:
         """A joiner may have missed what was said last, and holds what an earlier stream shut out.
 
         One that has answered nothing yet may hold what an earlier life of this controller shut out.
@@ -27,7 +27,7 @@
         if note.first:
             self.again.add(self.out)
         elif note.mark < 0:
-            self.again.add_all(last_place)
+            self.again.add_all()
         else:
             self.again.add(number for number, said in self.said.items() if said > note.mark)
 
@@ -55,8 +55,12 @@
         self.said[number] = mark
         return was_out and not out
 
-    def forget(self, number: interface.BackendId) -> None:
-        """A server is no longer known."""
+    def forget(self, number: interface.BackendId, last_place: int) -> None:
+        """A server is no longer known; `last_place` is that of the server that became known last.
+
+        A proxy that was away when it was let in may still keep it out, should it come back under its id.
+        """
         self.again.forget(number)
         self.repeats.discard(number)
-        self.said.pop(number, None)
+        if self.said.pop(number, None) is not None:
+            self.again.add_newcomers(last_place)
--- a/lapispass/core/slice_table.py
+++ b/lapispass/core/slice_table.py
@@ -45,7 +45,7 @@
     def joined(self, event: interface.Joined, missed: Missed) -> None:
         """A proxy's stream stands."""
         super().joined(event, missed)
-        self.shut_out.missed(missed, self.fleet.last_place)
+        self.shut_out.missed(missed)
 
     def visited(self, server: ServerState) -> None:
         """A server was looked at: its shares may have to change."""
@@ -57,7 +57,7 @@
         """A server is gone for good; False while proxies have still to let it in again."""
         if number in self.shut_out.out:
             return False
-        self.shut_out.forget(number)
+        self.shut_out.forget(number, self.fleet.last_place)
         self.holdings.forget_server(number)
         return True
 
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -107,7 +107,7 @@
 
 
 def test_the_checker_finds_a_withdrawal_forgotten_for_joiners(monkeypatch) -> None:
-    monkeypatch.setattr(ShutOut, "missed", lambda shut_out, note, last_place: None)
+    monkeypatch.setattr(ShutOut, "missed", lambda shut_out, note: None)
     found = [
         breach
         for seed in range(2)
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -214,3 +214,42 @@
         fleet.change(backend, "draining")
     fleet.run(30)  # the model holds rule 1
     assert 103 in fleet.owners() and not any(103 in proxy.out for proxy in fleet.proxies)
+
+
+def test_a_server_that_returns_after_a_restart_of_the_controller_is_let_in_by_all_proxies() -> None:
+    # Guards against a withdrawal of an earlier life, of a server that the new life learns of later.
+    fleet = Fleet(deployment(), 6, seed=21, ran_s=3)
+    fleet.change(103, "gone")
+    fleet.run(9)
+    assert any(103 in proxy.out for proxy in fleet.proxies)
+    away = fleet.list.pop(103)
+    fleet.crash()
+    fleet.start()
+    for number in range(4):
+        fleet.join(number)
+    fleet.run(8)
+    fleet.list[103] = away
+    fleet.change(103, "ready", born=fleet.now)
+    fleet.run(1)
+    for backend in (100, 101, 102, 104):
+        fleet.change(backend, "draining")
+    fleet.run(30)  # the model holds rule 1
+    assert 103 in fleet.owners() and not any(103 in proxy.out for proxy in fleet.proxies)
+
+
+def test_a_server_that_returns_after_it_was_forgotten_is_let_in_by_a_proxy_that_was_away() -> None:
+    fleet = Fleet(deployment(), 6, seed=22, ran_s=3)
+    fleet.change(103, "gone")
+    fleet.run(5)
+    fleet.leave(2)
+    assert 103 in fleet.proxies[2].out
+    fleet.run(60)
+    assert 103 not in fleet.controller.backends
+    fleet.join(2)
+    fleet.run(5)
+    fleet.change(103, "ready", born=fleet.now)
+    fleet.run(1)
+    for backend in (100, 101, 102, 104):
+        fleet.change(backend, "draining")
+    fleet.run(30)  # the model holds rule 1
+    assert 103 in fleet.owners() and not any(103 in proxy.out for proxy in fleet.proxies)
