--- a/lapispass/standins/fleet_parties.py
+++ b/lapispass/standins/fleet_parties.py
@@ -11,6 +11,7 @@
 MS = 1000
 SECOND = 1000 * MS
 READ, WRITE = 0, 1  # the classes of requests
+SLOWER = 5 * SECOND  # for what is told to a proxy that is slow
 
 
 class Deciding(Protocol):
@@ -90,13 +91,18 @@
     """A proxy's stream to one controller."""
 
     joined_at: int = -1  # -1: broken
+    left_at: int = 0
     reads_at: int = 0
     out: set[str] = field(default_factory=set)
     waiting: deque[Message] = field(default_factory=deque)
     travelling: deque[tuple[int, Message]] = field(default_factory=deque)
     met: bool = False
     applied: int = 0  # when the last message that it has applied was ordered
-    slow_until: int = 0  # messages take seconds longer
+    slow_until: int = 0  # messages that leave the channel until then take `SLOWER` longer
+
+    def late_us(self, now: int) -> int:
+        """How much later than the platform's `late-most-us` a message may come now."""
+        return SLOWER if now < self.slow_until + SLOWER + SECOND else 0
 
 
 @dataclass
