An early new owner waits for a quarter of rule 1's time since the empty step

A slice that leaves an owner shut out in its last step carries its time without a line with it, so that its next owner was published 55 ms after the empty step, writes shut, while clients that answer in time still wrote at the former one.

--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -127,6 +127,16 @@
         is_unknown = slice_.step == "closing" and slice_.owner in self.shut_out.out
         return slice_.since if is_unknown else max(slice_.since, shut_out_at)
 
+    def is_urgent(self, slice_: Slice) -> bool:
+        """Whether the new owner is published with writes shut, for rule 1.
+
+        That needs no gate, for only reads can go there. Half of the time without a line must be gone, and a
+        quarter since the empty step, in which those that can answer it have done so.
+        """
+        now, bare_us = self.turn.now, self.rules.bare_us
+        is_overdue = now > slice_.since + bare_us // 2 and now > slice_.stepped_at + bare_us // 4
+        return self.rules.shuts and is_overdue
+
     def advance(self, slice_: Slice, cleared: int) -> list[interface.Order]:
         """The next step of a handover, when it is due."""
         now, rules = self.turn.now, self.rules
@@ -144,9 +154,7 @@
         # The exception for rule 2: the owner waits until no earlier one can hold a write, which may last
         # longer than the settle time. Writes shut meanwhile would not do: the store resets levels.
         settled = answered and slice_.gate_at is not None and now >= slice_.gate_at + self.offer.settle_us
-        # The exception for rule 1: when half the time a slice may be bare is gone, the new owner
-        # is published with writes shut; that needs no gate, for only reads can go there.
-        may = (settled and clean) or (rules.shuts and now > slice_.since + rules.bare_us // 2)
+        may = (settled and clean) or self.is_urgent(slice_)
         if now < slice_.kept_until or not may or (owner := self.placement.choose(slice_)) is None:
             return []
         self.placement.give(slice_, owner)
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -132,6 +132,23 @@
     assert fleet.now - shut_out_at < fleet.told.bare_us // 2 + SECOND
 
 
+def test_an_empty_step_that_follows_a_last_step_stands_long_enough_to_be_answered() -> None:
+    # Guards against a new owner that is published at once, while those that can answer still write.
+    fleet = Fleet(deployment(), 4, seed=8, ran_s=3)
+    fleet.proxies[1].stalled_until = fleet.now + 60 * SECOND
+    fleet.change(102, "draining")
+    while None in fleet.owners() or 102 in fleet.owners():
+        fleet.run(0.05)
+    moved = next(table for table in fleet.store.values() if not table.writes)
+    fleet.change(moved.owner, "draining")
+    while moved.owner is not None:
+        fleet.run(0.05)
+    emptied_at = fleet.now
+    while moved.owner is None:
+        fleet.run(0.05)
+    assert fleet.now - emptied_at >= fleet.told.bare_us // 4
+
+
 def test_handovers_go_on_while_proxies_join_all_the_time() -> None:
     # Guards against a step that waits for an instant in which no newcomer has still to answer (issue 48).
     fleet = Fleet(deployment(proxies=12, messages_most=1000), 6, seed=9, ran_s=3)
