--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -39,6 +39,7 @@
     def __init__(self, proxies: int, zone: str, note: Callable[[str], None]) -> None:
         self.proxies, self.zone, self.note = proxies, zone, note
         self.members: dict[str, dict[str, object]] = {}
+        self.addresses: dict[str, dict[str, str]] = {}  # by backend and controller
         self.revision = 1
         self.owners: dict[int, str | None] = {}
         self.holders: dict[int, str] = {}  # the controller that each slice is given to
@@ -161,18 +162,19 @@
 
     # discovery
 
-    def add(self, name: str, address: str, zone: str) -> None:
+    def add(self, name: str, addresses: dict[str, str], zone: str) -> None:
+        """Lists a backend; the address differs from one controller to the next."""
+        self.addresses[name] = addresses
         self.members[name] = {
             "id": name,
-            "host_port": address,
             "locality": zone,
             "phase": "Ready",
             "size": 1.0,
             "up_since_ms": 0,
         }
 
-    def listing(self, complete: bool, names: Iterable[str]) -> str:
-        members = [self.members[name] for name in names]
+    def listing(self, controller: str, complete: bool, names: Iterable[str]) -> str:
+        members = [{**self.members[name], "host_port": self.addresses[name][controller]} for name in names]
         return json.dumps({"revision": self.revision, "complete": complete, "members": members})
 
     async def registry(
@@ -180,7 +182,7 @@
     ) -> None:
         _, target, _ = await read_request(reader)
         await self.while_cut(controller)
-        whole = self.listing(True, self.members)
+        whole = self.listing(controller, True, self.members)
         if "watch=1" not in target:
             writer.write(answer(whole))
             await writer.drain()
@@ -194,13 +196,3 @@
             await asyncio.sleep(1.9)
             if controller not in self.cut:
                 writer.write(chunk("\n"))
-
-    def drain(self, name: str) -> None:
-        """A backend is to complete what it has; discovery tells every controller that is not cut off."""
-        self.revision += 1
-        self.members[name]["phase"] = "Terminating"
-        self.note(f"discovery lists {name} as Terminating")
-        for controller, writers in self.watches.items():
-            for writer in writers:
-                if controller not in self.cut and not writer.is_closing():
-                    writer.write(chunk(self.listing(False, [name]) + "\n"))
