--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,7 @@
 from lapispass.core.tables import slice_of
 from review.common.harness import Case, CouldNotRun, free_port, main, until
 
-SLICES, WORK_S, TILLS = 12, 0.53, 6
+NODES, SLICES, WORK_S, TILLS = 8, 12, 0.53, 6
 
 
 class Node:
@@ -56,7 +56,7 @@
 
     def __init__(self, case: Case, key: str) -> None:
         self.case, self.key = case, key
-        self.nodes = {name: Node(name, case, self) for name in ("n0", "n1", "n2")}
+        self.nodes = {f"n{n}": Node(f"n{n}", case, self) for n in range(NODES)}
         self.in_hand: dict[str, str] = {}  # order: node
         self.answered, self.sent = 0, 0
         self.order_of_nodes: list[str] = []
@@ -118,7 +118,7 @@
 
 async def play(case: Case) -> None:
     # A key block that n0 owns at first: without lines in the file they are spread in turn.
-    key = next(f"block-{n}" for n in range(1000) if slice_of(f"block-{n}", SLICES) % 3 == 0)
+    key = next(f"block-{n}" for n in range(1000) if slice_of(f"block-{n}", SLICES) % NODES == 0)
     world = World(case, key)
     for node in world.nodes.values():
         await node.start()
