Clients of a controller that is cut off from the store stop writing in time

Cause: nothing tied the right to write that a platform controller gives to xDS clients and gates to its own right to the slice. XdsServer.may_grant_writes was "always", GateServer answered every heartbeat; the store gave the slices away meanwhile.

Change: StoreContact (core, pure) makes the controller's right a lease on its contact with the relay, in both directions, and shortens the clients' lease by how late a loss may be noticed. The relay is called each 0.25 s with no order where a further front is configured. A change of hands that waits for its turn and a broken event stream stop renewals sooner. xDS streams are woken when writes are closed and opened; before, a client took up to 1 s to be granted again.

--- a/lapispass/core/clients.py
+++ b/lapispass/core/clients.py
@@ -175,12 +175,15 @@
         eds, lds = self.watches.get("eds"), self.watches.get("lds")
         if lds is None or eds is None:
             return
+        if self.state == "lapsing" and lds.settled and not lds.acked.get(WRITES):
+            self.state = "reads"
+            return  # `may_write` has not been asked for a client that only reads
         if not may_write:
-            # A controller whose session has ended may have a successor already, which may have assigned its
-            # slices to new owners. Writes that follow its old tables would break rule 2 (one writer per
-            # slice), so its clients may only read.
+            # A controller whose session has ended, or that has lost the store, may have a successor already,
+            # which may have assigned its slices to new owners. Writes that follow its old tables would break
+            # rule 2 (one writer per slice), so its clients may only read.
             if self.state == "writes":
-                self.state, step.lapse_reason = "lapsing", "the session of this controller has ended"
+                self.state, step.lapse_reason = "lapsing", "this controller may have a successor"
                 self.leave_proxies(now, numbers, step)
                 lds.hide(WRITES)
             return
@@ -222,8 +225,6 @@
                 self.revoke_write_permission(now, why, step)
                 self.leave_proxies(now, numbers, step)
                 lds.hide(WRITES)
-        elif self.state == "lapsing" and lds.settled and not lds.acked.get(WRITES):
-            self.state = "reads"
 
     def revoke_write_permission(self, now: int, why: str, step: ClientStep) -> None:
         """Ends renewals, and puts the client on probation, each time for longer."""
--- a/lapispass/gate/gate_server.py
+++ b/lapispass/gate/gate_server.py
@@ -236,7 +236,7 @@
             former.writer.transport.abort()
         now = self.service.clock.now()
         gate = JoinedGate(hello.name, self.numbers[hello.name], writer)
-        lease = self.service.launch.deployment.lease_us
+        lease = self.service.store_contact.client_lease_us
         writer.write(
             wire.encode_line(wire.Welcome(wire.proof(self.secret, hello.nonce, "controller"), lease))
         )
@@ -269,7 +269,9 @@
         """Handles a message of a gate that has joined."""
         match message:
             case wire.Heartbeat():
-                self.send(gate, wire.encode_line(message))
+                may_renew = self.service.store_contact.may_grant_writes(self.service.clock.now())
+                answer = message if may_renew else wire.Heartbeat(wire.NO_RENEWAL)
+                self.send(gate, wire.encode_line(answer))
             case wire.BarrierAcks(marks):
                 for mark, took_us in marks:
                     self.service.deliver(interface.BarrierAck(gate.number, mark, max(0, took_us)))
--- a/lapispass/gate/wire.py
+++ b/lapispass/gate/wire.py
@@ -58,8 +58,14 @@
     why: str
 
 
+NO_RENEWAL = 0  # the number of a controller's heartbeat that renews no lease; a gate's own begin at 1
+
+
 class Heartbeat(msgspec.Struct, tag="beat", frozen=True):
-    """A heartbeat of the gate, or the controller's answer, which repeats the number."""
+    """A heartbeat of the gate, or the controller's answer.
+
+    An answer that repeats the number renews the gate's lease. One with `NO_RENEWAL` only keeps the channel.
+    """
 
     number: int
 
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -73,6 +73,7 @@
     )
     snapshot_us: int = 500_000  # until the relay begins to send its snapshot, and again until it is complete
     snapshot_gap_us: int = 100_000  # a pause after which the snapshot counts as complete
+    heartbeat_us: int = 250_000  # between two calls that only show whether the relay answers
     call_idle_us: int = 3_000_000  # a call connection that was unused for this long is not reused
     probe_us: int = 750_000
     retry_min_us: int = 50_000  # the first wait before a peer is tried again; doubles with each attempt
--- a/lapispass/net/relay.py
+++ b/lapispass/net/relay.py
@@ -206,6 +206,9 @@
         self.connection: HttpConnection | None = None
         self.stream_task: asyncio.Task[None] | None = None
         calls.on_uncertainty = self.restart
+        # Called for each line of a stream whose snapshot has been compared.
+        self.on_line: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[], None] = lambda: None
         self.joined: set[int] = set()
         self.snapshot: list[interface.Event] | None = (
             None  # the events of the snapshot, while it is being read
@@ -266,6 +269,7 @@
                         if chunk is None:
                             self.compare()
                             idle.extend(self.limits.events_idle_us)
+                            self.on_line()
                             continue
                     if not chunk:
                         raise EOFError("event stream ended")
@@ -282,6 +286,7 @@
                         # Only a complete line extends the time-out: bytes may trickle in and never form one.
                         if self.snapshot is None:
                             idle.extend(self.limits.events_idle_us)
+                            self.on_line()
                     handled += len(chunk)
                     if handled >= self.limits.quantum_bytes:  # reading a chunk that is there does not yield
                         handled = 0
@@ -293,6 +298,7 @@
             self.log.failed("event stream failed")
         finally:
             self.restart()
+            self.on_lost()
             if self.snapshot is not None:  # incomplete; the next one is compared instead
                 self.snapshot = None
                 self.failed += 1
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -14,6 +14,7 @@
 from lapispass.controller import Controller
 from lapispass.core import transient_errors
 from lapispass.core.interval_figures import IntervalFigures
+from lapispass.core.store_contact import StoreContact
 from lapispass.net import call_failures, log
 from lapispass.net.clock import Clock
 from lapispass.net.codec import BARRIER_NUMBERS, Codec
@@ -28,6 +29,7 @@
 from lapispass.net.process import run_to_completion
 from lapispass.net.registry import Registry
 from lapispass.net.relay import Calls, EventStream
+from lapispass.net.relay_heartbeat import RelayHeartbeat
 from lapispass.net.slice_report import SliceReport
 
 
@@ -54,6 +56,16 @@
         common = (codec, self.limits, self.counters)
         self.calls = Calls(launch.relay, *common)
         self.event_stream = EventStream(launch.relay, self.calls, self.deliver, *common)
+        self.store_contact = contact = StoreContact(launch.deployment.lease_us)
+        self.event_stream.on_line = lambda: contact.stream_heard(self.clock.now())
+        self.event_stream.on_lost = lambda: contact.stream_lost(self.clock.now())
+        self.heartbeat = RelayHeartbeat(
+            Calls(launch.relay, *common),
+            contact,
+            self.limits.heartbeat_us,
+            self.clock.now,
+            lambda: bool(self.inbox),
+        )
         self.probes = Probes(self.deliver, *common)
         self.registry = Registry(launch.registry, launch.known, self.deliver, *common, self.probes.forget)
         self.figures = IntervalFigures(self.limits.late_us, launch.deployment.unserved_limit_us // 2)
@@ -80,6 +92,8 @@
             raise InboxFull(f"{waiting} events are queued")
         if isinstance(event, interface.StoredOwner | interface.ServerReport):
             self.registry.note_mention(event.backend)
+        if isinstance(event, interface.SliceGrant):
+            self.store_contact.change_received(self.clock.now())
         self.inbox.append(event)
         self.event_arrived.set()
 
@@ -110,6 +124,7 @@
                     self.collectors,
                     self.controller.progress,
                 ).run(),
+                *([self.heartbeat.run()] if self.additional_fronts else []),
                 *(front.run() for front in self.additional_fronts),
             )
         ]
@@ -177,7 +192,7 @@
             **({"after_a_restart": ",".join(rest)} if rest else {}),
         )
         if launch.relay != old.relay:
-            self.calls.address = launch.relay
+            self.calls.address = self.heartbeat.calls.address = launch.relay
             self.event_stream.move(launch.relay)
         if launch.registry != old.registry:
             self.registry.move(launch.registry)
@@ -198,6 +213,7 @@
             self.count_turn(now, events, orders)
             for front in self.additional_fronts:
                 front.turn_taken(events, orders)
+            self.store_contact.events_taken()
             await self.carry_out(orders)
 
     def count_turn(
--- a/lapispass/standins/platform.py
+++ b/lapispass/standins/platform.py
@@ -170,6 +170,8 @@
         self.orders: list[str] = []
         self.event_streams: dict[str, list[HttpConnection]] = {}  # by client
         self.throttles = False  # rejects every call as throttled
+        self.answers_calls = True  # otherwise calls are neither carried out nor answered
+        self.sends_events = True  # otherwise event streams stay open and silent, new ones too
         self.disconnected: set[str] = set()  # zones whose proxies have lost their streams
         self.shared: set[str] = (
             set()
@@ -181,7 +183,10 @@
 
     def serve(self, connection: HttpConnection, request: Request) -> None:
         if (request.method, request.target) == ("GET", "/events"):
-            self.start_event_stream(connection)
+            if self.sends_events:
+                self.start_event_stream(connection)
+            return
+        if not self.answers_calls:
             return
         orders = parse_qs(request.body.decode())["orders"][0].split(";")
         if self.throttles:
@@ -192,6 +197,20 @@
             body = f"<Response><entries><item><ok_count>{len(orders)}</ok_count></item></entries></Response>"
         connection.write(response(f'<?xml version="1.0"?>\n{body}'.encode()))
 
+    def cut_off(self) -> None:
+        """Goes silent in both directions, as the relay of a controller in another partition."""
+        self.answers_calls = self.sends_events = False
+
+    def reconnect(self) -> None:
+        """Ends the silence: connections from before are reset, and new ones are served."""
+        self.answers_calls = self.sends_events = True
+        self.reset()
+
+    def take_away(self, number: int, client: str = "") -> None:
+        """Gives a slice to another controller, and tells the one that held it."""
+        self.granted[client] = [n for n in self.granted.get(client, range(self.slices)) if n != number]
+        self.send_events([event("GRANT", shard=number, set=0)], client)
+
     def zone_of(self, proxy: int) -> str:
         return self.zones[proxy % len(self.zones)]
 
@@ -223,14 +242,15 @@
     def send_heartbeats(self) -> None:
         """A sign of life on every stream, for as long as there is one."""
         streams = [stream for several in self.event_streams.values() for stream in several]
-        for stream in streams:
-            stream.write(chunk(b":\n\n"))
+        if self.sends_events:
+            for stream in streams:
+                stream.write(chunk(b":\n\n"))
         again = asyncio.get_running_loop().call_later
         self.heartbeat_timer = again(self.heartbeat_s, self.send_heartbeats) if streams else None
 
     def send_events(self, lines: Sequence[bytes], client: str | None = None) -> None:
         """Sends events to one client, or to all."""
-        if not lines:
+        if not lines or not self.sends_events:
             return
         data = chunk(b"".join(lines))
         for name in self.event_streams if client is None else [client]:
--- a/lapispass/xds/platform_server.py
+++ b/lapispass/xds/platform_server.py
@@ -21,8 +21,15 @@
         deployment = service.launch.deployment
         self.service = service
         self.xds_server: XdsServer = create_xds_server(
-            source, service, service.clock.now, service.counters, deployment, service.launch.seed
+            source,
+            service,
+            service.clock.now,
+            service.counters,
+            deployment,
+            service.launch.seed,
+            service.store_contact.client_lease_us,
         )
+        self.xds_server.may_grant_writes = service.store_contact.may_grant_writes
 
     def turn_taken(self, events: Sequence[interface.Event], orders: Sequence[interface.Order]) -> None:
         """Publishes a turn.
--- a/lapispass/xds/xds_server.py
+++ b/lapispass/xds/xds_server.py
@@ -76,7 +76,7 @@
             self.cache, deployment.slices, max(1, deployment.default_retry), limits.ttl_us
         )
         self.write_routes = WriteRoutes(self.cache)
-        self.proxy_numbers = ProxyNumbers(first_number, limits.lease_us)
+        self.proxy_numbers = ProxyNumbers(first_number, deployment.lease_us)
         self.clients: dict[str, tuple[Client, asyncio.Event]] = {}
         self.probation: dict[str, int] = {}  # until when a client that lapsed may only read, by its name
         self.addresses: dict[str, tables.Address] = {}
@@ -85,7 +85,7 @@
         reads = next((kind.name for kind in deployment.classes if not kind.writes), "")
         self.classes = reads, next((kind.name for kind in deployment.classes if kind.writes), reads)
         self.load_streams = 0
-        # Whether any client may write at the given time; replaced where controllers share the nodes.
+        # Whether any client may write at the given time; replaced where slices may go to other controllers.
         self.may_grant_writes: Callable[[int], bool] = lambda now: True
         self.checked_at = now()
         # Of clients that left: until when they may still write, and the last turn that they acknowledged.
@@ -107,8 +107,7 @@
         self.counters["xds.versions"] += resources.update_assignments(self.cache, current, changes, self.turn)
         if barrier is not None:
             self.barriers.append((self.turn, barrier, self.now()))
-        for _, wake_up in self.clients.values():
-            wake_up.set()
+        self.wake_streams()
 
     def acked_turn(self, now: int) -> int:
         """The last turn that every client that may write has acknowledged; reported to other controllers.
@@ -134,12 +133,24 @@
                 client.exclude_pause(gap)
         return now
 
-    async def detect_pauses(self) -> None:
-        """Calls `current_time` regularly, so that a long gap between two calls means a pause."""
+    async def check_regularly(self) -> None:
+        """Calls `current_time` regularly, so that a long gap between two calls means a pause.
+
+        Wakes all streams when writes may be granted again, or no longer.
+        """
+        granted_writes = False
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             log.flush_pending()
-            self.current_time()
+            grants_writes = self.may_grant_writes(self.current_time())
+            if grants_writes != granted_writes:
+                granted_writes = grants_writes
+                self.wake_streams()
+
+    def wake_streams(self) -> None:
+        """Has every stream look for what is due."""
+        for _, wake_up in self.clients.values():
+            wake_up.set()
 
     # serving
 
@@ -170,11 +181,11 @@
         server = ClosingServer([self], config=pings)
         self.address = await server.listen(self.listen, self.tls, self.log, self.counters)
         self.log.info("listening for xDS clients", address=self.address, tls=self.tls is not None)
-        detecting = asyncio.get_running_loop().create_task(self.detect_pauses())
+        checking = asyncio.get_running_loop().create_task(self.check_regularly())
         try:
             await server.wait_closed()
         finally:
-            detecting.cancel()
+            checking.cancel()
             await server.end()
 
     async def sotw(self, stream: Stream[Any, Any]) -> None:
@@ -428,13 +439,15 @@
     counters: Counters,
     deployment: interface.Deployment,
     seed: int,
+    client_lease_us: int | None = None,
 ) -> XdsServer:
     """The xDS server that the operator file describes.
 
-    The proxy numbers of its clients follow those of the deployment's proxies.
+    The proxy numbers of its clients follow those of the deployment's proxies. `client_lease_us` is the lease
+    that clients get, where it is shorter than the deployment's.
     """
     settings = source.settings.xds
-    defaults = ClientLimits(deployment.lease_us)
+    defaults = ClientLimits(deployment.lease_us if client_lease_us is None else client_lease_us)
     limits = defaults._replace(
         ack_timeout_us=settings.late_ms * 1000 if settings.HasField("late_ms") else defaults.ack_timeout_us,
         max_clients=settings.clients if settings.HasField("clients") else defaults.max_clients,
