xDS clients that do not follow their assignments get no further renewal

What callers would see: a client that reads its listeners and not its assignments, or rejects these, went on writing to a slice's former owner for up to 2 s and a lease after the store had given the slice to another controller, which waits for one lease alone.

Evidence: test_a_client_that_does_not_apply_the_loss_of_a_slice_stops_in_time fails on the code before in both forms.

--- a/lapispass/core/clients.py
+++ b/lapispass/core/clients.py
@@ -23,6 +23,8 @@
 READS = "reads"
 WRITES = "writes"  # the listener that admits writes, and its routes
 TTL_FEATURE = "xds.config.supports-resource-ttl"
+# No renewal is sent while an assignment has been unacknowledged for longer than this.
+MAX_RENEWAL_UNACKED_US = 250_000
 
 
 class ClientLimits(NamedTuple):
@@ -153,7 +155,11 @@
             update = watch.next_update(now, self.limits.max_response_resources, may_remove)
             if update is not None:
                 step.updates.append(update)
-        if self.state == "writes" and now - self.renewed_at >= self.limits.renewal_interval_us:
+        if (
+            self.state == "writes"
+            and now - self.renewed_at >= self.limits.renewal_interval_us
+            and self.is_current(now)
+        ):
             update = self.watches["lds"].renew(WRITES, now)
             if update is not None:
                 self.renewed_at = now
@@ -161,6 +167,16 @@
         self.acknowledge_barriers(now, turn, barriers, step)
         return step
 
+    def is_current(self, now: int) -> bool:
+        """Whether the client follows the assignments closely enough for its permission to be renewed.
+
+        A client may read its listeners and not its assignments, or reject these. Barriers of this controller
+        wait for it, but a controller that was given one of the slices does not: by rule 2 the permission must
+        end within a lease of that.
+        """
+        allowed_us = min(self.limits.delivery_margin_us, MAX_RENEWAL_UNACKED_US)
+        return now <= self.watches["eds"].unacked_since + allowed_us
+
     def exclude_pause(self, pause_us: int) -> None:
         """Leaves a pause of this process out of all time-outs, since no answer could be read during it."""
         for watch in self.watches.values():
--- a/tests/test_write_rights.py
+++ b/tests/test_write_rights.py
@@ -116,3 +116,20 @@
         relay.take_away(0)
         await wait_until(given_at + LEASE_S)
         assert both.writing() == []
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [Faults(eds_read_delay_s=20.0), Faults(rejects_eds=True)],
+    ids=["reads assignments late", "rejects assignments"],
+)
+async def test_a_client_that_does_not_apply_the_loss_of_a_slice_stops_in_time(
+    tmp_path: Path, faults: Faults
+) -> None:
+    """Guards against two owners: renewals went on for two seconds to a client that kept an old assignment."""
+    async with fronts(tmp_path) as both:
+        both.client.faults = faults
+        given_at = asyncio.get_running_loop().time()
+        both.env.relay.take_away(0)
+        await wait_until(given_at + LEASE_S)
+        assert both.writing() == []
