A gate that stands alone hands its slices over by the decision module's steps

Cause: Standalone.follow applied Tables.differences, which sets the next owner in one step; a gate alone had tables without the decision module, so no empty step, no barrier, no life of a write.

Change: the gate runs a Controller whose one proxy it is; the file gives nodes and preferred owners (interface.PreferredOwner, policy/placement.py). Nothing of the steps stands twice. New optional setting gate.write_life_ms (5000). After a start, classes that write are refused for so long, with when to return: an earlier process may have left writes under another file.

Tests' files for gates alone name a life of 1 ms, so that tests of other things keep their timing.

--- a/lapispass/controller.py
+++ b/lapispass/controller.py
@@ -138,6 +138,8 @@
                     self.apply_registry_entry(interface.RegistryEntry(backend, "", "gone", None, None), False)
                     self.backends[backend].apply_probe_result(0)
                 self.table.owner_stored(number, backend)
+            case interface.PreferredOwner(number, backend):
+                self.table.owner_preferred(number, backend)
             case interface.ProxyJoined():
                 self.table.proxy_joined(event, self.channel.join(event))
             case interface.ProxyLeft(proxy):
--- a/lapispass/core/slice_table.py
+++ b/lapispass/core/slice_table.py
@@ -43,6 +43,11 @@
         """Sets the owner that the store holds for a slice that was just granted."""
         self.slice_index.set_stored_owner(number, backend)
 
+    def owner_preferred(self, number: int, backend: interface.BackendId) -> None:
+        """Notes the owner that the operator prefers for a slice of this controller."""
+        self.changed = True
+        self.slice_index.set_preferred_owner(number, backend)
+
     def requests_reported(self, report: interface.RequestReport) -> None:
         """Adds a report of requests for a slice."""
         if report.interval_us:
--- a/lapispass/core/slices.py
+++ b/lapispass/core/slices.py
@@ -23,6 +23,7 @@
     frozen_until: int  # no handover starts before
     unserved_since: int  # since when, or when last, proxies had no backend to pick
     owner: BackendId | None = None
+    preferred_owner: BackendId | None = None  # by the operator
     step: str = "emptied"  # emptied, closing or steady; see `policy/handovers.py`
     step_started_at: int = 0
     barrier: int = NEVER  # the barrier of the step's message
@@ -73,6 +74,7 @@
         self.admission_pending: set[BackendId] = set()  # owners whose admission levels may have to change
         self.agenda: Agenda[int] = Agenda()  # when slices are due without an event
         self.updated: set[int] = set()  # slices with new events
+        self.misplaced: dict[int, Slice] = {}  # whose owner is not the preferred one
         self._moving: dict[int, Slice] = {}
         self._serial = 0
 
@@ -94,6 +96,7 @@
         if slice_ := self.slices.pop(number, None):
             self.assign(slice_, None)
             self._moving.pop(number, None)
+            self.misplaced.pop(number, None)
             self.agenda.forget(number)
 
     def assign(self, slice_: Slice, owner: BackendId | None) -> None:
@@ -108,6 +111,19 @@
         if owner is not None:
             self.by_owner.setdefault(owner, {})[slice_.number] = slice_
             self.changed_owners[owner] = None
+        self._update_misplaced(slice_)
+
+    def set_preferred_owner(self, number: int, owner: BackendId) -> None:
+        """Sets the owner that the operator prefers for a slice."""
+        if slice_ := self.slices.get(number):
+            slice_.preferred_owner = owner
+            self._update_misplaced(slice_)
+
+    def _update_misplaced(self, slice_: Slice) -> None:
+        if slice_.preferred_owner in (None, slice_.owner):
+            self.misplaced.pop(slice_.number, None)
+        else:
+            self.misplaced[slice_.number] = slice_
 
     def set_stored_owner(self, number: int, owner: BackendId) -> None:
         """Sets the owner that the store holds for a slice that was just granted."""
--- a/lapispass/core/steering.py
+++ b/lapispass/core/steering.py
@@ -64,7 +64,9 @@
         lease_us: int,
         early_us: int,
         come_back_us: tuple[int, int],
+        writes_from_us: int = 0,
     ) -> None:
+        """`writes_from_us`: no write is sent before, as nodes may work on those of an earlier process."""
         self.classes = tuple(classes)
         self.tables = tables.Tables(slices)
         self.connections, self.barriers = ConnectionIndex(), WriteBarriers()
@@ -77,7 +79,8 @@
         # Connections that are bound to a slice with another owner now, in the order in which that happened.
         self.misplaced: dict[int, None] = {}
         self.last_number = 0
-        self.writable = True  # what the lease allowed when it was last checked
+        self.writes_from_us = writes_from_us
+        self.writable = not writes_from_us  # whether writes were allowed when that was last checked
 
     # new connections
 
@@ -95,6 +98,10 @@
         """
         if kind.writes and key is None:  # Rule 2: without a key the owner of the writes is unknown.
             return Unsupported("a class that writes needs a key")
+        if kind.writes and now < self.writes_from_us:
+            return self.admission.refuse(
+                now, "writes of an earlier process may not have ended", self.writes_from_us - now
+            )
         self.connections.arrived += 1
         if refused := self.admission.gate_full(now, len(self.connections) + sum(self.opening.values())):
             return refused
@@ -197,10 +204,14 @@
         """Whether a message of the client may be sent to the node. To be called right before the write."""
         if not held.kind.writes:
             return True
-        if self.lease is not None and not self.lease.allows_writes(now):
+        if not self.allows_writes(now):
             return False
         return held.slice is None or self.tables.may_write(held.slice, held.node)
 
+    def allows_writes(self, now: int) -> bool:
+        """Whether this gate may send writes at all."""
+        return now >= self.writes_from_us and (self.lease is None or self.lease.allows_writes(now))
+
     def message_written(self, now: int, held: HeldConnection, octets: int) -> None:
         held.written, held.last_message_us = held.written + 1, now
         held.messages += 1
@@ -291,9 +302,7 @@
 
     def expire_lease(self, now: int) -> list[int]:
         """Connections whose writes stop because the lease has expired; each expiry is reported once."""
-        if self.lease is None:
-            return []
-        was_writable, self.writable = self.writable, self.lease.allows_writes(now)
+        was_writable, self.writable = self.writable, self.allows_writes(now)
         if self.writable or not was_writable:
             return []
         stopped = [
--- a/lapispass/core/table.py
+++ b/lapispass/core/table.py
@@ -25,6 +25,9 @@
     def owner_stored(self, number: int, backend: interface.BackendId) -> None:
         """The store has reported the owner of a slice that was just granted."""
 
+    def owner_preferred(self, number: int, backend: interface.BackendId) -> None:
+        """The operator prefers this owner for a slice."""
+
     def requests_reported(self, report: interface.RequestReport) -> None:
         """Requests for a slice were reported."""
 
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -40,7 +40,9 @@
         self.terms: DrainTerms = operator.drain_terms(settings)
         self.key_parameter = settings.gate.key_parameter
         self.classes = operator.classes(settings)
-        lease = self.limits.lease_us if settings.gate.controller else 0
+        is_standalone = not settings.gate.controller
+        lease = 0 if is_standalone else self.limits.lease_us
+        write_life_us = operator.standalone_gate(settings).linger_us
         self.steering = Steering(
             self.classes,
             settings.gate.slices,
@@ -51,6 +53,7 @@
             lease,
             2 * self.limits.fence_us,
             (self.terms.come_back_least_us, self.terms.come_back_most_us),
+            self.clock.now() + write_life_us if is_standalone else 0,
         )
         self.tunnels: dict[int, Tunnel] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -60,7 +63,9 @@
         self.address = ""
         secret = operator.secret(settings.gate.secret_file, source, "gate.secret_file")
         self.uplink = Uplink(self, settings.gate.controller, secret) if settings.gate.controller else None
-        self.standalone = None if settings.gate.controller else Standalone(self, source)
+        self.standalone = Standalone(self, source, seed) if is_standalone else None
+        if self.standalone is not None:
+            self.standalone.follow(source)
 
     # called by handshakes and tunnels
 
@@ -81,6 +86,8 @@
         """Acknowledges the barriers with these marks."""
         if marks and self.uplink is not None:
             self.uplink.acknowledge(marks)
+        if marks and self.standalone is not None:
+            self.standalone.acknowledge(marks)
 
     # orders
 
@@ -215,11 +222,7 @@
                 if tunnel := self.tunnels.get(number):
                     tunnel.start_fence(now, max(now + 1, self.steering.lease_end()))
             if was != self.steering.writable:
-                self.log.warn(
-                    "lease renewed: writes resume"
-                    if self.steering.writable
-                    else "no answer from the controller within the lease: writes stop"
-                )
+                self.log_writable()
                 for tunnel in self.tunnels.values():
                     if tunnel.held.write_blocked:
                         tunnel.wake.set()
@@ -231,6 +234,15 @@
                     tunnel.release = release.how
                     tunnel.wake.set()
 
+    def log_writable(self) -> None:
+        """Logs that writes have been allowed, or stopped."""
+        if self.standalone is not None:
+            self.log.info("writes of an earlier process have ended: writes begin")
+        elif self.steering.writable:
+            self.log.warn("lease renewed: writes resume")
+        else:
+            self.log.warn("no answer from the controller within the lease: writes stop")
+
     def print_counters(self) -> None:
         counted = {**self.counters.fields(), **call_failures.counted(), "log.lost": log.lost()}
         self.log.info("counters", held=len(self.tunnels), **counted)
--- a/lapispass/interface.py
+++ b/lapispass/interface.py
@@ -151,6 +151,13 @@
     backend: BackendId
 
 
+class PreferredOwner(NamedTuple):
+    """The operator prefers this owner for a slice, which is handed over there if the backend is ready."""
+
+    slice: int
+    backend: BackendId
+
+
 class BarrierAck(NamedTuple):
     """A proxy has applied all orders up to a barrier."""
 
@@ -183,6 +190,7 @@
     | RequestReport
     | SliceGrant
     | StoredOwner
+    | PreferredOwner
     | BarrierAck
     | HeldConnectionLoad
     | PeerMessage
--- a/lapispass/operator/read.py
+++ b/lapispass/operator/read.py
@@ -20,6 +20,9 @@
 ADDRESS = re.compile(r"(?:\[[0-9a-fA-F:]+\]|[\w.-]+):(\d{1,5})\Z")
 NAME = re.compile(r"[\w.:-]{1,64}\Z")
 MS = 1000
+DEFAULT_WRITE_LIFE_US = 5000 * MS  # how long a server may work on a write that it has been sent
+# After half of this a standalone gate admits reads at the new owner of a slice whose writes still wait.
+GATE_UNSERVED_US = 2000 * MS
 
 
 class BadFile(Exception):
@@ -213,11 +216,14 @@
         "buffer_bytes",
         "message_bytes",
         "lease_ms",
+        "write_life_ms",
     ):
         if gate.HasField(field) and not getattr(gate, field):
             yield at(f"gate.{field}", "expected a number above 0, got 0")
     if gate.HasField("new_per_s") and not 0 < gate.new_per_s < 1e6:
         yield at("gate.new_per_s", f"expected a number above 0 and below a million, got {gate.new_per_s}")
+    if gate.controller and gate.HasField("write_life_ms"):
+        yield at("gate.write_life_ms", "only for a standalone gate; this one's controller knows how long")
     if gate.controller and source.settings.node:
         yield at("node", "only a standalone gate lists nodes; this one gets them from its controller")
     if not gate.controller and not source.settings.node:
@@ -309,7 +315,7 @@
         proxies=2,  # the store with the xDS server; clients of an earlier incarnation, for one lease
         slices=given.slices,
         lease_us=us("lease_ms", 3000),
-        linger_us=us("write_life_ms", 5000),
+        linger_us=us("write_life_ms", DEFAULT_WRITE_LIFE_US // MS),
         unserved_limit_us=us("bare_ms", 20_000),
         lines_per_s=1e6,
         message_overhead_lines=1.0,
@@ -329,6 +335,42 @@
     )
 
 
+def standalone_gate(settings: Operator) -> Deployment:
+    """The deployment of a standalone gate, which is the only proxy of its own controller.
+
+    The gate has no lease, as no connection lies between the two. Its nodes report nothing and are not probed.
+    """
+    gate = settings.gate
+    write_life_us = MS * gate.write_life_ms if gate.HasField("write_life_ms") else DEFAULT_WRITE_LIFE_US
+    return Deployment(
+        classes=tuple(
+            RequestClass(kind.name, write_life_us, write_life_us, kind.value, kind.writes, False)
+            for kind in classes(settings)
+        ),
+        zones=tuple(sorted({node.zone for node in settings.node})),
+        proxies=0,
+        slices=gate.slices,
+        lease_us=0,
+        linger_us=write_life_us,
+        unserved_limit_us=GATE_UNSERVED_US,
+        lines_per_s=1e6,
+        message_overhead_lines=1.0,
+        queue_limit_lines=1e7,
+        max_messages=1000,
+        message_window_us=10_000 * MS,
+        report_interval_us=1000 * MS,
+        default_retry=1,
+        subscribes_to_registry=False,
+        probes_allowed=False,
+        must_leave_gone=True,
+        admission_mode="share",
+        cold_us=0,
+        cold_share=1.0,
+        cold_overload_factor=2.5,
+        load_fields=(),
+    )
+
+
 def secret(path: str, source: Source, field: str) -> bytes:
     """The content of a key file; empty if `path` is."""
     if not path:
@@ -354,4 +396,5 @@
     "read",
     "read_at_start",
     "secret",
+    "standalone_gate",
 ]
--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -56,6 +56,7 @@
             has_more
             or self.slice_index.moving()
             or self.admission.urgent_pending
+            or any(slice_.may_leave(self.turn.now) for slice_ in self.placement.misplaced())
             or not self.budget.deferrable_lines
         ):
             return self.turn.now
@@ -125,6 +126,8 @@
             return []
         if urgent or not self.budget.deferrable_lines:
             return urgent
+        if misplaced := [slice_ for slice_ in self.placement.misplaced() if slice_.may_leave(now)]:
+            return misplaced
         relieved = self.placement.slices_to_relieve()
         del relieved[max(1, len(relieved) // 2) :]
         for slice_ in relieved:
--- a/lapispass/policy/placement.py
+++ b/lapispass/policy/placement.py
@@ -52,6 +52,21 @@
             return False
         return server.state != "unhealthy" or server.zone in self.zones_mostly_unhealthy
 
+    def is_ready(self, number: BackendId) -> bool:
+        """Whether a server runs and is healthy."""
+        server = self.fleet.servers.get(number)
+        return server is not None and server.state == "ready"
+
+    def misplaced(self) -> list[Slice]:
+        """Slices that leave their owner because the operator prefers another one, which is ready."""
+        return [
+            slice_
+            for slice_ in self.slice_index.misplaced.values()
+            if slice_.owner is not None
+            and slice_.preferred_owner is not None
+            and self.is_ready(slice_.preferred_owner)
+        ]
+
     def any_open(self) -> bool:
         """Whether any server may own slices."""
         return self.fleet.states["ready"] + self.fleet.states["unproven"] > 0 or bool(
@@ -92,7 +107,12 @@
         return (self.loads.get(number, 0.0) + baselines[0] + slice_.rate) / baselines[1]
 
     def choose_owner(self, slice_: Slice) -> BackendId | None:
-        """The server with the least load relative to its capacity, which is smaller while it is cold."""
+        """The preferred owner, if it is ready; otherwise the server with the least load for its capacity.
+
+        The capacity of a cold server is smaller.
+        """
+        if slice_.preferred_owner is not None and self.is_ready(slice_.preferred_owner):
+            return slice_.preferred_owner
         if self.candidates is None:
             ready = [number for number, server in self.fleet.servers.items() if server.state == "ready"]
             self.candidates = ready or [number for number in self.fleet.servers if self.is_open(number)]
--- a/lapispass/policy/rules.py
+++ b/lapispass/policy/rules.py
@@ -8,7 +8,7 @@
 # The protocol ("Figures"): every change in the registry counts as reported 6 s later at the latest.
 REGISTRY_DELAY_US = 6 * SECOND_US
 URGENT_EVENTS = (
-    interface.RegistryUpdate | interface.SliceGrant | interface.StoredOwner
+    interface.RegistryUpdate | interface.SliceGrant | interface.StoredOwner | interface.PreferredOwner
 )  # cause an evaluation in the turn in which they are received
 
 
--- a/tests/support_gate.py
+++ b/tests/support_gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Coroutine, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
@@ -74,18 +74,24 @@
 
 
 def standalone_file(
-    nodes: dict[str, tuple[str, str]], grace_ms: int = 600, more: str = "", bounds: str = ""
+    nodes: dict[str, tuple[str, str]],
+    grace_ms: int = 600,
+    more: str = "",
+    bounds: str = "",
+    write_life_ms: int = 1,
+    lines: Mapping[int, str] | None = None,
 ) -> str:
     """An operator file for a standalone gate, with the address and state of each node."""
-    lines = [
+    entries = [
         f'node {{ id: "{name}" address: "{address}" state: {state} }}'
         for name, (address, state) in nodes.items()
     ]
+    entries += [f'line {{ slice: {number} owner: "{owner}" }}' for number, owner in (lines or {}).items()]
     return (
         f"{CLASSES}\ndrain {{ grace_ms: {grace_ms} margin_ms: 200 come_back_least_ms: 50 }}\n"
         f"nodes {{ {bounds} }}\n"
-        f'gate {{ name: "g" listen: "127.0.0.1:0" slices: 12 key_parameter: "key" {more} }}\n'
-        + "\n".join(lines)
+        f'gate {{ name: "g" listen: "127.0.0.1:0" slices: 12 key_parameter: "key" '
+        f"write_life_ms: {write_life_ms} {more} }}\n" + "\n".join(entries)
     )
 
 
@@ -97,7 +103,11 @@
         self.states = dict.fromkeys(nodes, "READY")
 
     def write(self) -> None:
-        listed = {name: (node.address, self.states[name]) for name, node in self.nodes.items()}
+        listed = {
+            name: (node.address, self.states[name])
+            for name, node in self.nodes.items()
+            if self.states[name] != "UNLISTED"
+        }
         self.file.write_text(standalone_file(listed, **self.file_options))
 
     def set(self, **states: str) -> None:
@@ -131,6 +141,7 @@
     env.gate = gate = Gate(operator.read(file), 7, limits)
     running = asyncio.create_task(gate.run())
     await until(lambda: gate.address or running.done())
+    await until(lambda: gate.steering.allows_writes(gate.clock.now()) or running.done())
     try:
         yield env
     finally:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -17,6 +17,20 @@
     assert all(table.writes for table in fleet.store.values())
 
 
+def test_a_preferred_owner_gets_its_slice_by_the_same_steps() -> None:
+    """Guards against an operator's order that gives a slice away in one step; `fleet` checks the rules."""
+    fleet = Fleet(deployment(), 4, seed=1, ran_s=3)
+    number, owner = next((number, table.owner) for number, table in fleet.store.items() if table.owner != 103)
+    fleet.events.append(interface.PreferredOwner(number, 103))
+    fleet.run(0.4)
+    assert fleet.store[number].owner is None
+    fleet.run(8)
+    assert fleet.store[number].owner == 103 != owner
+    fleet.change(103, "draining")
+    fleet.run(8)
+    assert fleet.store[number].owner not in (None, 103)
+
+
 def test_an_unresponsive_proxy_is_waited_for_until_its_lease_ends() -> None:
     fleet = Fleet(deployment(), 4, seed=2, ran_s=3)
     fleet.proxies[1].stalled_until = fleet.now + 60 * SECOND
