Shared controllers publish addresses that come late, change or go

Cause: a record was published when it came, at that time without an endpoint; publish_changes took over the addresses without a SetNode change, so no assignment was made again.

Change: publish_changes passes on each address that differs, and SIGHUP publishes.

Evidence: test_an_address_that_comes_late_changes_or_goes_is_published fails on the code before, in its first form.

--- a/lapispass/peers/host.py
+++ b/lapispass/peers/host.py
@@ -185,6 +185,12 @@
             self.unacked_turns.append((self.xds_server.turn, revision))
         self.acknowledge_barriers()
 
+    def read_again(self) -> bool:
+        """Handles SIGHUP, and publishes the assignments of nodes whose addresses have changed."""
+        was_read = super().read_again()
+        self.publish_changes([], None)
+        return was_read
+
     def members_in(self, changes: Sequence[KeyChange]) -> dict[str, tuple[float, str]]:
         """The weight and boot of each controller whose member key is among these changes."""
         found = {}
@@ -248,15 +254,28 @@
         return [tables.SetWithdrawn(node, any(other.partition("/")[2] == node for other in self.withdrawals))]
 
     def publish_changes(self, changes: Sequence[tables.TableChange], barrier: int | None) -> None:
-        """Publishes changes to our clients, with a barrier if there is one."""
-        self.snapshot.nodes = dict(self.xds_server.addresses)
-        published = [
+        """Publishes changes to our clients, with a barrier if there is one.
+
+        A record may name a node before our operator file does, and a node's address may change. So changes of
+        addresses are published as well.
+        """
+        published = self.take_addresses()
+        published += [
             change
             for change in changes
             if self.snapshot.apply(change) or isinstance(change, tables.SetWithdrawn)
         ]
         self.xds_server.publish(self.snapshot, published, barrier)
 
+    def take_addresses(self) -> list[tables.TableChange]:
+        """Takes over the nodes' addresses; returns the changes."""
+        before, self.snapshot.nodes = self.snapshot.nodes, dict(self.xds_server.addresses)
+        return [
+            tables.SetNode(node, self.snapshot.nodes.get(node))
+            for node in sorted(before.keys() | self.snapshot.nodes.keys())
+            if before.get(node) != self.snapshot.nodes.get(node)
+        ]
+
     # Acknowledgements, claims and releases
 
     def acknowledge_barriers(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,6 +23,7 @@
 
 from lapispass.core import ownership
 from lapispass.core.membership import Members, Session
+from lapispass.core.resources import Assignment, cluster_name
 from lapispass.core.shared_types import NEVER, SECOND
 from lapispass.core.tables import slice_of
 from lapispass.core.takeover import NEVER_WRITTEN, Record, Takeover
@@ -318,6 +319,35 @@
         await cancel_and_wait(running)
 
 
+async def test_an_address_that_comes_late_changes_or_goes_is_published(tmp_path: Path) -> None:
+    """Guards against clients without a node, for good, where one controller reads its file later."""
+
+    def read(host: SharedHost, *nodes: str) -> None:
+        file = fleet.write_operator_file(host.name)
+        kept = [line for line in file.read_text().splitlines() if not line.startswith("node")]
+        file.write_text("\n".join([*kept, *nodes]))
+        host.read_again()
+
+    def addresses(host: SharedHost, number: int) -> set[str]:
+        body = host.xds_server.cache.by_kind["eds"][cluster_name(number, True)].body
+        assert isinstance(body, Assignment)
+        return {endpoint.address for endpoint in body.endpoints}
+
+    leaving = [f'node {{ id: "n{n}" address: "127.0.0.1:900{n}" state: DRAINING }}' for n in range(3)]
+    async with running_fleet(tmp_path, "a", "b") as fleet:
+        early, late = fleet.hosts["a"], fleet.hosts["b"]
+        moving = sorted(early.takeover.acting)
+        read(early, *leaving, 'node { id: "n3" address: "127.0.0.1:9003" }')
+        await until(lambda: all(late.snapshot.owners.get(number) == "n3" for number in moving))
+        assert not any(addresses(late, number) for number in moving)
+        read(late, *leaving, 'node { id: "n3" address: "127.0.0.1:9003" }')
+        await until(lambda: all(addresses(late, number) == {"127.0.0.1:9003"} for number in range(12)))
+        read(late, *leaving, 'node { id: "n3" address: "127.0.0.1:9013" }')
+        assert all(addresses(late, number) == {"127.0.0.1:9013"} for number in range(12))
+        read(late, *leaving)
+        assert not any(addresses(late, number) for number in range(12))
+
+
 async def test_a_barrier_waits_for_the_clients_of_the_other_controller(tmp_path: Path) -> None:
     async with running_fleet(tmp_path, "a", "b") as fleet:
         clients = [XdsClient(host.xds_server.address, f"c{name}", 1) for name, host in fleet.hosts.items()]
