--- a/lapispass/gate/standalone.py
+++ b/lapispass/gate/standalone.py
@@ -101,7 +101,7 @@
             )
 
     def prefer_owners(self, source: Source) -> None:
-        """Tells the controller which owners the file prefers. At the start these are the owners."""
+        """Tells the controller which other owners the file prefers; at the start, the owners."""
         settings = source.settings
         ready = [node.id for node in settings.node if node.state == Node.READY]
         pinned = {line.slice: line.owner for line in settings.line}
@@ -114,7 +114,7 @@
                 continue
             if is_start:
                 self.events.append(interface.StoredOwner(number, owner))
-            if owner != self.preferred.get(number):
+            elif owner != self.preferred.get(number):
                 self.events.append(interface.PreferredOwner(number, owner))
         self.preferred = preferred
 
