Renewals wait for acknowledged assignments only where a successor does not wait

Cause: withheld renewals from clients that had not acknowledged an assignment for 0.25 s, at every front. A listener that has expired meanwhile is not restored by a renewal, and the server went on renewing.

Change: the limit holds beside the platform's controller alone, where the store gives slices to a controller that does not wait for these clients. There a client whose listener may have expired is sent it anew in full, without probation. Shared controllers and xDS alone are as they were: their barriers wait for every client.

--- a/lapispass/core/clients.py
+++ b/lapispass/core/clients.py
@@ -23,8 +23,6 @@
 READS = "reads"
 WRITES = "writes"  # the listener that admits writes, and its routes
 TTL_FEATURE = "xds.config.supports-resource-ttl"
-# No renewal is sent while an assignment has been unacknowledged for longer than this.
-MAX_RENEWAL_UNACKED_US = 250_000
 
 
 class ClientLimits(NamedTuple):
@@ -38,6 +36,9 @@
     max_response_resources: int = 5_000  # resources in one response
     max_probation_us: int = 60 * SECOND
     max_nacks: int = 3  # rejections of one kind in a row that end the permission to write
+    # No renewal is sent while an assignment has been unacknowledged for longer than this. Only needed where a
+    # slice may go to a controller that does not wait for the clients of this one.
+    max_renewal_unacked_us: int = NEVER
 
     @property
     def ttl_us(self) -> int:
@@ -171,12 +172,22 @@
         """Whether the client follows the assignments closely enough for its permission to be renewed.
 
         A client may read its listeners and not its assignments, or reject these. Barriers of this controller
-        wait for it, but a controller that was given one of the slices does not: by rule 2 the permission must
-        end within a lease of that.
+        wait for it, but a controller to which the store has given one of the slices does not: by rule 2 the
+        permission must end within a lease of that.
         """
-        allowed_us = min(self.limits.delivery_margin_us, MAX_RENEWAL_UNACKED_US)
+        if self.limits.max_renewal_unacked_us == NEVER:
+            return True
+        allowed_us = min(self.limits.delivery_margin_us, self.limits.max_renewal_unacked_us)
         return now <= self.watches["eds"].unacked_since + allowed_us
 
+    def is_expired(self, now: int) -> bool:
+        """Whether renewals were withheld until the client's write listener may have expired."""
+        return (
+            self.limits.max_renewal_unacked_us < NEVER
+            and self.watches["lds"].in_flight is None
+            and now - self.renewed_at >= self.limits.ttl_us
+        )
+
     def exclude_pause(self, pause_us: int) -> None:
         """Leaves a pause of this process out of all time-outs, since no answer could be read during it."""
         for watch in self.watches.values():
@@ -199,9 +210,7 @@
             # which may have assigned its slices to new owners. Writes that follow its old tables would break
             # rule 2 (one writer per slice), so its clients may only read.
             if self.state == "writes":
-                self.state, step.lapse_reason = "lapsing", "this controller may have a successor"
-                self.leave_proxies(now, numbers, step)
-                lds.hide(WRITES)
+                self.let_lapse(now, "this controller may have a successor", numbers, step)
             return
         if self.state == "reads":
             if (
@@ -241,6 +250,16 @@
                 self.revoke_write_permission(now, why, step)
                 self.leave_proxies(now, numbers, step)
                 lds.hide(WRITES)
+            elif self.is_expired(now):
+                # A renewal would not restore the listener, so it is removed, and sent again in full once the
+                # client has acknowledged its assignments.
+                self.let_lapse(now, "assignments acknowledged too late for a renewal", numbers, step)
+
+    def let_lapse(self, now: int, why: str, numbers: ProxyNumbers, step: ClientStep) -> None:
+        """Ends the permission to write without probation; it may be granted again at once."""
+        self.state, step.lapse_reason = "lapsing", why
+        self.leave_proxies(now, numbers, step)
+        self.watches["lds"].hide(WRITES)
 
     def revoke_write_permission(self, now: int, why: str, step: ClientStep) -> None:
         """Ends renewals, and puts the client on probation, each time for longer."""
--- a/lapispass/xds/xds_server.py
+++ b/lapispass/xds/xds_server.py
@@ -36,6 +36,7 @@
 CHECK_INTERVAL_S = 0.05
 MAX_GAP_US = 300_000  # a longer time between two checks counts as a pause of this process
 MAX_NODE_ID_LENGTH = 256
+MAX_RENEWAL_UNACKED_US = 250_000  # where the store may give slices to other controllers
 STREAM_TIMEOUT_S = 10.0
 PROCESS_PAUSE_US = 100_000  # a timer that fires later than this shows that the process was paused
 T = TypeVar("T")
@@ -444,7 +445,7 @@
     """The xDS server that the operator file describes.
 
     The proxy numbers of its clients follow those of the deployment's proxies. `client_lease_us` is the lease
-    that clients get, where it is shorter than the deployment's.
+    that clients get, where the store may give slices to other controllers.
     """
     settings = source.settings.xds
     defaults = ClientLimits(deployment.lease_us if client_lease_us is None else client_lease_us)
@@ -452,6 +453,8 @@
         ack_timeout_us=settings.late_ms * 1000 if settings.HasField("late_ms") else defaults.ack_timeout_us,
         max_clients=settings.clients if settings.HasField("clients") else defaults.max_clients,
     )
+    if client_lease_us is not None:
+        limits = limits._replace(max_renewal_unacked_us=MAX_RENEWAL_UNACKED_US)
     per_s = settings.new_per_s if settings.HasField("new_per_s") else 200.0
     connect_limiter = ConnectLimiter(
         limits.max_clients, per_s, settings.burst if settings.HasField("burst") else 100, seed
--- a/tests/test_write_rights.py
+++ b/tests/test_write_rights.py
@@ -133,3 +133,12 @@
         both.env.relay.take_away(0)
         await wait_until(given_at + LEASE_S)
         assert both.writing() == []
+
+
+async def test_a_client_that_was_given_no_renewal_for_a_while_writes_again(tmp_path: Path) -> None:
+    """Guards against a client that never writes again: a renewal does not restore an expired listener."""
+    async with fronts(tmp_path, Faults(eds_read_delay_s=LEASE_S)) as both:
+        both.env.relay.take_away(0)
+        await until(lambda: both.client.writes_to(1) is None)
+        await until(lambda: both.client.writes_to(1) is not None)
+        assert both.client.writes_to(0) is None
