Tests of gates alone end their clients in order

A client that was cancelled while it opened its connection left it unclosed: an error at the end of test_a_change_of_the_file_gives_no_slice_two_writers[prefer_another] in one of six parts of the suite that ran side by side (153 passed). Each client now ends after its last write; 12 passed twice, side by side.

--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from async_tests import cancel_and_wait, until
+from async_tests import until
 from support_gate import SHORT_LIMITS, StandaloneGate, standalone_file, standalone_gate
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed, InvalidStatus
@@ -36,6 +36,7 @@
         self.refused_reads = 0
         self.closed_s = 0.0  # the longest time between two writes that began
         self.last_begun_at = 0.0
+        self.stopping = False
         for name, node in env.nodes.items():
             node.on_message = lambda message, name=name: self.begun(name, message.split(" ")[2])
 
@@ -55,7 +56,7 @@
 
     async def run(self, name: str) -> None:
         chance, sent = random.Random(name), 0
-        while True:
+        while not self.stopping:
             await asyncio.sleep(chance.uniform(0.0, 0.05))
             try:
                 async with connect(self.env.url(f"/till?key={KEY}"), compression=None) as connection:
@@ -77,7 +78,8 @@
             assert sending.nodes == ["n0"]
             yield sending
         finally:
-            await cancel_and_wait(*tasks)
+            sending.stopping = True  # a connection that is cancelled while it opens stays unclosed
+            await asyncio.gather(*tasks)
 
 
 def drain(env: StandaloneGate) -> None:
