--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A controller's connections to the coordination service go silent once: are its clients still served?"""
+"""A restart while a slice has its new owner for reads alone: does anybody write there too early?"""
 
 from __future__ import annotations
 
@@ -6,30 +6,39 @@
 import signal
 import sys
 import time
-from collections import Counter
+from dataclasses import dataclass, field
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from support.bench import Bench, free_address, main
-from support.proxy import Proxy
 
-from lapispass.standins.coordination import CoordinationServer
 from lapispass.standins.xds_client import XdsClient
 
-SLICES, NODES, CLIENTS = 12, 4, 2  # clients of each controller
-BARE_S, SLACK_S = 20.0, 0.3  # `bare_ms` of the file, and the protocol's page
-SILENT_BEFORE_S, OBSERVED_S = 4.0, 60.0
-EVERY_S = 0.25  # a client sends a read and a write to each slice so often
+SLICES, NODES = 6, 3
+LEASE_S, WRITE_LIFE_S, BARE_S = 3.0, 5.0, 10.0
+LONG_WRITE_S = 4.9  # a write may live for 5 s at a node
 
 
+@dataclass
+class Write:
+    """A write at a node, from when it came until it was carried out."""
+
+    node: str
+    slice: int
+    by: str
+    came: float
+    done: float = 0.0
+
+
+@dataclass
 class Node:
-    """A node: a line is a request, which it notes and answers."""
+    """A node: it takes lines `SLICE SECONDS CLIENT`, works for so long, and answers."""
 
-    def __init__(self, name: str) -> None:
-        self.name, self.address = name, ""
-        self.requests: list[tuple[float, str]] = []
+    name: str
+    address: str = ""
+    writes: list[Write] = field(default_factory=list)
 
     async def start(self) -> Node:
         """Listens on a free port."""
@@ -38,61 +47,47 @@
         return self
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answers each request."""
+        """Carries out one write."""
         try:
-            while line := await reader.readline():
-                self.requests.append((time.monotonic(), line.decode().strip()))
-                writer.write(b"ok\n")
+            words = (await reader.readline()).decode().split()
+            write = Write(self.name, int(words[0]), words[2], time.monotonic())
+            self.writes.append(write)
+            await asyncio.sleep(float(words[1]))
+            write.done = time.monotonic()
+            writer.write(b"ok\n")
         finally:
             writer.close()
 
 
-class Sender:
-    """Sends the requests of one xDS client, each to the node that the client's tables name."""
-
-    def __init__(self, client: XdsClient, nodes: dict[str, Node]) -> None:
-        self.client, self.nodes = client, nodes
-        self.ways: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
-        self.picked: dict[str, float] = {}  # by kind and slice: when there was last a node to pick
-        self.longest: dict[str, float] = {}  # the same: the longest time without any
-
-    async def run(self) -> None:
-        """Sends a read and a write for each slice again and again."""
-        while True:
-            for number in range(SLICES):
-                await self.send("read", number, self.client.reads_from(number))
-                await self.send("write", number, self.client.writes_to(number))
-            await asyncio.sleep(EVERY_S)
-
-    async def send(self, kind: str, number: int, name: str | None) -> None:
-        """Sends one request and reads its answer; notes for how long there has been no node to pick."""
-        now, what = time.monotonic(), f"{kind} of slice {number}"
-        if name is None and self.client.stream is not None:
-            gap = now - self.picked.setdefault(what, now)
-            self.longest[what] = max(gap, self.longest.get(what, 0.0))
-            return
-        self.picked[what] = now
-        if name is None:
-            return
-        if name not in self.ways:
-            host, _, port = self.nodes[name].address.rpartition(":")
-            self.ways[name] = await asyncio.open_connection(host, int(port))
-        reader, writer = self.ways[name]
-        writer.write(f"{what} by {self.client.name}\n".encode())
-        await reader.readline()
-
-    def close(self) -> None:
-        """Ends its connections."""
-        for _, writer in self.ways.values():
-            writer.transport.abort()
-
-
-def operator_file(name: str, listen: str, coordination: str, nodes: list[Node], draining: str) -> str:
-    """A file like `deploy/shared.textproto`."""
+async def send_writes(
+    client: XdsClient, nodes: dict[str, Node], number: int, takes_s: float, every_s: float
+) -> None:
+    """Has a client write to a slice again and again, at the node that its tables name."""
+    pending: set[asyncio.Task[None]] = set()
+
+    async def send(name: str) -> None:
+        host, _, port = nodes[name].address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(f"{number} {takes_s} {client.name}\n".encode())
+            await reader.readline()
+        finally:
+            writer.close()
+
+    while True:
+        if name := client.writes_to(number):
+            task = asyncio.create_task(send(name))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+        await asyncio.sleep(every_s)
+
+
+def operator_file(listen: str, nodes: list[Node], draining: str) -> str:
+    """A file like `deploy/xds.textproto`; the lease and a write's longest life are the defaults."""
     lines = [
         f'xds {{ listen: "{listen}" }}',
-        f'alone {{ shared {{ name: "{name}" coordination: "{coordination}" session_s: 3 }}',
-        f"  slices: {SLICES} lease_ms: 3000 write_life_ms: 2000 bare_ms: 20000",
+        f'alone {{ store_file: "assignments.sqlite" slices: {SLICES} lease_ms: {LEASE_S * 1000:.0f}',
+        f"  write_life_ms: {WRITE_LIFE_S * 1000:.0f} bare_ms: {BARE_S * 1000:.0f}",
         '  visit_class { name: "look" agreed_ms: 1500 patience_ms: 5000 benefit: 1 }',
         '  visit_class { name: "trade-order" agreed_ms: 3000 patience_ms: 5000 benefit: 2 writes: true } }',
     ]
@@ -103,69 +98,68 @@
 
 
 async def play(bench: Bench) -> None:
-    service = CoordinationServer()
-    await service.start()
     nodes = [await Node(f"n{number}").start() for number in range(NODES)]
     by_name = {node.name: node for node in nodes}
-    ways = {name: await Proxy(service.address).start() for name in ("c0", "c1")}
-    listens = {name: free_address() for name in ways}
-
-    def write_files(draining: str) -> None:
-        for name, way in ways.items():
-            text = operator_file(name, listens[name], way.address, nodes, draining)
-            (bench.temporary / f"{name}.textproto").write_text(text)
-
-    write_files("")
-    for name in ways:
-        bench.start(name, f"run -o {bench.temporary / f'{name}.textproto'}")
-    clients = [
-        XdsClient(listens[name], f"{name}-client-{number}", number, number % 2 == 0)
-        for name in ways
-        for number in range(CLIENTS)
-    ]
-    running = [asyncio.create_task(client.run()) for client in clients]
+    listen, file = free_address(), bench.temporary / "controller.textproto"
+    file.write_text(operator_file(listen, nodes, ""))
+    bench.start("controller", f"run -o {file}")
+    prompt, late = (XdsClient(listen, name, number) for number, name in enumerate(("prompt", "late")))
+    running = [asyncio.create_task(client.run()) for client in (prompt, late)]
     await bench.until(
-        "all clients can write to all slices",
-        lambda: all(client.writes_to(number) for client in clients for number in range(SLICES)),
+        "both clients can write to all slices",
+        lambda: all(client.writes_to(number) for client in (prompt, late) for number in range(SLICES)),
         40.0,
     )
-    senders = [Sender(client, by_name) for client in clients]
-    running += [asyncio.create_task(sender.run()) for sender in senders]
-    await asyncio.sleep(2.0)
-    owners = {number: clients[0].reads_from(number) for number in range(SLICES)}
-    bench.note(f"owners: {owners}")
-    leaving = Counter(owners.values()).most_common(1)[0][0]
-    assert leaving is not None
+    number, former = 0, prompt.writes_to(0)
+    bench.note(f"slice {number} is at {former}")
+    running.append(asyncio.create_task(send_writes(late, by_name, number, LONG_WRITE_S, 0.1)))
+    running.append(asyncio.create_task(send_writes(prompt, by_name, number, 0.02, 0.05)))
+    await asyncio.sleep(1.0)
     if bench.trouble:
-        bench.note(f"the {ways['c1'].silence()} connections of c1 to the service go silent; later ones work")
-    await asyncio.sleep(SILENT_BEFORE_S)
-    write_files(leaving)
+        late.faults.eds_read_delay_s = 60.0
+        bench.note("the client `late` reads no assignment from now on; it reads and answers all else")
+    file.write_text(operator_file(listen, nodes, former or ""))
     told = time.monotonic()
-    for name in ways:
-        bench.signal(name, signal.SIGHUP)
-    bench.note(f"{leaving} is listed as draining, for both controllers")
-    while time.monotonic() < told + OBSERVED_S:
-        await asyncio.sleep(5.0)
-        for kind, pick in (("read", XdsClient.reads_from), ("write", XdsClient.writes_to)):
-            bare = {client.name: [n for n in range(SLICES) if not pick(client, n)] for client in clients}
-            bench.note(f"{time.monotonic() - told:4.1f} s after: slices without a node to {kind}: {bare}")
-    bench.check_running()
-    for sender in senders:
-        for what, gap in sorted(sender.longest.items()):
-            if what.startswith("read") and gap > BARE_S + SLACK_S:
-                bench.broken(
-                    f"{sender.client.name}, whose stream stands: no node for a {what} for {gap:.1f} s"
-                )
-            elif gap > BARE_S:
-                bench.note(f"{sender.client.name}: no node for a {what} for {gap:.1f} s")
-    sent = Counter(text.split()[0] for at, text in by_name[leaving].requests if at > told + BARE_S)
-    bench.note(f"requests sent to {leaving} more than {BARE_S:g} s after its drain was told: {dict(sent)}")
+    bench.signal("controller", signal.SIGHUP)
+    bench.note(f"{former} is listed as draining")
+    await bench.until(
+        "reads have another owner", lambda: prompt.reads_from(number) not in (None, former), 30.0
+    )
+    since = time.monotonic() - told
+    shut = prompt.writes_to(number) is None
+    writes_are = "shut" if shut else "open"
+    bench.note(f"{since:.2f} s after: reads go to {prompt.reads_from(number)}, writes are {writes_are}")
+    if bench.trouble and shut:
+        bench.signal("controller", signal.SIGTERM)
+        await asyncio.to_thread(bench.programs["controller"].wait, 10)
+        bench.note("the controller has ended; it is started again")
+        bench.start("controller", f"run -o {file}")
+    await asyncio.sleep(14.0)
+    for client in (prompt, late):
+        bench.note(
+            f"{client.name} writes to {client.writes_to(number)}, reads from {client.reads_from(number)}"
+        )
     for task in running:
         task.cancel()
-    await asyncio.gather(*running, return_exceptions=True)
-    for closable in (*senders, *ways.values()):
-        closable.close()
-    service.stop()
+    writes = sorted((write for node in nodes for write in node.writes), key=lambda write: write.came)
+    for write in writes:
+        if -0.5 < write.came - told < 9.0:
+            bench.note(
+                f"write by {write.by} at {write.node}: came {write.came - told:.2f} s after the drain "
+                f"was told, carried out at {write.done - told:.2f} s"
+            )
+    bench.note(f"writes: { {node.name: len(node.writes) for node in nodes} }")
+    for write in writes:
+        held = [
+            other
+            for other in writes
+            if other.node != write.node and other.came <= write.came < (other.done or time.monotonic())
+        ]
+        for other in held[:1]:
+            bench.broken(
+                f"a write by {write.by} came to {write.node} {write.came - told:.2f} s after the drain was "
+                f"told, while {other.node} had one by {other.by} in hand until {other.done - told:.2f} s"
+            )
 
 
 main(Path(__file__).resolve().parent, play)
