--- a/review/6/case.py
+++ b/review/6/case.py
@@ -194,6 +194,11 @@
         bench.note(f"slice {number}: {' '.join(steps[number])}")
     writes = sorted((write for node in nodes for write in node.writes), key=lambda write: write.came)
     bench.note(f"writes: { {node.name: len(node.writes) for node in nodes} }")
+    for write in writes:
+        bench.note(
+            f"write of slice {write.slice} by {write.by} came to {write.node} at {write.came - began:.2f} s, "
+            f"carried out at {write.done - began:.2f} s"
+        )
     for write in writes:
         for other in writes:
             if other.came > write.came:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -31,6 +31,7 @@
         self.address, self.number, self.asked = address, number, 0
         self.unanswered: list[tuple[str, float]] = []  # the question, and when it was asked
         self.closed: list[tuple[str, str]] = []  # the question, and how the connection ended meanwhile
+        self.answered: list[tuple[str, float, float]] = []  # the question, and when it was asked and answered
 
     async def run(self) -> None:
         """Connects and asks, again and again."""
@@ -59,6 +60,7 @@
             async with asyncio.timeout(PATIENCE_S + 0.5):
                 while await held.recv() != f"ok {question}":
                     pass
+            self.answered.append((question, began, time.monotonic()))
         except TimeoutError:
             self.unanswered.append((question, began))
         except ConnectionClosed as end:
@@ -102,6 +104,11 @@
         for question, code in screen.closed:
             bench.note(f"{question!r}: its connection was closed with {code}")
     bench.note(f"questions asked: {sum(screen.asked for screen in screens)}")
+    for question, asked, answered in sorted(item for screen in screens for item in screen.answered):
+        bench.note(
+            f"{question!r} asked {asked - told:.2f} s, came to {came[question].node}, "
+            f"answered {answered - told:.2f} s after the drain was told"
+        )
     for task in running:
         task.cancel()
 
