Keep writes blocked across a restart while an earlier owner may hold some

Seen by callers: nothing; after a restart writes went to a new owner at once, while the former one worked on some. Cause: the store of a controller alone kept owners and not that writes were blocked; a slice given empty counted the life of a write from its first answer, while proxies write by older tables for a lease. Change: one way to grant a stored slice for all fronts (core/slice_grants.py), with writes_blocked; the decisions take the handover's last step up again. Schema 2 of the store; files of owners alone are upgraded, blocked once. Tests changed: calls of Assignments.commit in test_xds_core.py take assignments where they took orders, same assertions.

--- a/benchmarks/xds_streams.py
+++ b/benchmarks/xds_streams.py
@@ -29,26 +29,24 @@
 from collections import deque
 from pathlib import Path
 
-from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import Client, ClientLimits, ProxyNumbers
 from lapispass.core.versions import KINDS, ResourceCache
 from lapispass.operator import read as operator
 from lapispass.standins.xds_client import Faults, XdsClient
-from lapispass.store.assignments import Assignments
+from lapispass.store.assignments import Assignment, Assignments
 from lapispass.xds import codec
 from lapispass.xds.host import Host
 
 WRITER = """
 import sys
-from lapispass import interface
-from lapispass.store.assignments import Assignments
+from lapispass.store.assignments import Assignment, Assignments
 store = Assignments(sys.argv[1], 64)
 turn = store.turn
 print("open", turn, flush=True)
 while True:
     turn += 1
-    store.commit([interface.SetTableEntry(number, f"t{turn}", 1.0) for number in range(64)])
+    store.commit({number: Assignment(f"t{turn}") for number in range(64)})
     print(turn, flush=True)
 """
 
@@ -77,7 +75,7 @@
     file = folder / "operator.textproto"
     file.write_text(file_of(told.slices, ""))
     store = Assignments(folder / "store", told.slices)
-    store.commit([interface.SetTableEntry(number, f"n{number % 10}", 1.0) for number in range(told.slices)])
+    store.commit({number: Assignment(f"n{number % 10}") for number in range(told.slices)})
     store.close()
     host = Host(operator.read(file), told.seed)
     running = asyncio.create_task(host.run())
--- a/lapispass/controller.py
+++ b/lapispass/controller.py
@@ -133,11 +133,11 @@
                 self.table.requests_reported(event)
             case interface.SliceGrant(number, ours):
                 self.table.slice_granted(number, ours)
-            case interface.StoredOwner(number, backend):
+            case interface.StoredOwner(number, backend, writes_blocked):
                 if backend not in self.backends:  # taken as up until a probe fails
                     self.apply_registry_entry(interface.RegistryEntry(backend, "", "gone", None, None), False)
                     self.backends[backend].apply_probe_result(0)
-                self.table.owner_stored(number, backend)
+                self.table.owner_stored(number, backend, writes_blocked)
             case interface.PreferredOwner(number, backend):
                 self.table.owner_preferred(number, backend)
             case interface.ProxyJoined():
--- a/lapispass/core/slice_table.py
+++ b/lapispass/core/slice_table.py
@@ -39,9 +39,9 @@
         if granted:
             self.slice_index.add(number, now + self.times.lease_us, now - self.times.assumed_unserved_us, now)
 
-    def owner_stored(self, number: int, backend: interface.BackendId) -> None:
+    def owner_stored(self, number: int, backend: interface.BackendId, writes_blocked: bool) -> None:
         """Sets the owner that the store holds for a slice that was just granted."""
-        self.slice_index.set_stored_owner(number, backend)
+        self.slice_index.set_stored_owner(number, backend, writes_blocked)
 
     def owner_preferred(self, number: int, backend: interface.BackendId) -> None:
         """Notes the owner that the operator prefers for a slice of this controller."""
--- a/lapispass/core/slices.py
+++ b/lapispass/core/slices.py
@@ -125,11 +125,16 @@
         else:
             self.misplaced[slice_.number] = slice_
 
-    def set_stored_owner(self, number: int, owner: BackendId) -> None:
-        """Sets the owner that the store holds for a slice that was just granted."""
+    def set_stored_owner(self, number: int, owner: BackendId, writes_blocked: bool = False) -> None:
+        """Sets the owner that the store holds for a slice that was just granted.
+
+        If its writes are blocked, the last step of its handover goes on from the start: nobody knows since
+        when no proxy sends writes to the owner before it.
+        """
         if slice_ := self.slices.get(number):
             self.assign(slice_, owner)
-            slice_.step = "steady"
+            slice_.step = "closing" if writes_blocked else "steady"
+            slice_.writes_blocked = writes_blocked
             self.step_changed(slice_)
             self.updated.add(number)
 
--- a/lapispass/core/table.py
+++ b/lapispass/core/table.py
@@ -22,7 +22,7 @@
     def slice_granted(self, number: int, granted: bool) -> None:
         """The store has granted a slice to this controller, or has taken it away."""
 
-    def owner_stored(self, number: int, backend: interface.BackendId) -> None:
+    def owner_stored(self, number: int, backend: interface.BackendId, writes_blocked: bool) -> None:
         """The store has reported the owner of a slice that was just granted."""
 
     def owner_preferred(self, number: int, backend: interface.BackendId) -> None:
--- a/lapispass/core/table_snapshot.py
+++ b/lapispass/core/table_snapshot.py
@@ -42,8 +42,10 @@
                 case interface.SliceGrant(number, ours):
                     (self.own_slices.add if ours else self.own_slices.discard)(number)
                     self.clear(number)
-                case interface.StoredOwner(number, backend) if number in self.own_slices:
+                case interface.StoredOwner(number, backend, writes_blocked) if number in self.own_slices:
                     self.tables.apply(tables.SetOwner(number, str(backend)))
+                    if writes_blocked:
+                        self.admit(number, sum(1 << index for index in self.writing_classes), 0.0)
         for order in orders:
             match order:
                 case interface.SetTableEntry(number, backend, _):
--- a/lapispass/gate/standalone.py
+++ b/lapispass/gate/standalone.py
@@ -14,6 +14,7 @@
 from lapispass.core.connection_controller import ConnectionController, ReportedCounts
 from lapispass.core.plans import NO_VERSION
 from lapispass.core.shared_types import NodeId, NodeView
+from lapispass.core.slice_grants import grant_events
 from lapispass.core.slice_spread import spread_slices
 from lapispass.core.start_times import local_start
 from lapispass.core.table_snapshot import TableSnapshot
@@ -108,13 +109,10 @@
         preferred = spread_slices(settings.gate.slices, ready, pinned, self.preferred)
         is_start = not self.table_snapshot.own_slices
         for number in range(settings.gate.slices):
+            owner = preferred.get(number)
             if is_start:
-                self.events.append(interface.SliceGrant(number, True))
-            if (owner := preferred.get(number)) is None:
-                continue
-            if is_start:
-                self.events.append(interface.StoredOwner(number, owner))
-            elif owner != self.preferred.get(number):
+                self.events += grant_events(number, owner)
+            elif owner is not None and owner != self.preferred.get(number):
                 self.events.append(interface.PreferredOwner(number, owner))
         self.preferred = preferred
 
--- a/lapispass/interface.py
+++ b/lapispass/interface.py
@@ -145,10 +145,14 @@
 
 
 class StoredOwner(NamedTuple):
-    """The owner that the store holds for a slice that was just granted."""
+    """The owner that the store holds for a slice that was just granted.
+
+    `writes_blocked`: the owner serves reads alone so far, since an earlier one may still hold writes.
+    """
 
     slice: int
     backend: BackendId
+    writes_blocked: bool = False
 
 
 class PreferredOwner(NamedTuple):
--- a/lapispass/lab/drops.py
+++ b/lapispass/lab/drops.py
@@ -13,17 +13,18 @@
 import random
 import tempfile
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from lapispass import interface
-from lapispass.core.tables import slice_of
+from lapispass.core.tables import TableChange, slice_of
 from lapispass.operator import read as operator
 from lapispass.rules.checker import Bounds, Checker
 from lapispass.rules.checks import Breach
 from lapispass.standins.nodes import clock_us
 from lapispass.standins.xds_client import Faults, XdsClient
-from lapispass.store.assignments import Assignments
+from lapispass.store.assignments import Assignment, Assignments
 from lapispass.xds.host import Host
 
 SLICES, NODES, LEASE_MS, WRITE_LIFETIME_MS, UNSERVED_MS, GRACE_MS = 12, 4, 400, 150, 4000, 1000
@@ -141,17 +142,19 @@
         """Starts the controller, or starts it again on another port with the same store."""
         self.file.write_text(operator_file(self.states, "store", self.started))
         self.host = Host(operator.read(self.file), self.verdict.seed + 1)
-        turned = self.host.xds_server.turn_taken
+        publish_turn = self.host.publish_turn
 
-        def check_turn(events: list[interface.Event], orders: list[interface.Order]) -> None:
+        def check_turn(
+            orders: Sequence[interface.Order], changes: list[TableChange], barrier: int | None
+        ) -> None:
             for order in orders:
                 if isinstance(order, interface.SetTableEntry | interface.ClearTable):
                     owner = str(order.backend) if isinstance(order, interface.SetTableEntry) else None
                     self.checker.step_published(clock_us(), order.table, owner)
                     self.verdict.handovers += owner is not None
-            turned(events, orders)
+            publish_turn(orders, changes, barrier)
 
-        self.host.xds_server.turn_taken = check_turn  # type: ignore[method-assign, assignment]
+        self.host.publish_turn = check_turn  # type: ignore[method-assign]
         self.running = asyncio.create_task(self.host.run())
         while not self.host.xds_server.address:
             if self.running.done():
@@ -163,7 +166,7 @@
 
     async def kill(self) -> None:
         """Ends the controller without any closing message."""
-        self.host.xds_server.turn_taken = lambda events, orders: None  # type: ignore[method-assign]
+        self.host.publish_turn = lambda orders, changes, barrier: None  # type: ignore[method-assign]
         self.running.cancel()
         await asyncio.gather(self.running, return_exceptions=True)
         for client in self.clients:
@@ -172,7 +175,7 @@
     async def play(self) -> RunResult:
         chance, verdict = self.chance, self.verdict
         store = Assignments(self.folder / "store", SLICES)  # written by an earlier incarnation
-        store.commit([interface.SetTableEntry(number, f"n{number % NODES}", 1.0) for number in range(SLICES)])
+        store.commit({number: Assignment(f"n{number % NODES}") for number in range(SLICES)})
         store.close()
         for number in range(SLICES):
             self.checker.step_published(0, number, f"n{number % NODES}")
--- a/lapispass/peers/host.py
+++ b/lapispass/peers/host.py
@@ -19,6 +19,7 @@
 from lapispass import interface
 from lapispass.core import tables
 from lapispass.core.membership import Members
+from lapispass.core.slice_grants import grant_events
 from lapispass.core.table_snapshot import TableSnapshot
 from lapispass.core.takeover import RecordUpdate, Takeover
 from lapispass.operator.read import Source
@@ -407,7 +408,7 @@
                 await self.restart_lost_turn(updates)
                 return
             revision = written_revision
-        self.publish_turn(updates, barrier, revision)
+        self.publish_written(updates, barrier, revision)
 
     def withdrawal_operations(self) -> list[Put | Delete]:
         """The operations that report the withdrawals that the service does not know about yet."""
@@ -418,7 +419,7 @@
             for node, out in self.unreported_withdrawals.items()
         ]
 
-    def publish_turn(self, updates: Sequence[RecordUpdate], barrier: int, revision: int) -> None:
+    def publish_written(self, updates: Sequence[RecordUpdate], barrier: int, revision: int) -> None:
         """Publishes a turn that was written at a revision, with its barrier.
 
         What is published of a slice is its last known record, whoever wrote it.
@@ -467,12 +468,9 @@
 
     def start_slice(self, number: int) -> None:
         """Hands a slice that we hold to the controller, with its owner."""
-        self.deliver(interface.SliceGrant(number, True))
         record = self.takeover.records[number]
-        # While a slice is shut for writes, an earlier owner may still be working on some. So the controller
-        # starts with an empty table and its own decision on admission; readers keep the published owner.
-        if record.owner and not record.shut:
-            self.deliver(interface.StoredOwner(number, record.owner))
+        for event in grant_events(number, record.owner, record.shut):
+            self.deliver(event)
 
     def record_updates(self, changes: Sequence[tables.TableChange]) -> list[RecordUpdate]:
         """The records that a turn changes, of slices that we hold."""
--- a/lapispass/policy/handovers.py
+++ b/lapispass/policy/handovers.py
@@ -43,6 +43,12 @@
         self.budget = SendBudget(0, 0, 0, rules.lease_us, False)
         self.turns_without_room = 0  # turns that left slices for a later turn
 
+    def owner_stored(self, number: int, backend: interface.BackendId, writes_blocked: bool) -> None:
+        """Sets the owner that the store holds for a slice that was just granted."""
+        super().owner_stored(number, backend, writes_blocked)
+        if writes_blocked and (slice_ := self.slice_index.slices.get(number)):
+            slice_.levels = dict.fromkeys(self.rules.write_classes, 0.0)
+
     def act(self, budget: SendBudget) -> int:
         """Sends the proxies one message if any orders are due; returns when the next ones are due."""
         self.budget = budget
@@ -145,7 +151,8 @@
         # That is safe: a proxy acknowledges barriers in order, so the barrier of the next "emptied" step
         # covers this step's, too.
         unserved_us = self.turn.now - self.unserved_since(slice_)
-        return slice_.step == "closing" and unserved_us > self.rules.unserved_limit_us // 4
+        is_overdue = unserved_us > self.rules.unserved_limit_us // 4
+        return slice_.step == "closing" and is_overdue and self.turn.now >= slice_.frozen_until
 
     def unserved_since(self, slice_: Slice) -> int:
         """Since when the slice may have been unserved: its owner is withdrawn, or it has none."""
@@ -179,7 +186,9 @@
         now, rules = self.turn.now, self.rules
         answered = cleared >= slice_.barrier
         if answered and slice_.writes_stopped_at is None:
-            slice_.writes_stopped_at = now
+            # Proxies may write by tables of an earlier controller for one lease after the slice was granted,
+            # whatever they acknowledge here.
+            slice_.writes_stopped_at = max(now, slice_.frozen_until)
         writes_ended = (
             slice_.writes_stopped_at is not None and now >= slice_.writes_stopped_at + rules.linger_us
         )
--- a/lapispass/store/assignments.py
+++ b/lapispass/store/assignments.py
@@ -1,4 +1,7 @@
-"""Stores the owners of slices for a controller without a relay, in one SQLite file.
+"""Stores the assignments of slices for a controller without a relay, in one SQLite file.
+
+Besides its owner, a slice's row says whether its writes are blocked: then an earlier owner may still hold
+writes, which a controller that starts again has to know.
 
 A turn is written before it is published, as one transaction with synchronous FULL in WAL mode. After a kill
 at any point, or a loss of power, the file opens with all of the last committed turn. Every row has its
@@ -8,16 +11,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
+from typing import NamedTuple
 
 import apsw
 import xxhash
 
-from lapispass import interface
-
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 2
+OWNERS_ONLY_VERSION = 1  # of files without `blocked`
 
 
 class CorruptStore(Exception):
@@ -45,6 +48,16 @@
     return xxhash.xxh3_64_intdigest("\0".join(str(word) for word in words).encode()) >> 1
 
 
+class Assignment(NamedTuple):
+    """What is stored of a slice; without an owner its table is empty."""
+
+    owner: str | None
+    writes_blocked: bool = False
+
+
+NEVER_ASSIGNED = Assignment(None)
+
+
 class Assignments:
     """The file, which only this process may open.
 
@@ -53,6 +66,7 @@
 
     def __init__(self, path: str | Path, slices: int) -> None:
         self.path, self.slices = str(path), slices
+        self.stored: dict[int, Assignment] = {}  # as it stands in the file
         try:
             self.file = apsw.Connection(self.path)
         except apsw.Error as error:
@@ -84,7 +98,7 @@
             with self.file:
                 self.file.execute(
                     "CREATE TABLE line (slice INTEGER PRIMARY KEY, owner TEXT, turn INTEGER NOT NULL,"
-                    " sum INTEGER NOT NULL) STRICT;"
+                    " sum INTEGER NOT NULL, blocked INTEGER NOT NULL) STRICT;"
                     "CREATE TABLE fact (name TEXT PRIMARY KEY, value INTEGER NOT NULL,"
                     " sum INTEGER NOT NULL) STRICT;"
                     f"PRAGMA user_version={SCHEMA_VERSION}"
@@ -92,7 +106,7 @@
                 self._write_fact("turn", 0)
                 self._write_fact("slices", self.slices)
             return
-        if version != SCHEMA_VERSION:
+        if version not in (SCHEMA_VERSION, OWNERS_ONLY_VERSION):
             raise CorruptStore(f"{self.path}: schema version is {version}, expected {SCHEMA_VERSION}")
         check_result = self.file.execute("PRAGMA quick_check(1)").fetchall()[0][0]
         if check_result != "ok":
@@ -108,13 +122,28 @@
             raise CorruptStore(
                 f"{self.path}: holds {facts['slices']} slices, the operator file says {self.slices}"
             )
-        for number, owner, turn, stored_sum in self.file.execute("SELECT slice, owner, turn, sum FROM line"):
-            if (
-                stored_sum != fingerprint(number, owner, turn)
-                or not 0 <= number < self.slices
-                or turn > facts["turn"]
-            ):
+        self._read_assignments(has_blocked=version == SCHEMA_VERSION, last_turn=facts["turn"])
+        if version == OWNERS_ONLY_VERSION:
+            self._upgrade()
+
+    def _read_assignments(self, has_blocked: bool, last_turn: int) -> None:
+        """Reads and verifies all rows.
+
+        Rows without `blocked` count as blocked, since their former owners may hold writes.
+        """
+        columns = "slice, owner, turn, sum, " + ("blocked" if has_blocked else "owner IS NOT NULL")
+        for number, owner, turn, stored_sum, blocked in self.file.execute(f"SELECT {columns} FROM line"):
+            words = (number, owner, turn, blocked) if has_blocked else (number, owner, turn)
+            if stored_sum != fingerprint(*words) or not 0 <= number < self.slices or turn > last_turn:
                 raise CorruptStore(f"{self.path}: the row of slice {number} is corrupt")
+            self.stored[number] = Assignment(owner, bool(blocked))
+
+    def _upgrade(self) -> None:
+        """Adds `blocked` to a file that has owners only, in one transaction."""
+        with self.file:
+            self.file.execute("ALTER TABLE line ADD COLUMN blocked INTEGER NOT NULL DEFAULT 0")
+            self._write_rows(self.stored, self._read_turn())
+            self.file.execute(f"PRAGMA user_version={SCHEMA_VERSION}")
 
     def _write_fact(self, name: str, value: int) -> None:
         self.file.execute(
@@ -124,43 +153,45 @@
     def _read_turn(self) -> int:
         return int(str(self.file.execute("SELECT value FROM fact WHERE name = 'turn'").fetchall()[0][0]))
 
+    def assignment(self, number: int) -> Assignment:
+        """What is stored of a slice."""
+        return self.stored.get(number, NEVER_ASSIGNED)
+
     def owners(self) -> dict[int, str | None]:
         """The current owner of each slice that has ever had one; None while its table is empty."""
-        return {number: owner for number, owner in self.file.execute("SELECT slice, owner FROM line")}
+        return {number: assignment.owner for number, assignment in self.stored.items()}
 
-    def commit(self, orders: Iterable[interface.Order]) -> bool:
-        """Writes the owners that a turn sets, in one transaction; they are on the disk on return.
+    def commit(self, assignments: Mapping[int, Assignment]) -> bool:
+        """Writes the assignments that a turn sets, in one transaction; they are on the disk on return.
 
-        False if the turn sets none. Raises `StoreUnavailable` if the disk fails for the moment.
+        False if the turn changes none. Raises `StoreUnavailable` if the disk fails for the moment.
         """
-        owners: dict[int, str | None] = {}
-        for order in orders:
-            match order:
-                case interface.SetTableEntry(number, backend, _):
-                    owners[number] = str(backend)
-                case interface.ClearTable(number):
-                    owners[number] = None
-                case _:
-                    pass
-        if not owners:
+        changed = {
+            number: assignment
+            for number, assignment in assignments.items()
+            if assignment != self.assignment(number)
+        }
+        if not changed:
             return False
         turn = self.turn + 1
         try:
-            self._write(owners, turn)
+            with self.file:
+                self._write_rows(changed, turn)
+                self._write_fact("turn", turn)
         except TRANSIENT_ERRORS as error:
             self._roll_back()
             raise StoreUnavailable(f"{self.path}: {type(error).__name__}: {error}") from None
         self.turn = turn
+        self.stored.update(changed)
         return True
 
-    def _write(self, owners: dict[int, str | None], turn: int) -> None:
-        with self.file:
-            for number, owner in owners.items():
-                self.file.execute(
-                    "INSERT OR REPLACE INTO line VALUES (?, ?, ?, ?)",
-                    (number, owner, turn, fingerprint(number, owner, turn)),
-                )
-            self._write_fact("turn", turn)
+    def _write_rows(self, assignments: Mapping[int, Assignment], turn: int) -> None:
+        for number, (owner, writes_blocked) in assignments.items():
+            blocked = int(writes_blocked)
+            self.file.execute(
+                "INSERT OR REPLACE INTO line (slice, owner, turn, blocked, sum) VALUES (?, ?, ?, ?, ?)",
+                (number, owner, turn, blocked, fingerprint(number, owner, turn, blocked)),
+            )
 
     def _roll_back(self) -> None:
         """Rolls back a transaction that an error has left open."""
--- a/lapispass/xds/host.py
+++ b/lapispass/xds/host.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Iterable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
 from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core import tables
+from lapispass.core.slice_grants import grant_events
 from lapispass.net import log, process
 from lapispass.net.clock import Clock
 from lapispass.net.codec import Codec
@@ -26,7 +27,7 @@
 from lapispass.operator.operator_pb2 import Node
 from lapispass.operator.read import BadFile, Source
 from lapispass.retry import RetryWindow, retry_blocking
-from lapispass.store.assignments import Assignments, CorruptStore, StoreUnavailable
+from lapispass.store.assignments import Assignment, Assignments, CorruptStore, StoreUnavailable
 from lapispass.xds.xds_server import create_xds_server, load_tls_keys, tls_context
 
 STATES = {Node.READY: "ready", Node.DRAINING: "draining", Node.GONE: "gone"}
@@ -74,11 +75,9 @@
             )
         except (CorruptStore, StoreUnavailable) as error:
             raise BadFile([source.at("alone.store_file", str(error))]) from None
-        owners = self.store.owners()
         for number in range(self.deployment.slices):
-            self.inbox.append(interface.SliceGrant(number, True))
-            if owner := owners.get(number):
-                self.inbox.append(interface.StoredOwner(number, owner))
+            stored = self.store.assignment(number)
+            self.inbox += grant_events(number, stored.owner, stored.writes_blocked)
 
     def may_retry_open(self, error: Exception) -> bool:
         """Whether opening the store may succeed at a further attempt."""
@@ -203,11 +202,19 @@
     async def turn(self) -> None:
         """Takes a turn. Its assignments are written to the disk before they are published."""
         events, orders = self.decide()
-        await self.commit(orders)
+        snapshot = self.xds_server.snapshot
+        changes, barrier = snapshot.apply_turn(events, orders, self.xds_server.addresses)
+        await self.commit(changed_assignments(snapshot.tables, changes))
         self.execute_orders(orders)
-        self.xds_server.turn_taken(events, orders)
+        self.publish_turn(orders, changes, barrier)
 
-    async def commit(self, orders: Sequence[interface.Order]) -> None:
+    def publish_turn(
+        self, orders: Sequence[interface.Order], changes: list[tables.TableChange], barrier: int | None
+    ) -> None:
+        """Publishes the changes that a turn's orders have made, once they are on the disk."""
+        self.xds_server.publish(self.xds_server.snapshot.tables, changes, barrier)
+
+    async def commit(self, assignments: Mapping[int, Assignment]) -> None:
         """Writes a turn's assignments, and retries until the disk takes them.
 
         The controller counts its decisions as made, so no later turn may be published before them.
@@ -215,7 +222,7 @@
         backoff = Backoff(self.limits)
         while True:
             try:
-                if not self.store.commit(orders):
+                if not self.store.commit(assignments):
                     return
                 self.counters["host.commits"] += 1
                 break
@@ -247,6 +254,17 @@
                     pass
 
 
+def changed_assignments(
+    current: tables.Tables, changes: Iterable[tables.TableChange]
+) -> dict[int, Assignment]:
+    """What the store has to keep of the slices that a turn has changed."""
+    numbers = {change.slice for change in changes if isinstance(change, tables.SetOwner | tables.SetShare)}
+    return {
+        number: Assignment(current.owners.get(number), current.shares.get(number, tables.DEFAULT_SHARE).shut)
+        for number in sorted(numbers)
+    }
+
+
 async def serve(path: Path, seed: int, host_type: type[Host]) -> None:
     """Runs a controller process until a signal stops it."""
     host = host_type(operator.read_at_start(path), seed)
--- a/tests/test_xds_core.py
+++ b/tests/test_xds_core.py
@@ -14,12 +14,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import WRITES, Client, ClientLimits, ConnectLimiter, ProxyNumbers
 from lapispass.core.shared_types import SECOND
 from lapispass.core.versions import ResourceCache, Watch
-from lapispass.store.assignments import Assignments, CorruptStore
+from lapispass.store.assignments import Assignment, Assignments, CorruptStore
 
 NOW = 1_000 * SECOND
 LIMITS = ClientLimits(lease_us=2 * SECOND)
@@ -471,16 +470,11 @@
 # the store
 
 
-def own(number: int, node: str) -> interface.SetTableEntry:
-    return interface.SetTableEntry(number, node, 1.0)
-
-
 def test_the_store_opens_with_what_was_committed(tmp_path: Path) -> None:
     store = Assignments(tmp_path / "s", 4)
-    assert store.commit([own(0, "a"), own(1, "b"), interface.Barrier(1, True)]) and not store.commit(
-        [interface.Barrier(2, True)]
-    )
-    store.commit([interface.ClearTable(0)])
+    assert store.commit({0: Assignment("a"), 1: Assignment("b", True)}) and not store.commit({})
+    assert not store.commit({0: Assignment("a")})  # nothing new
+    store.commit({0: Assignment(None)})
     with pytest.raises(CorruptStore, match="locked"):
         Assignments(tmp_path / "s", 4)  # one controller at a time
     store.snapshot(tmp_path / "copy")
@@ -489,6 +483,7 @@
     for name in ("s", "copy"):
         again = Assignments(tmp_path / name, 4)
         assert again.owners() == {0: None, 1: "b"} and again.turn == 2
+        assert again.assignment(1) == Assignment("b", True) and again.assignment(3) == Assignment(None)
         again.close()
 
 
@@ -496,7 +491,7 @@
     def fresh() -> Path:
         path = tmp_path / f"s{len(list(tmp_path.iterdir()))}"
         store = Assignments(path, 64)
-        store.commit([own(number, f"node-{number}") for number in range(64)])
+        store.commit({number: Assignment(f"node-{number}") for number in range(64)})
         store.compact()
         store.close()
         return path
@@ -528,14 +523,13 @@
 
 WRITER = """
 import sys
-from lapispass import interface
-from lapispass.store.assignments import Assignments
+from lapispass.store.assignments import Assignment, Assignments
 store = Assignments(sys.argv[1], 8)
 turn = store.turn
 print("open", turn, flush=True)
 while True:
     turn += 1
-    store.commit([interface.SetTableEntry(number, f"t{turn}", 1.0) for number in range(8)])
+    store.commit({number: Assignment(f"t{turn}") for number in range(8)})
     print(turn, flush=True)
 """
 
