Bound what half lines hold at the platform's listener by limits.memory_mb

Seen: 300 clients with 1 MB of a line each took the process to 134 MB, and after SOURCE to 183 MB, with memory_mb 48. Cause: each line had a bound of its own, nothing bounded their sum, and nobody read limits.memory_mb. Change: core/memory_budget.py, one sum for the process and an account a connection; connections follow the memory, too. Price: with memory_mb under some 45 fewer than 512 connections are held (219 at 32 MB by the sum).

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -45,6 +45,7 @@
 from lapispass.core import resources, tables
 from lapispass.core.clients import Client, ClientLimits
 from lapispass.core.connection_controller import ConnectionController, ReportedCounts
+from lapispass.core.memory_budget import MemoryBudget
 from lapispass.core.plans import Version
 from lapispass.core.shared_types import Bounds, ConnectionClass, DrainTerms, NodeView
 from lapispass.core.takeover import Takeover
@@ -309,7 +310,8 @@
     async def reading(told: dict[int, bytes]) -> list[tuple[int, float]]:
         heard: list[interface.Event] = []
         collectors = Collectors(heard.append, CODEC, LIMITS, Counters())
-        client = ClientConnection(1, None, None, LIMITS)  # type: ignore[arg-type]  # nothing is written to it
+        account = MemoryBudget(LIMITS.client_bytes).open_account()
+        client = ClientConnection(1, None, None, LIMITS, account)  # type: ignore[arg-type]  # nothing is written to it
         client.zone = ZONES[0]
 
         def read(text: bytes) -> None:
--- a/lapispass/net/client_connection.py
+++ b/lapispass/net/client_connection.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from enum import StrEnum
 
+from lapispass.core.memory_budget import MemoryAccount
 from lapispass.net import tcp_info
 from lapispass.net.limits import Limits
 from lapispass.net.lines import LineSplitter
@@ -24,6 +25,7 @@
     TOO_LONG = "line too long"
     UNREAD = "answers not read in time"
     CROWDED_OUT = "evicted to make room"
+    OVER_MEMORY = "no memory for a longer message"
     PROCESS_ENDS = "process shutting down"
     BROKEN = "connection error"
     FAULT = "internal error"
@@ -41,9 +43,15 @@
     """The state of one client's connection."""
 
     def __init__(
-        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, limits: Limits
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: Limits,
+        memory: MemoryAccount,
     ) -> None:
         self.number, self.reader, self.writer, self.limits = number, reader, writer, limits
+        self.memory = memory
         self.loop = asyncio.get_running_loop()
         self.lines = LineSplitter(limits.message_bytes)
         self.zone: str | None = None  # set once it has joined
@@ -160,6 +168,11 @@
             self.writer.write(ANSWER * self.unanswered)
             self.unanswered = 0
 
+    def count_memory(self) -> None:
+        """Counts what is held of an incomplete message; ends the connection if there is no room for it."""
+        if not self.memory.hold(len(self.lines.unfinished)):
+            raise ConnectionEnded(CloseReason.OVER_MEMORY, f"{len(self.lines.unfinished)} bytes are held")
+
     def note_message_start(self) -> None:
         """Starts the time limit of the current message with the last bytes received.
 
--- a/lapispass/net/collectors.py
+++ b/lapispass/net/collectors.py
@@ -14,6 +14,7 @@
 
 from lapispass import interface
 from lapispass.core.interval_figures import IntervalFigures
+from lapispass.core.memory_budget import MemoryBudget
 from lapispass.net import tcp_info
 from lapispass.net.acceptor import Acceptor, listen_at, stream_protocols
 from lapispass.net.client_connection import ClientConnection, CloseReason, ConnectionEnded
@@ -34,6 +35,7 @@
         CloseReason.UNREADABLE,
         CloseReason.TOO_LONG,
         CloseReason.UNREAD,
+        CloseReason.OVER_MEMORY,
     }
 )
 EXPECTED_REASONS = frozenset({CloseReason.PEER, CloseReason.PROCESS_ENDS})
@@ -49,8 +51,11 @@
         limits: Limits,
         counters: Counters,
         figures: IntervalFigures | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        """`memory`: the budget of the process, where it has other listeners, too."""
         self.deliver, self.codec, self.limits, self.counters = deliver, codec, limits, counters
+        self.memory = memory or MemoryBudget(limits.client_bytes)
         self.figures = figures or IntervalFigures(limits.late_us)
         self.log = PartLogger("collectors", limits.log_every_us)
         self.connections: dict[ClientConnection, None] = {}  # least recently used first
@@ -108,7 +113,9 @@
         """Serves one connection from its start to its close."""
         self.tasks.add(task := asyncio.current_task())  # type: ignore[arg-type]
         self.counters["collectors.opened"] += 1
-        connection = ClientConnection(self.counters["collectors.opened"], reader, writer, self.limits)
+        connection = ClientConnection(
+            self.counters["collectors.opened"], reader, writer, self.limits, self.memory.open_account()
+        )
         writer.transport.set_write_buffer_limits(high=self.limits.unsent_bytes)  # beyond which `drain` waits
         if self.closed:  # accepted just before the close
             connection.end_soon(CloseReason.PROCESS_ENDS)
@@ -122,6 +129,7 @@
             try:
                 await self.finish(connection, end)
             finally:
+                connection.memory.close()
                 self.connections.pop(connection, None)
                 self.tasks.discard(task)  # type: ignore[arg-type]
                 self.counters["collectors.closed"] += 1
@@ -134,6 +142,7 @@
                 self.mark_used(connection)
                 answered = connection.pings
                 self.handle_bytes(chunk, connection)
+                connection.count_memory()
                 if connection.pings > answered:
                     self.note_answer(connection)
                 await self.wait_until_read(connection)
--- a/lapispass/net/launch.py
+++ b/lapispass/net/launch.py
@@ -12,7 +12,7 @@
 from lapispass.interface import Deployment
 from lapispass.net.codec import Codec, RegistryMessage, WireError
 from lapispass.net.http import split_address
-from lapispass.net.limits import Limits
+from lapispass.net.limits import DEFAULT_MEMORY_MB, Limits
 from lapispass.retry import RetryWindow, retry
 
 
@@ -86,8 +86,10 @@
             # Overrides the settings: the real registry sends the list only to those who ask for it.
             deployment = replace(settings.read(given["settings"]), subscribes_to_registry=True)
             part = "limits"
-            sockets = settings.SettingsSection(given).section("limits").integer("sockets", 1024)
-            limits = Limits.for_sockets(sockets, deployment.proxies, deployment.slices)
+            given_limits = settings.SettingsSection(given).section("limits")
+            sockets = given_limits.integer("sockets", 1024)
+            memory_mb = given_limits.integer("memory_mb") or DEFAULT_MEMORY_MB
+            limits = Limits.for_sockets(sockets, deployment.proxies, deployment.slices, memory_mb)
             part = "known"
             content = settings.SettingsSection(given).section("known").content
             known = Codec(deployment, limits.id_bytes).parse_registry_message(
--- a/lapispass/net/limits.py
+++ b/lapispass/net/limits.py
@@ -4,6 +4,11 @@
 
 from dataclasses import dataclass
 
+from lapispass.core.memory_budget import plan_memory
+
+BASE_MEMORY_MB = 26  # of the process before it has clients
+CONNECTION_BYTES = 10 << 10  # of one that is idle, with its reader
+DEFAULT_MEMORY_MB = 64  # where the configuration does not say
 MIN_SOCKETS = 96  # the process, the relay and the registry need about twenty of them
 
 
@@ -26,7 +31,8 @@
     unsent_bytes: int = 16 << 10  # unread answers to pings beyond which no further ping is read
 
     # Counts.
-    connections: int = 512  # at the listening address, 6 KB each; at most half of the descriptors
+    connections: int = 512  # at the listening address; at most half of the descriptors
+    memory_mb: int = DEFAULT_MEMORY_MB  # of the process, which is killed if it uses more
     accept_batch: int = 32  # accepted in one go, and allowed beyond `connections` while others are closing
     backlog: int = 1024  # connections that wait in the system's accept queue
     probes: int = 64  # under way at once; the others are queued, at most as many as there are servers
@@ -92,9 +98,16 @@
     drain_idle_us: int = 50_000  # or until none has sent a request for this long
     stop_us: int = 300_000  # for connections to close
 
+    @property
+    def client_bytes(self) -> int:
+        """What all clients together may have the process hold; see `core.memory_budget`."""
+        return plan_memory(self.memory_mb, BASE_MEMORY_MB, self.connections, CONNECTION_BYTES).client_bytes
+
     @classmethod
-    def for_sockets(cls, sockets: int, proxies: int = 0, slices: int = 0) -> Limits:
-        """Divides the process's descriptors among its tasks.
+    def for_sockets(
+        cls, sockets: int, proxies: int = 0, slices: int = 0, memory_mb: int = DEFAULT_MEMORY_MB
+    ) -> Limits:
+        """Divides the process's descriptors, and its memory, among its tasks.
 
         Half go to the listening address and a quarter to probes; the rest is for the relay, the registry and
         the process itself. The event limit is raised so that one turn can take a whole snapshot of the relay:
@@ -103,8 +116,10 @@
         usual = cls()
         if sockets < MIN_SOCKETS:
             raise ValueError(f"limits.sockets {sockets}: at least {MIN_SOCKETS} are needed")
+        connections = min(usual.connections, sockets // 2)
         return cls(
-            connections=min(usual.connections, sockets // 2),
+            connections=plan_memory(memory_mb, BASE_MEMORY_MB, connections, CONNECTION_BYTES).connections,
+            memory_mb=memory_mb,
             probes=min(usual.probes, sockets // 4),
             accept_batch=min(usual.accept_batch, sockets // 16),
             events=max(usual.events, 2 * proxies + 3 * slices),
--- a/lapispass/net/service.py
+++ b/lapispass/net/service.py
@@ -14,6 +14,7 @@
 from lapispass.controller import Controller
 from lapispass.core import transient_errors
 from lapispass.core.interval_figures import IntervalFigures
+from lapispass.core.memory_budget import MemoryBudget
 from lapispass.core.store_contact import StoreContact
 from lapispass.net import call_failures, log
 from lapispass.net.clock import Clock
@@ -69,7 +70,8 @@
         self.probes = Probes(self.deliver, *common)
         self.registry = Registry(launch.registry, launch.known, self.deliver, *common, self.probes.forget)
         self.figures = IntervalFigures(self.limits.late_us, launch.deployment.unserved_limit_us // 2)
-        self.collectors = Collectors(self.deliver, *common, self.figures)
+        self.memory = MemoryBudget(self.limits.client_bytes)  # of the clients of all fronts
+        self.collectors = Collectors(self.deliver, *common, self.figures, self.memory)
         self.controller = Controller(launch.deployment, launch.seed, self.clock.now())
         self.slice_report = SliceReport(self.figures.unserved, self.controller.handover, self.limits)
         self.additional_fronts: list[AdditionalFront] = []
