Count unread lines at the gates' channel against the memory of the process

Seen: 200 clients with 2 MB of a line each, none of them a gate, took the controller to 455 MB. Cause: lines of 4 MiB on 256 connections, before the secret is shown, and no sum over them. Change: readers whose unread input is counted; over the sum they fail at once and the client is told why.

--- a/lapispass/gate/gate_server.py
+++ b/lapispass/gate/gate_server.py
@@ -16,9 +16,10 @@
 from lapispass.core.table_snapshot import TableSnapshot
 from lapispass.gate import wire
 from lapispass.gate.channel import STREAM_ENDS, read_line
-from lapispass.net.acceptor import Acceptor, bound_address, listen_with_retries, stream_protocols
+from lapispass.net.acceptor import Acceptor, bound_address, counted_protocols, listen_with_retries
 from lapispass.net.log import PartLogger
 from lapispass.net.service import Service
+from lapispass.net.streams import CountedReader, OverMemory
 from lapispass.operator import read as operator
 from lapispass.operator.read import BadFile, Source
 
@@ -28,6 +29,7 @@
     """Bounds on the resources that gates may use at the controller. Times are in microseconds."""
 
     line_bytes: int = 4 << 20
+    read_bytes: int = 16 << 10  # at a time, before other connections are served
     unsent_bytes: int = 8 << 20  # to a gate that does not read; above this it is cut and has to join anew
     connections: int = 256
     at_once: int = 32  # connections accepted in one pass
@@ -121,9 +123,10 @@
         listener = await listen_with_retries(self.settings.listen, self.limits.connections)
         server = Acceptor(
             listener,
-            stream_protocols(self.serve, self.limits.line_bytes),
+            counted_protocols(self.serve, self.limits.line_bytes, self.service.memory),
             name="gates",
             accept_batch=self.limits.at_once,
+            max_read_bytes=self.limits.read_bytes,
             log=self.log,
             counters=self.counters,
         )
@@ -175,7 +178,7 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves the connection of one gate."""
         task = asyncio.current_task()
-        assert task is not None
+        assert task is not None and isinstance(reader, CountedReader)
         self.tasks.add(task)
         gate: JoinedGate | None = None
         why = "ended"
@@ -183,11 +186,14 @@
             if len(self.tasks) > self.limits.connections:
                 raise ValueError("too many connections")
             gate = await self.welcome(reader, writer)
+            reader.is_identified = True
             while True:
                 self.handle(gate, await self.receive(reader, self.limits.idle_us))
         except STREAM_ENDS as error:
             why = f"{type(error).__name__} {error}"[:200]
             if gate is None:
+                if isinstance(error, OverMemory):
+                    writer.write(wire.encode_line(wire.Refusal(why)))
                 self.counters["gates.turned_away"] += 1
                 self.log.rate_limited(
                     "unidentified connection rejected", peer=writer.get_extra_info("peername"), why=why
@@ -200,6 +206,7 @@
             self.log.failed("gate connection failed")
         finally:
             self.tasks.discard(task)
+            reader.account.close()
             if gate is None:
                 writer.close()
             else:
--- a/lapispass/net/acceptor.py
+++ b/lapispass/net/acceptor.py
@@ -9,11 +9,12 @@
 from collections.abc import Awaitable, Callable
 
 from lapispass.core import transient_errors
+from lapispass.core.memory_budget import MemoryBudget
 from lapispass.net.counters import Counters
 from lapispass.net.http import split_address
 from lapispass.net.log import PartLogger
 from lapispass.net.resilient_socket import ResilientSocket
-from lapispass.net.streams import Reader, is_readable
+from lapispass.net.streams import CountedReader, Reader, is_readable
 from lapispass.retry import retry
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -59,6 +60,16 @@
     return protocol
 
 
+def counted_protocols(serve: Serve, line_bytes: int, memory: MemoryBudget) -> ProtocolFactory:
+    """Like `stream_protocols`, with readers whose unread input is counted; `serve` closes their accounts."""
+
+    def protocol() -> asyncio.StreamReaderProtocol:
+        reader = CountedReader(line_bytes, memory.open_account())
+        return asyncio.StreamReaderProtocol(reader, serve, loop=asyncio.get_running_loop())
+
+    return protocol
+
+
 class Acceptor:
     """Accepts connections and gives each a protocol.
 
--- a/lapispass/net/streams.py
+++ b/lapispass/net/streams.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 
+from lapispass.core.memory_budget import MemoryAccount
 from lapispass.net import call_failures
 
 
@@ -23,6 +24,35 @@
         return chunk
 
 
+class OverMemory(OSError):
+    """There is no memory for more input of a connection."""
+
+
+class CountedReader(Reader):
+    """A stream reader whose unread input is counted against the memory of the process.
+
+    Input for which there is no room is dropped with what came before it: all reads fail with `OverMemory`.
+    """
+
+    def __init__(self, limit: int, account: MemoryAccount) -> None:
+        super().__init__(limit=limit, loop=asyncio.get_running_loop())
+        self.account, self.is_identified = account, False
+
+    def feed_data(self, data: bytes) -> None:
+        if self.exception() is not None:
+            return
+        if self.account.hold(self.unread + len(data), self.is_identified):
+            super().feed_data(data)
+        else:
+            self.set_exception(OverMemory("no memory for a longer message"))
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        line = await super().readuntil(separator)
+        self.unread -= len(line)
+        self.account.hold(self.unread, self.is_identified)
+        return line
+
+
 def unread(reader: asyncio.StreamReader) -> int:
     """The number of bytes in the stream's buffer that have not been read."""
     return reader.unread if isinstance(reader, Reader) else 0
--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -292,6 +292,7 @@
     address: tuple[str, int] | None = None,
     limits: Mapping[str, int] | None = None,
     ready: str | None = "event=listening",
+    arguments: Sequence[str] = (),
 ) -> AsyncIterator[Controller]:
     """Runs the platform's controller with its stand-ins.
 
@@ -313,7 +314,7 @@
         path = folder / "config.json"
         path.write_text(json.dumps(config))
         variables = {"LB_CONFIG": str(path), **(environment or {})}
-        async with process((), faults, address, ready, variables) as running:
+        async with process(arguments, faults, address, ready, variables) as running:
             yield running
 
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import pytest
-from faulty_process import Controller, controller
+from faulty_process import Controller, controller, free_address
 from half_requests import MAX_ANSWER_S, peak_memory_mb, stop_half_way
 
 from lapispass.core.memory_budget import FREE_BYTES, MIB, MemoryBudget, needed_memory_mb, plan_memory
@@ -43,6 +43,24 @@
     assert plan_memory(needed_memory_mb(26, 512, 10 << 10), 26, 512, 10 << 10).connections == 512
 
 
+async def test_half_lines_before_a_gate_is_proven_pass_no_memory_limit(tmp_path: Path) -> None:
+    """Guards against lines of 4 MiB that any client may begin at the listener for gates."""
+    listen, file = free_address(), tmp_path / "gates.textproto"
+    (tmp_path / "secret").write_text("0123456789abcdef")
+    kind = 'connection_class { name: "board" path_prefix: "/board" }'
+    file.write_text(f'{kind} gates {{ listen: "{listen[0]}:{listen[1]}" name: "g" secret_file: "secret" }}')
+    arguments = ("run", "-o", str(file))
+    limits = {"memory_mb": 64, "sockets": 1024}
+    async with controller(tmp_path, limits=limits, arguments=arguments) as running:
+        await running.wait_for_log("listening for gates")
+        request = b'{"x":"' + b"x" * (2 << 20)
+        clients, slowest = await stop_half_way(listen, 200, request, 2.5, lambda: ping_time(running))
+        assert peak_memory_mb(running.process.pid) < 64
+        assert slowest < MAX_ANSWER_S
+        assert not any(client.has_stayed for client in clients)
+        assert sum(b"no memory" in client.answer for client in clients) > 150
+
+
 async def ping_time(running: Controller) -> float:
     """How long a new client waits for its answer."""
     loop = asyncio.get_running_loop()
