Bound what xDS clients may send, and have held, on a connection and in all

Seen: 200 clients with 2 MB of a message took the controller to 505 MB; PING and SETTINGS at full speed on one connection kept others' tables for 3.1 and 7.8 s; streams of very many fields and endless header blocks were held. Cause: grpclib has no bound on a message, h2's defaults allow 100 streams and 64 KB of fields, connections had no bound, 256 KB were handled at a time, answers to PING were kept without end. Change: xds/bounded_protocol.py states the bounds in the first settings, counts header blocks before they are decoded, reads messages in pieces against the process's MemoryBudget, ends what is over with GOAWAY or RESOURCE_EXHAUSTED; 4 KiB a read.

--- a/lapispass/net/resilient_socket.py
+++ b/lapispass/net/resilient_socket.py
@@ -64,9 +64,11 @@
         with _retried_on_shortage("recv"):
             return super().recv(size, *flags)
 
-    def recv_into(self, *arguments: Any) -> int:
+    def recv_into(self, buffer: Any, *arguments: Any) -> int:
+        if self.max_read_bytes is not None:
+            buffer = memoryview(buffer)[: self.max_read_bytes]
         with _retried_on_shortage("recv"):
-            return super().recv_into(*arguments)
+            return super().recv_into(buffer, *arguments)
 
     def send(self, *arguments: Any) -> int:
         with _retried_on_shortage("send"):
--- a/lapispass/operator/memory.py
+++ b/lapispass/operator/memory.py
@@ -16,6 +16,7 @@
 XDS_SLICE_BYTES = 512  # of a client's subscription to a slice
 XDS_CLIENTS = 5_000  # by default
 XDS_SPARE_CONNECTIONS = 64  # beyond one for each client, for those that change
+XDS_LEAST_CONNECTIONS = 32
 DEFAULT_MEMORY_MB = 256  # at least, where the file does not say
 
 
@@ -32,6 +33,12 @@
     return _plan(settings, XDS_BASE_MB, clients + XDS_SPARE_CONNECTIONS, client_bytes)
 
 
+def xds_connections_beside(memory_mb: int, slices: int) -> int:
+    """The xDS connections of a controller of the platform: they get an eighth of its memory."""
+    possible = (memory_mb << 20) // 8 // (XDS_CLIENT_BYTES + XDS_SLICE_BYTES * slices)
+    return max(XDS_LEAST_CONNECTIONS, min(XDS_CLIENTS + XDS_SPARE_CONNECTIONS, possible))
+
+
 def _plan(settings: Operator, base_mb: int, connections: int, connection_bytes: int) -> MemoryPlan:
     needed = needed_memory_mb(base_mb, connections, connection_bytes)
     memory_mb = (
--- a/lapispass/xds/closing_server.py
+++ b/lapispass/xds/closing_server.py
@@ -23,20 +23,29 @@
 from lapispass.net.counters import Counters
 from lapispass.net.log import PartLogger
 from lapispass.retry import START
+from lapispass.xds.bounded_protocol import READ_BYTES, BoundedProtocol
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
 
 BACKLOG = 1024
 MAX_ACCEPTS_AT_ONCE = 128
+MAX_CONNECTIONS = 5_064  # by default: the clients, and a few that change
 SETTLE_S = 1.0  # time allowed for connections that were accepted just before the end to be set up
 
 
 class ClosingServer(Server):
     """A server that closes its connections in `close`."""
 
-    def __init__(self, handlers: Collection[IServable], *, config: Configuration) -> None:
+    def __init__(
+        self,
+        handlers: Collection[IServable],
+        *,
+        config: Configuration,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         super().__init__(handlers, config=config)
+        self.max_connections = max_connections
         self.connections: set[asyncio.Transport] = set()
         self.is_closing = False
         self.acceptor: Acceptor | None = None
@@ -44,11 +53,16 @@
     def _protocol_factory(self) -> H2Protocol:
         return TrackedProtocol(super()._protocol_factory(), self)
 
-    def connection_opened(self, transport: asyncio.Transport) -> None:
-        """Registers a connection; one that is set up while the server ends is closed at once."""
-        self.connections.add(transport)
+    def connection_opened(self, connection: TrackedProtocol) -> None:
+        """Registers a connection.
+
+        One that is set up while the server ends is closed at once, and so is one for which there is no room.
+        """
+        self.connections.add(connection.transport)
         if self.is_closing:
-            transport.abort()
+            connection.transport.abort()
+        elif len(self.connections) > self.max_connections:
+            connection.refuse("too many connections")
 
     async def listen(
         self, address: str, tls: ssl.SSLContext | None, log: PartLogger, counters: Counters
@@ -67,6 +81,7 @@
             accept_batch=MAX_ACCEPTS_AT_ONCE,
             log=log,
             counters=counters,
+            max_read_bytes=READ_BYTES,
             tls=tls,
         )
         return await bound_address(listener)
@@ -101,18 +116,16 @@
             transport.abort()
 
 
-class TrackedProtocol(H2Protocol):
+class TrackedProtocol(BoundedProtocol):
     """A connection that is registered with its server while it is open."""
 
     def __init__(self, plain: H2Protocol, server: ClosingServer) -> None:
-        super().__init__(plain.handler, plain.config, plain.h2_config)
+        super().__init__(plain)
         self.server = server
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
         super().connection_made(transport)
-        self.transport = transport
-        self.server.connection_opened(transport)
+        self.server.connection_opened(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.server.connections.discard(self.transport)
--- a/lapispass/xds/host.py
+++ b/lapispass/xds/host.py
@@ -14,6 +14,7 @@
 from lapispass import interface
 from lapispass.controller import Controller
 from lapispass.core import tables
+from lapispass.core.memory_budget import MemoryBudget
 from lapispass.core.slice_grants import grant_events
 from lapispass.net import log, process
 from lapispass.net.clock import Clock
@@ -24,6 +25,7 @@
 from lapispass.net.log import PartLogger
 from lapispass.net.probes import Probes
 from lapispass.operator import read as operator
+from lapispass.operator.memory import xds_memory
 from lapispass.operator.operator_pb2 import Node
 from lapispass.operator.read import BadFile, Source
 from lapispass.retry import RetryWindow, retry_blocking
@@ -53,9 +55,18 @@
         self.has_events, self.stopped = asyncio.Event(), asyncio.Event()
         self.probes = Probes(self.deliver, Codec(self.deployment, limits.id_bytes), limits, self.counters)
         self.controller = Controller(self.deployment, seed, self.clock.now())
+        memory = xds_memory(source.settings)
         self.xds_server = create_xds_server(
-            source, self, self.clock.now, self.counters, self.deployment, seed
+            source,
+            self,
+            self.clock.now,
+            self.counters,
+            self.deployment,
+            seed,
+            memory=MemoryBudget(memory.client_bytes),
+            max_connections=memory.connections,
         )
+        self.log.info("memory divided", **memory._asdict())
         self.nodes: dict[str, Node] = {}
         self.load_nodes(source)
         self.open_store(source)
--- a/lapispass/xds/platform_server.py
+++ b/lapispass/xds/platform_server.py
@@ -10,6 +10,7 @@
 from lapispass import interface
 from lapispass.core import tables
 from lapispass.net.service import Service
+from lapispass.operator.memory import xds_connections_beside
 from lapispass.operator.read import Source
 from lapispass.xds.xds_server import XdsServer, create_xds_server
 
@@ -28,6 +29,8 @@
             deployment,
             service.launch.seed,
             service.store_contact.client_lease_us,
+            service.memory,
+            xds_connections_beside(service.launch.limits.memory_mb, deployment.slices),
         )
         self.xds_server.may_grant_writes = service.store_contact.may_grant_writes
 
--- a/lapispass/xds/xds_server.py
+++ b/lapispass/xds/xds_server.py
@@ -20,6 +20,7 @@
 from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import TTL_FEATURE, Client, ClientLimits, ClientStep, ConnectLimiter, ProxyNumbers
+from lapispass.core.memory_budget import MemoryBudget
 from lapispass.core.table_snapshot import TableSnapshot
 from lapispass.core.versions import ResourceCache, Update
 from lapispass.net import log
@@ -28,7 +29,8 @@
 from lapispass.net.log import PartLogger
 from lapispass.operator.read import BadFile, Source
 from lapispass.xds import codec
-from lapispass.xds.closing_server import ClosingServer
+from lapispass.xds.bounded_protocol import MessageReader
+from lapispass.xds.closing_server import MAX_CONNECTIONS, ClosingServer
 from lapispass.xds.write_routes import WriteRoutes
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
@@ -39,6 +41,7 @@
 MAX_RENEWAL_UNACKED_US = 250_000  # where the store may give slices to other controllers
 STREAM_TIMEOUT_S = 10.0
 PROCESS_PAUSE_US = 100_000  # a timer that fires later than this shows that the process was paused
+DEFAULT_CLIENT_BYTES = 64 << 20  # held for all clients together, where nothing says otherwise
 T = TypeVar("T")
 Message = Any  # a DiscoveryRequest or a DeltaDiscoveryRequest; the types are generated
 
@@ -64,10 +67,15 @@
         counters: Counters,
         listen: str,
         tls: ssl.SSLContext | None = None,
+        memory: MemoryBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
+        """`memory`: the budget of the process, where it has other listeners, too."""
         self.event_sink, self.now, self.deployment, self.limits = event_sink, now, deployment, limits
         self.connect_limiter, self.counters, self.tls = connect_limiter, counters, tls
         self.listen, self.address = listen, ""
+        self.memory = memory or MemoryBudget(DEFAULT_CLIENT_BYTES)
+        self.max_connections = max_connections
         self.log = PartLogger("xds", 1_000_000)
         self.cache = ResourceCache()
         self.snapshot = TableSnapshot(
@@ -179,7 +187,7 @@
             _keepalive_permit_without_calls=True,
             _http2_max_pings_without_data=0,
         )
-        server = ClosingServer([self], config=pings)
+        server = ClosingServer([self], config=pings, max_connections=self.max_connections)
         self.address = await server.listen(self.listen, self.tls, self.log, self.counters)
         self.log.info("listening for xDS clients", address=self.address, tls=self.tls is not None)
         checking = asyncio.get_running_loop().create_task(self.check_regularly())
@@ -191,19 +199,20 @@
 
     async def sotw(self, stream: Stream[Any, Any]) -> None:
         """Serves a stream of the state-of-the-world protocol."""
-        await self.serve(stream, True)
+        await self.serve(stream, True, MessageReader(stream, discovery_pb2.DiscoveryRequest, self.memory))
 
     async def delta(self, stream: Stream[Any, Any]) -> None:
         """Serves a stream of the incremental protocol."""
-        await self.serve(stream, False)
+        messages = MessageReader(stream, discovery_pb2.DeltaDiscoveryRequest, self.memory)
+        await self.serve(stream, False, messages)
 
-    async def serve(self, stream: Stream[Any, Any], is_sotw: bool) -> None:
+    async def serve(self, stream: Stream[Any, Any], is_sotw: bool, messages: MessageReader) -> None:
         """Serves a client's stream from its first message to its end."""
         self.counters["xds.streams"] += 1
         if wait := self.connect_limiter.delay_us(self.now(), len(self.clients)):
             self.counters["xds.refused"] += 1
             raise GRPCError(Status.UNAVAILABLE, f"too many clients at once; retry in {wait // 1000} ms")
-        first = await self.with_timeout(stream.recv_message(), "no first message received")
+        first = await self.with_timeout(messages.read(), "no first message received")
         if first is None:
             return
         name = first.node.id
@@ -235,7 +244,7 @@
             self.handle_message(client, first)
             wake_up.set()
             while True:
-                reading = asyncio.ensure_future(stream.recv_message())
+                reading = asyncio.ensure_future(messages.read())
                 await asyncio.wait({reading, sending}, return_when=asyncio.FIRST_COMPLETED)
                 if sending.done():
                     sending.result()
@@ -382,8 +391,9 @@
             raise GRPCError(Status.RESOURCE_EXHAUSTED, "too many streams of load reports")
         self.load_streams += 1
         zone = ""
+        messages = MessageReader(stream, lrs_pb2.LoadStatsRequest, self.memory)
         try:
-            while (report := await stream.recv_message()) is not None:
+            while (report := await messages.read()) is not None:
                 if report.HasField("node"):
                     zone = report.node.locality.zone
                     answer = lrs_pb2.LoadStatsResponse(
@@ -441,6 +451,8 @@
     deployment: interface.Deployment,
     seed: int,
     client_lease_us: int | None = None,
+    memory: MemoryBudget | None = None,
+    max_connections: int = MAX_CONNECTIONS,
 ) -> XdsServer:
     """The xDS server that the operator file describes.
 
@@ -469,4 +481,6 @@
         counters,
         settings.listen,
         tls_context(source),
+        memory,
+        max_connections,
     )
