Count nothing for connections that end, and let a refused gate read why

Change: a closed account counts nothing; after a refusal for memory further input is dropped for 0.2 s before the close.

--- a/lapispass/core/memory_budget.py
+++ b/lapispass/core/memory_budget.py
@@ -58,13 +58,18 @@
 class MemoryAccount:
     """What is held for one connection."""
 
-    __slots__ = ("budget", "counted")
+    __slots__ = ("budget", "counted", "is_closed")
 
     def __init__(self, budget: MemoryBudget) -> None:
-        self.budget, self.counted = budget, 0
+        self.budget, self.counted, self.is_closed = budget, 0, False
 
     def hold(self, held_bytes: int, is_identified: bool = True) -> bool:
-        """States how much is held now; False, without a change, if that is more than there is room for."""
+        """States how much is held now; False, without a change, if that is more than there is room for.
+
+        Always False for an account that is closed: input may still come while its connection ends.
+        """
+        if self.is_closed:
+            return False
         change = max(0, held_bytes - FREE_BYTES) - self.counted
         if change > self.budget.room_bytes(is_identified) and change > 0:
             return False
@@ -73,6 +78,7 @@
         return True
 
     def close(self) -> None:
-        """The connection holds nothing any more."""
+        """The connection holds nothing any more, and will not."""
+        self.is_closed = True
         self.budget.used_bytes -= self.counted
         self.counted = 0
--- a/lapispass/gate/gate_server.py
+++ b/lapispass/gate/gate_server.py
@@ -34,6 +34,7 @@
     connections: int = 256
     at_once: int = 32  # connections accepted in one pass
     join_us: int = 2_000_000
+    linger_us: int = 200_000  # between a refusal for lack of memory and the close
     idle_us: int = 1_500_000  # a gate sends a heartbeat every 0.3 s
     evaluation_us: int = 100_000
     # A timer that fires later than this means that the process was stalled. It then reads waiting input
@@ -192,12 +193,12 @@
         except STREAM_ENDS as error:
             why = f"{type(error).__name__} {error}"[:200]
             if gate is None:
-                if isinstance(error, OverMemory):
-                    writer.write(wire.encode_line(wire.Refusal(why)))
                 self.counters["gates.turned_away"] += 1
                 self.log.rate_limited(
                     "unidentified connection rejected", peer=writer.get_extra_info("peername"), why=why
                 )
+                if isinstance(error, OverMemory):
+                    await self.refuse(writer, why)
         except asyncio.CancelledError:
             # An orderly end. If the error went on, asyncio would log a trace of the cancelled task.
             why = "the controller is stopping"
@@ -213,6 +214,16 @@
                 self.remove(gate, why)
                 writer.transport.abort()
 
+    async def refuse(self, writer: asyncio.StreamWriter, why: str) -> None:
+        """Sends a refusal. Further input is read and dropped for a moment: a close with unread input resets
+        the connection, and the reset may overtake the refusal."""
+        try:
+            writer.write(wire.encode_line(wire.Refusal(why)))
+            writer.write_eof()
+        except OSError:
+            return
+        await asyncio.sleep(self.limits.linger_us / 1e6)
+
     async def receive(self, reader: asyncio.StreamReader, wait_us: int) -> wire.FromGate:
         """The next message from a gate."""
         return wire.GATE_DECODER.decode(await read_line(reader, wait_us, self.limits.late_us))
--- a/lapispass/gate/upgrade.py
+++ b/lapispass/gate/upgrade.py
@@ -36,11 +36,7 @@
     b"proxy-authenticate",
     b"proxy-authorization",
 }
-
-
 HEAD_END = re.compile(rb"\n\r?\n")
-
-
 # Header fields with comma-separated words that the gate reads.
 LISTS = {b"upgrade", b"connection", b"sec-websocket-version", b"sec-websocket-protocol"}
 
@@ -108,8 +104,10 @@
     `max_words`: comma-separated words that all fields of a name which the gate reads may have together.
     """
     headers = list(request.headers)
-    words = Counter(key for key, value in headers if key in LISTS for _ in range(value.count(b",") + 1))
-    if max(words.values(), default=0) > max_words:
+    words: Counter[bytes] = Counter()
+    for key, value in headers:
+        words[key] += value.count(b",") + 1
+    if max(words[name] for name in LISTS) > max_words:
         raise BadUpgrade(431, f"more than {max_words} words in a header field")
     if "websocket" not in (word.lower() for word in tokens(headers, b"upgrade")) or "upgrade" not in (
         word.lower() for word in tokens(headers, b"connection")
--- a/lapispass/xds/bounded_protocol.py
+++ b/lapispass/xds/bounded_protocol.py
@@ -165,7 +165,7 @@
         except (AssertionError, DecodeError):  # grpclib asserts that a message is complete at the end
             raise GRPCError(Status.INVALID_ARGUMENT, "malformed message") from None
         finally:
-            self.account.close()
+            self.account.hold(0)
         self.is_identified = True
         return message
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -11,6 +11,7 @@
 
 from lapispass.core.memory_budget import FREE_BYTES, MIB, MemoryBudget, needed_memory_mb, plan_memory
 from lapispass.net.limits import Limits
+from lapispass.net.streams import CountedReader, OverMemory
 
 pytestmark = pytest.mark.time_limit(60)
 
@@ -25,6 +26,19 @@
     assert second.hold(0) and budget.used_bytes == 0
 
 
+async def test_input_that_comes_while_its_connection_ends_is_not_counted() -> None:
+    """Guards against a sum that rejected clients use up for good."""
+    budget = MemoryBudget(10 * FREE_BYTES)
+    reader = CountedReader(1 << 20, budget.open_account())
+    reader.feed_data(bytes(3 * FREE_BYTES))
+    assert budget.used_bytes == 2 * FREE_BYTES
+    reader.account.close()
+    reader.feed_data(bytes(4 * FREE_BYTES))
+    assert budget.used_bytes == 0
+    with pytest.raises(OverMemory):
+        await reader.readuntil(b"\n")
+
+
 def test_unidentified_clients_leave_half_of_the_sum_to_others() -> None:
     budget = MemoryBudget(10 * FREE_BYTES)
     stranger, gate = budget.open_account(), budget.open_account()
