Drain a node that leaves the list as one that was told to

Cause: ConnectionController.update_nodes took any node that is not 'draining' for one whose drain was called off, also one that is gone or not listed any more. Change: only a node that is listed as running again ends its drain. One that is not listed is drained with the usual grace while gates hold connections there; a drain that a gate inherits goes on for nodes that are gone. Measured: the four new tests fail before the change and pass with it (tests/test_connection_controller.py).

--- a/lapispass/core/connection_controller.py
+++ b/lapispass/core/connection_controller.py
@@ -24,6 +24,7 @@
 # The share of the nodes' intake for clients that were asked to come back at a given time. The rest is for
 # clients that connect on their own.
 RETURN_SHARE = 0.5
+USABLE_STATES = ("ready", "unproven", "unhealthy")  # of a node that is listed as running
 
 
 @dataclass(slots=True)
@@ -146,13 +147,12 @@
             self.replan_needed = True
         self.nodes = nodes
         for node, view in nodes.items():
-            if view.draining and node not in self.drains:
-                self.drains[node] = self.inherited_drains.pop(node, now + self.terms.usable_us)
-            elif not view.draining:
+            if view.state in USABLE_STATES:
                 # The drain was cancelled or the node is back: connections that are left there stay.
                 self.drains.pop(node, None)
-        for node in self.drains.keys() - nodes.keys():
-            del self.drains[node]
+            elif node not in self.drains and (view.draining or node in self.inherited_drains):
+                self.drains[node] = self.inherited_drains.pop(node, now + self.terms.usable_us)
+        self.forget_unlisted_drains(now)
         if now > self.started_at + SETTLE_US:
             # Only gates reported these drains; by now the nodes would be listed as draining.
             self.inherited_drains.clear()
@@ -166,6 +166,23 @@
                     view.accepts_connections and view.warmth(now, self.intake.bounds) >= 1,
                 )
 
+    def drain_unlisted(self, now: int, held: Mapping[NodeId, int]) -> None:
+        """Has connections leave nodes that are not listed any more as if these had been told to drain."""
+        for node, count in held.items():
+            if count and node not in self.nodes and node not in self.drains:
+                self.drains[node] = self.inherited_drains.pop(node, now + self.terms.usable_us)
+
+    def forget_unlisted_drains(self, now: int) -> None:
+        """Forgets drains of nodes that are not listed any more once their time is over and nothing is held
+        there."""
+        over = [node for node, deadline in self.drains.items() if node not in self.nodes and now >= deadline]
+        if not over:
+            return
+        held = self.held()
+        for node in over:
+            if not held.get(node):
+                del self.drains[node]
+
     # sums over gates
 
     def held_by_class(self, node: NodeId) -> dict[str, int]:
@@ -245,6 +262,7 @@
         if not connected:
             return
         held = self.held()
+        self.drain_unlisted(now, held)
         full = {node: self.free_share(view) for node, view in self.nodes.items()}
         draining = [
             drain.DrainingNode(
--- a/tests/test_connection_controller.py
+++ b/tests/test_connection_controller.py
@@ -141,6 +141,37 @@
     assert not third["g0"].ceilings and "n0" in third["g0"].allotted
 
 
+@pytest.mark.parametrize("state", ["unlisted", "gone", "removed"])
+def test_a_drain_goes_on_where_its_node_leaves_the_list(state: str) -> None:
+    """Guards against connections that stayed beyond the grace once their draining node was not listed."""
+    controller, ready = connection_controller(), ready_nodes("n1")
+    join_gate(controller, "g0", n0=10, n1=10)
+    controller.update_nodes(NOW, [*ready, *ready_nodes("n0", state="draining")])
+    deadline = controller.evaluate(NOW).plans["g0"].ceilings["n0"].deadline_us
+    left = [] if state == "unlisted" else ready_nodes("n0", state=state)
+    for at in (NOW + SECOND, NOW + 5 * SECOND):
+        controller.update_nodes(at, [*ready, *left])
+        controller.evaluate(at)
+        assert controller.gates["g0"].last_plan.ceilings["n0"].deadline_us == deadline
+    controller.update_nodes(NOW + 6 * SECOND, [*ready, *ready_nodes("n0")])
+    controller.evaluate(NOW + 6 * SECOND)
+    assert not controller.gates["g0"].last_plan.ceilings
+
+
+def test_a_node_that_leaves_the_list_is_drained_until_nothing_is_held_there() -> None:
+    """Guards against connections that stay for good at a node that the file does not name any more."""
+    controller = connection_controller()
+    join_gate(controller, "g0", n0=10, n1=10)
+    controller.update_nodes(NOW, ready_nodes("n0", "n1"))
+    controller.evaluate(NOW)
+    controller.update_nodes(NOW + SECOND, ready_nodes("n1"))
+    ceiling = controller.evaluate(NOW + SECOND).plans["g0"].ceilings["n0"]
+    assert ceiling.deadline_us == NOW + SECOND + controller.terms.usable_us
+    controller.report_received(ceiling.deadline_us, "g0", 9, report_rows(n1=20))
+    controller.update_nodes(ceiling.deadline_us, ready_nodes("n1"))
+    assert not controller.drains
+
+
 def test_a_controller_that_starts_anew_goes_on_with_the_drain() -> None:
     controller = connection_controller(NOW + 10 * SECOND)
     controller.update_nodes(NOW + 10 * SECOND, ready_nodes("n1"))
