Answer what a node has taken before a held connection leaves it

Cause: nothing in a gate noted that a node had taken a message and not answered it. A move closed the old connection after 0.2 s without a message; a close in order and a stop asked for nothing; a lost node's connection was moved if its reading was proven, answered or not. Change: core/outstanding_answers.py decides for all ways by which a connection leaves its node. A release waits until the node has run, shown by pings, for the class's answer time since the client's last message, and longer while fewer messages have come than went up; no message of the client begins meanwhile. It ends by the drain's deadline, or the stop's time, with a close that says when to return. New: connection_class.answer_ms (1500). Tests: the classes of tests/support_gate.py say answer_ms: 50, as their nodes answer at once and all their other times are scaled down, too: with 1.5 s a grace of 0.6 s closes every connection. No assertion is touched.

--- a/lapispass/core/connections.py
+++ b/lapispass/core/connections.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from lapispass.core.shared_types import ConnectionClass, NodeId
+from lapispass.core.outstanding_answers import OutstandingAnswers
+from lapispass.core.shared_types import NEVER, ConnectionClass, NodeId
 
 
 @dataclass(slots=True, eq=False)
@@ -24,9 +25,17 @@
     in_message: bool = False  # in the middle of a message from the client
     write_blocked: bool = False  # a message from the client waits and may not be sent yet
     releasing: bool = False  # being moved or closed
+    leave_by_us: int = NEVER  # until when that may take; a drain may set an earlier end
     failed_moves: int = 0
     messages: int = 0  # since the last report, as `octets`
     octets: int = 0
+    answers: OutstandingAnswers = field(default_factory=OutstandingAnswers)  # of its node
+
+    def count_message(self, now: int, octets: int) -> None:
+        """Counts a message, or a part of one, that has passed in either direction."""
+        self.last_message_us = now
+        self.messages += 1
+        self.octets += octets
 
     @property
     def unconfirmed(self) -> bool:
--- a/lapispass/core/shared_types.py
+++ b/lapispass/core/shared_types.py
@@ -11,6 +11,8 @@
 SECOND = 1_000_000
 NEVER = 1 << 62
 
+DEFAULT_ANSWER_US = 1_500_000
+
 NodeId = str
 
 
@@ -23,6 +25,7 @@
     movable: bool  # another node can take the connection over with nothing but its handshake
     value: float
     start_cost: float  # estimated load of one connection in requests/s, until the real cost is learned
+    answer_us: int = DEFAULT_ANSWER_US  # the longest that a node works on a message; 0: no answers are sent
 
 
 class Bounds(NamedTuple):
--- a/lapispass/core/steering.py
+++ b/lapispass/core/steering.py
@@ -18,8 +18,9 @@
 from lapispass.core.admission import Admission, Refused
 from lapispass.core.connections import ConnectionIndex, HeldConnection
 from lapispass.core.limits import ReturnSlots
+from lapispass.core.outstanding_answers import AnswerWait, OutstandingAnswers
 from lapispass.core.plans import NO_VERSION, Plan, Version
-from lapispass.core.shared_types import NEVER, ConnectionClass, NodeId
+from lapispass.core.shared_types import NEVER, ConnectionClass, DrainTerms, NodeId
 from lapispass.core.write_barriers import WriteBarriers, WriteLease
 
 MAX_DRAWS = 12  # random draws before all nodes are considered
@@ -65,8 +66,10 @@
         early_us: int,
         come_back_us: tuple[int, int],
         writes_from_us: int = 0,
+        patience_us: int = DrainTerms().usable_us,
     ) -> None:
-        """`writes_from_us`: no write is sent before, as nodes may work on those of an earlier process."""
+        """`writes_from_us`: no write is sent before, as nodes may work on those of an earlier process.
+        `patience_us`: how long the release of a connection may take where no drain sets an end."""
         self.classes = tuple(classes)
         self.tables = tables.Tables(slices)
         self.connections, self.barriers = ConnectionIndex(), WriteBarriers()
@@ -79,7 +82,7 @@
         # Connections that are bound to a slice with another owner now, in the order in which that happened.
         self.misplaced: dict[int, None] = {}
         self.last_number = 0
-        self.writes_from_us = writes_from_us
+        self.writes_from_us, self.patience_us = writes_from_us, patience_us
         self.writable = not writes_from_us  # whether writes were allowed when that was last checked
 
     # new connections
@@ -212,10 +215,33 @@
         """Whether this gate may send writes at all."""
         return now >= self.writes_from_us and (self.lease is None or self.lease.allows_writes(now))
 
-    def message_written(self, now: int, held: HeldConnection, octets: int) -> None:
-        held.written, held.last_message_us = held.written + 1, now
-        held.messages += 1
-        held.octets += octets
+    def message_written(self, now: int, held: HeldConnection, octets: int, is_complete: bool = True) -> None:
+        """A message of the client, or a part of it, has been sent to the node."""
+        held.written += 1
+        held.answers.message_sent(now, is_complete)
+        held.count_message(now, octets)
+
+    def message_received(self, now: int, held: HeldConnection, octets: int, is_complete: bool = True) -> None:
+        """A message of the node, or a part of it, has come."""
+        if is_complete:
+            held.answers.message_received()
+        held.count_message(now, octets)
+
+    def may_owe_answer(self, now: int, held: HeldConnection) -> bool:
+        """Whether the connection's node may still owe its client an answer."""
+        return held.answers.may_be_owed(now, held.kind.answer_us, self.patience_us)
+
+    def wait_for_answers(
+        self, now: int, held: HeldConnection, probe_interval_us: int, needs_proof: bool
+    ) -> AnswerWait:
+        """Begins to wait for what the connection's node may owe. No further message is sent to it."""
+        answer_us = held.kind.answer_us
+        return AnswerWait(held.answers, answer_us, self.patience_us, probe_interval_us, now, needs_proof)
+
+    def leave_by(self, held: HeldConnection) -> int:
+        """When a connection that is being released must have left its node."""
+        ceiling = self.plan.ceilings.get(held.node)
+        return held.leave_by_us if ceiling is None else min(held.leave_by_us, ceiling.deadline_us)
 
     def read_confirmed(self, held: HeldConnection, written: int) -> list[int]:
         """The node has read as many pieces as had been written when the connection was last stopped.
@@ -243,10 +269,12 @@
 
     # moves
 
-    def begin_release(self, held: HeldConnection) -> None:
+    def begin_release(self, now: int, held: HeldConnection, leave_by_us: int = NEVER) -> None:
+        """A connection is to leave its node, by `leave_by_us` at the latest."""
         if not held.releasing:
-            held.releasing = True
+            held.releasing, held.leave_by_us = True, now + self.patience_us
             self._add(self.releasing, held.node, 1)
+        held.leave_by_us = min(held.leave_by_us, leave_by_us)
 
     def cancel_release(self, held: HeldConnection) -> None:
         """A connection is not being released any more, for example because its move failed."""
@@ -268,7 +296,7 @@
         self._add(self.opening, admitted.node, -1)
         self.cancel_release(held)
         self.connections.move(held, admitted.node)
-        held.read = held.written
+        held.read, held.answers = held.written, OutstandingAnswers()
         self.misplaced.pop(held.number, None)
         self.barriers.confirm(held.number)
         return self.barriers.take_completed()
--- a/lapispass/gate/close_codes.py
+++ b/lapispass/gate/close_codes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+LEAVING_GATE = 1001
+RESTARTING = 1012
 TRY_AGAIN_LATER = 1013
 NONE = 1005  # stands for a close frame without a code
 FIRST_PRIVATE_CODE = 3000
--- a/lapispass/gate/move.py
+++ b/lapispass/gate/move.py
@@ -10,6 +10,7 @@
 from lapispass.core.connections import HeldConnection
 from lapispass.core.shared_types import NEVER
 from lapispass.core.steering import Admitted
+from lapispass.gate.answer_watch import AnswerWatch
 from lapispass.gate.frames import Side
 from lapispass.gate.limits import Limits
 from lapispass.gate.node_connection import UpgradeFailed
@@ -24,18 +25,18 @@
 
     opening: the connection to the new node is made while the old node serves on;
     stopping: no new message of the client begins; one that has begun is finished;
-    proving: a ping to the old node must be answered, which shows that it has read everything;
+    answering: the old node has read everything, and sends the answers that it owes;
     quieting: the gate waits until the old node sends nothing;
     parting: the old node has been sent a close frame, and its answer is awaited.
     """
 
-    __slots__ = ("go", "new", "opening", "step", "token", "until")
+    __slots__ = ("go", "new", "opening", "step", "until", "watch")
 
     def __init__(self, go: Admitted, opening: asyncio.Task[tuple[Side, str | None]]) -> None:
         self.go, self.opening = go, opening
         self.step = "opening"
         self.new: Side | None = None
-        self.token = 0  # of the ping whose answer shows that the old node has read everything
+        self.watch: AnswerWatch | None = None  # in step 'answering'
         self.until = NEVER
 
     def take_opened(self, protocol: str | None, until: int) -> bool:
@@ -52,14 +53,13 @@
         self.step, self.until = "stopping", until
         return True
 
-    def prove(self, old: Side, held: HeldConnection, now: int, limits: Limits) -> bool:
-        """Has the old node show that it has read everything. True in the call in which it has done so."""
-        if self.step == "stopping" and not held.in_message:
-            self.step, self.token = "proving", old.ping(now)
-        if self.step == "proving" and old.acked_token >= self.token:
-            self.step, self.until = "quieting", now + limits.fence_us
-            return True
-        return False
+    def start_answering(self, watch: AnswerWatch) -> None:
+        """The client's last message for the old node has been sent."""
+        self.step, self.until, self.watch = "answering", NEVER, watch
+
+    def start_quieting(self, until: int) -> None:
+        """The old node owes nothing."""
+        self.step, self.until = "quieting", until
 
     def close_when_quiet(self, old: Side, held: HeldConnection, now: int, limits: Limits) -> None:
         """Closes the connection to the old node between two of its messages, once it is quiet or the time
@@ -69,10 +69,14 @@
             old.close(1000, "moved")
             self.step, self.until = "parting", now + limits.close_us
 
-    def next_due(self, held: HeldConnection, limits: Limits) -> int:
+    def next_due(self, now: int, held: HeldConnection, limits: Limits) -> int:
         """The time at which something has to be done even if nothing is received."""
-        quiet_at = held.last_message_us + limits.quiet_us if self.step == "quieting" else NEVER
-        return min(self.until, quiet_at)
+        due = self.until
+        if self.step == "quieting":
+            due = min(due, held.last_message_us + limits.quiet_us)
+        if self.step == "answering" and self.watch is not None:
+            due = min(due, self.watch.next_due(now))
+        return due
 
     def abandon(self) -> None:
         """Ends the connection to the new node, now or as soon as it is open."""
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -12,6 +12,7 @@
 from lapispass.core.plans import Plan
 from lapispass.core.shared_types import DrainTerms
 from lapispass.core.steering import Steering
+from lapispass.gate import close_codes
 from lapispass.gate.evented_reader import EventedProtocol, EventedReader
 from lapispass.gate.handshake import Handshake
 from lapispass.gate.limits import Limits
@@ -59,6 +60,7 @@
             2 * self.limits.fence_us,
             (self.terms.come_back_least_us, self.terms.come_back_most_us),
             self.clock.now() + write_life_us if is_standalone else 0,
+            self.terms.usable_us,
         )
         self.tunnels: dict[int, Tunnel] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -157,11 +159,11 @@
             for background_task in done:
                 background_task.result()
         finally:
-            for background_task in background_tasks:
-                background_task.cancel()
             self.server.close(self.limits.handshakes_at_once)
             await asyncio.gather(*self.server.tasks, return_exceptions=True)
-            await self.close_all()
+            await self.close_all()  # meanwhile the tables are followed and the lease is checked
+            for background_task in background_tasks:
+                background_task.cancel()
             await asyncio.gather(*background_tasks, return_exceptions=True)
             self.print_counters()
 
@@ -169,15 +171,15 @@
         self.ended.set()
 
     async def close_all(self) -> None:
-        """Ends all connections when the gate stops. Each client gets a close frame with a time to come back,
-        and each node gets a close frame. Upgrades under way are refused."""
+        """Ends all connections when the gate stops. Each client gets the answers that its node owes, as far
+        as the time of the stop allows, and a close frame with a time to come back; each node gets a close
+        frame. Upgrades under way are refused."""
         now = self.clock.now()
+        leave_by = now + self.limits.stop_us - self.limits.flush_us
         for task in self.upgrading:
             task.cancel()
         for tunnel in list(self.tunnels.values()):
-            tunnel.end_reason = "gate ended"
-            tunnel.close_with_retry_delay(1001, now)
-            tunnel.wake.set()
+            tunnel.close_when_answered(close_codes.LEAVING_GATE, "gate ended", now, leave_by=leave_by)
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=self.limits.stop_us / 1e6)
         for task in self.tasks:
@@ -244,7 +246,7 @@
                 self.standalone.tick(now)
             for release in self.steering.tick(now, tick_us):
                 if tunnel := self.tunnels.get(release.number):
-                    self.steering.begin_release(tunnel.held)
+                    self.steering.begin_release(now, tunnel.held)
                     tunnel.release = release.how
                     tunnel.wake.set()
 
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -11,8 +11,10 @@
 from lapispass.core.admission import Refused
 from lapispass.core.connections import HeldConnection
 from lapispass.core.memory_budget import FREE_BYTES, MemoryAccount
+from lapispass.core.outstanding_answers import WaitState
 from lapispass.core.shared_types import NEVER
 from lapispass.gate import close_codes
+from lapispass.gate.answer_watch import AnswerWatch, PendingClose
 from lapispass.gate.evented_reader import EventedReader
 from lapispass.gate.frames import Side
 from lapispass.gate.handshake import Accepted, return_delay_us
@@ -65,6 +67,7 @@
         "move",
         "node",
         "opener",
+        "pending_close",
         "pending_message",
         "proof",
         "proof_until",
@@ -92,6 +95,7 @@
         self.held: HeldConnection = gate.steering.established(now, accepted.kind, accepted.go, accepted.key)
         self.pending_message: Message[Any] | None = None  # a client's message that may not be sent on yet
         self.move: Move | None = None
+        self.pending_close: PendingClose | None = None
         self.closing: CloseHandshake | None = None
         self.finished, self.end_reason = False, "broken"
         self.discarding = False  # after the gate's own close: messages that may not be sent are dropped
@@ -184,9 +188,10 @@
             self.close_with_retry_delay(close_codes.TRY_AGAIN_LATER, now)
 
     def may_begin(self, now: int) -> bool:
-        """Whether a new message of the client may be sent to the node now, by the tables and a move under
-        way."""
+        """Whether a new message of the client may be sent to the node now, by the tables and a move or close
+        under way."""
         is_switching = self.move is not None and (self.move.step != "opening" or self.node is None)
+        is_switching = is_switching or self.pending_close is not None
         return (
             self.node is not None
             and not is_switching
@@ -202,7 +207,7 @@
         self.held.in_message = self.client.mid_message
         if self.node is not None and self.node.forward(event):
             self.count_memory(now)
-            self.gate.steering.message_written(now, self.held, len(event.data))
+            self.gate.steering.message_written(now, self.held, len(event.data), event.message_finished)
             self.gate.counters["messages.up"] += event.message_finished
 
     async def read_node(self, now: int) -> None:
@@ -229,9 +234,11 @@
                         return
                     self.client.forward(event)
                     self.count_memory(now)
-                    self.held.last_message_us = now
-                    self.held.messages += 1
-                    self.held.octets += len(event.data)
+                    self.gate.steering.message_received(
+                        now, self.held, len(event.data), event.message_finished
+                    )
+                    if (watch := self.answer_watch()) is not None:
+                        watch.wait.message_received()
                     self.gate.counters["messages.down"] += event.message_finished
                 case Ping():
                     node.send(event.response())
@@ -292,7 +299,12 @@
         are never sent again."""
         gate, held, node = self.gate, self.held, self.node
         gate.counters["nodes.lost"] += 1
-        cut_short = held.unconfirmed or held.in_message or (node is not None and node.mid_message)
+        cut_short = (
+            held.unconfirmed
+            or held.in_message
+            or (node is not None and node.mid_message)
+            or gate.steering.may_owe_answer(now, held)
+        )
         if node is not None:
             node.reset()  # nothing more reaches the node, which is as good as read for rule 2
         self.node = None
@@ -310,13 +322,14 @@
         ):
             self.switch(now)  # the old node had read everything before it was lost
             return
-        if held.kind.movable and not cut_short and self.move is None:
+        if held.kind.movable and not cut_short and self.move is None and self.pending_close is None:
             self.begin_move(now)
         if self.move is None or cut_short:
             self.drop_move()
             gate.log.rate_limited("node lost", node=held.node, why=why)
             self.end_reason = "node lost"
-            self.close_with_retry_delay(1012, now)
+            pending = self.pending_close
+            self.close_with_retry_delay(close_codes.RESTARTING if pending is None else pending.code, now)
 
     # moves and closes that the gate asks for
 
@@ -326,6 +339,10 @@
             return
         self.follow_release(now)
         self.advance_fence_and_move(now)
+        if self.pending_close is not None:
+            self.advance_pending_close(self.pending_close, now)
+        if not self.finished:
+            self.check_deadline(now)
         if not self.finished:
             self.check_peers(now)
         if not self.finished:
@@ -333,14 +350,14 @@
 
     def follow_release(self, now: int) -> None:
         """Starts the move or close that the steering has ordered."""
-        if not self.release or self.move is not None or self.closing is not None:
+        is_leaving = self.move is not None or self.pending_close is not None or self.closing is not None
+        if not self.release or is_leaving:
             return
         action, self.release = self.release, ""
         if action == "move" and self.node is not None:
             self.begin_move(now)
         elif action == "close":
-            self.end_reason = "closed in order"
-            self.close_with_retry_delay(1012, now)
+            self.close_when_answered(close_codes.RESTARTING, "closed in order", now)
 
     def advance_fence_and_move(self, now: int) -> None:
         """Advances the fence, if one is open, and the move under way."""
@@ -360,8 +377,7 @@
 
     def check_times(self, now: int) -> None:
         """Checks the idle time-out and the time limit of a close handshake."""
-        idle_us, idle_for = self.limits.idle_us, now - self.held.last_message_us
-        if idle_us and idle_for > idle_us and self.closing is None and self.move is None:
+        if self.is_idle(now):
             self.end_reason = "idle"
             self.close(1000, "idle", now)
         if self.closing is None or now < self.closing.until:
@@ -372,6 +388,13 @@
         else:
             self.finished = True
 
+    def is_idle(self, now: int) -> bool:
+        """Whether no message has passed for the idle time-out, and none is due."""
+        idle_us, idle_for = self.limits.idle_us, now - self.held.last_message_us
+        if not idle_us or idle_for <= idle_us or self.closing is not None or self.move is not None:
+            return False
+        return self.pending_close is None and not self.gate.steering.may_owe_answer(now, self.held)
+
     def peer_failed(self, side: Side, why: str, now: int) -> None:
         """Handles a peer that does not read or answer: it counts as gone."""
         if side is self.client:
@@ -417,7 +440,7 @@
         if isinstance(target, Refused):
             self.gate.steering.cancel_release(self.held)
             return
-        self.gate.steering.begin_release(self.held)
+        self.gate.steering.begin_release(now, self.held)
         opening = asyncio.get_running_loop().create_task(self.opener.open(target))
         opening.add_done_callback(lambda _: self.wake.set())
         self.move = Move(target, opening)
@@ -437,13 +460,95 @@
                 return
         if self.node is None:
             return
-        if move.prove(self.node, held, now, limits):
-            self.proven()
+        if move.step == "stopping" and not held.in_message:
+            move.start_answering(self.watch_answers(now, needs_proof=True))
+        if move.step == "answering":
+            self.advance_answering(move, self.node, now)
+            if self.move is not move:
+                return
         move.close_when_quiet(self.node, held, now, limits)
         if now >= move.until:
             self.gate.counters["moves.broken"] += 1
             self.node_lost(f"move timed out in step {move.step}", now)
 
+    def advance_answering(self, move: Move, old: Side, now: int) -> None:
+        """Waits for the answers that the old node may owe. Where they are late, the client is closed in order
+        once they have come: it is not known then whether that was all."""
+        watch = move.watch
+        assert watch is not None
+        was_probed = watch.wait.is_probed
+        state = watch.advance(old, now)
+        if watch.wait.is_probed and not was_probed:
+            self.proven()
+        if state is WaitState.SETTLED:
+            move.start_quieting(now + self.limits.quiet_us)
+        elif state is WaitState.LATE or self.is_waiting_in_vain(watch, now):
+            self.close_when_answered(close_codes.RESTARTING, "closed in order", now)
+
+    def watch_answers(self, now: int, needs_proof: bool) -> AnswerWatch:
+        """Begins to wait for the answers that the node may owe."""
+        steering, probe_interval_us = self.gate.steering, self.limits.quiet_us
+        return AnswerWatch(steering.wait_for_answers(now, self.held, probe_interval_us, needs_proof))
+
+    def answer_watch(self) -> AnswerWatch | None:
+        """The wait for the node's answers that is under way."""
+        if self.pending_close is not None:
+            return self.pending_close.watch
+        return self.move.watch if self.move is not None and self.move.step == "answering" else None
+
+    def is_waiting_in_vain(self, watch: AnswerWatch, now: int) -> bool:
+        """Whether the client already asks for more, which this node will not be sent, while answers are
+        late."""
+        return self.pending_message is not None and watch.wait.is_overdue(now)
+
+    def close_when_answered(self, code: int, end_reason: str, now: int, leave_by: int = NEVER) -> None:
+        """Closes the client's connection in order once its node owes it nothing, by the deadline of the
+        release at the latest. From now on no message of the client begins."""
+        if self.closing is not None:
+            return
+        watch = self.answer_watch()
+        if self.held.releasing:
+            leave_by = min(leave_by, self.held.leave_by_us)
+        self.drop_move()
+        self.gate.steering.begin_release(now, self.held, leave_by)
+        self.pending_close = PendingClose(code, end_reason, watch)
+        self.wake.set()
+
+    def advance_pending_close(self, pending: PendingClose, now: int) -> None:
+        """Closes the client's connection if nothing is waited for any more."""
+        node = self.node
+        if node is None or node.sent_close:
+            self.close_now(now)
+            return
+        if self.held.in_message:
+            return
+        if pending.watch is None:
+            pending.watch = self.watch_answers(now, needs_proof=False)
+        state = pending.watch.advance(node, now)
+        is_answered = state is WaitState.SETTLED and not node.mid_message
+        if is_answered or self.is_waiting_in_vain(pending.watch, now):
+            self.close_now(now)
+
+    def close_now(self, now: int) -> None:
+        """Closes the client's connection with a time to come back, whatever its node still owes."""
+        pending = self.pending_close
+        # A message that was held back is not accepted any more: its answer could not reach the client.
+        self.discarding = not self.client.mid_message
+        self.end_reason = "closed in order" if pending is None else pending.end_reason
+        self.close_with_retry_delay(close_codes.RESTARTING if pending is None else pending.code, now)
+
+    def check_deadline(self, now: int) -> None:
+        """Ends a release that has not ended by its deadline."""
+        if self.closing is not None or (self.move is None and self.pending_close is None):
+            return
+        if now < self.gate.steering.leave_by(self.held):
+            return
+        if self.move is not None and self.move.step == "parting":
+            self.gate.counters["moves.broken"] += 1
+            self.node_lost("has not closed by the deadline", now)  # it owes nothing any more
+        else:
+            self.close_now(now)
+
     def move_failed(self, why: str, now: int) -> None:
         """The new node did not accept the connection. The old node serves on; if it is gone, the client is
         closed with a time to come back."""
@@ -454,7 +559,7 @@
         self.held.failed_moves += 1
         if self.node is None:
             self.end_reason = "node lost"
-            self.close_with_retry_delay(1012, now)
+            self.close_with_retry_delay(close_codes.RESTARTING, now)
 
     def drop_move(self) -> None:
         """Abandons the move and gives back the capacity reserved at the new node."""
@@ -483,7 +588,8 @@
         if self.closing is not None:
             return
         self.drop_move()
-        self.gate.steering.begin_release(self.held)
+        self.pending_close = None
+        self.gate.steering.begin_release(now, self.held)
         if not self.client.close(code, reason):
             self.close_node(1001, now)
             return
@@ -524,7 +630,11 @@
         if self.closing is not None:
             due = min(due, self.closing.until)
         if self.move is not None:
-            due = min(due, self.move.next_due(self.held, limits))
+            due = min(due, self.move.next_due(now, self.held, limits))
+        if self.pending_close is not None and self.pending_close.watch is not None:
+            due = min(due, self.pending_close.watch.next_due(now))
+        if self.closing is None and (self.move is not None or self.pending_close is not None):
+            due = min(due, self.gate.steering.leave_by(self.held))
         return max(due, now + 1000)
 
     def tear_down(self) -> None:
--- a/lapispass/operator/read.py
+++ b/lapispass/operator/read.py
@@ -10,7 +10,7 @@
 from google.protobuf import text_format
 
 from lapispass.core import transient_errors
-from lapispass.core.shared_types import Bounds, ConnectionClass, DrainTerms
+from lapispass.core.shared_types import DEFAULT_ANSWER_US, Bounds, ConnectionClass, DrainTerms
 from lapispass.interface import Deployment, RequestClass
 from lapispass.operator import memory
 from lapispass.operator.line_numbers import line_numbers
@@ -104,6 +104,12 @@
                 yield at(f"{field}.path_prefix", f"unreachable: {earlier.name!r} matches every such path")
         if kind.HasField("benefit") and not 0 <= kind.benefit < 1e6:
             yield at(f"{field}.benefit", f"expected a number from 0 to a million, got {kind.benefit}")
+        usable_ms = drain_terms(settings).usable_us // MS
+        if kind.answer_ms and kind.answer_ms >= usable_ms:
+            yield at(
+                f"{field}.answer_ms",
+                f"{kind.answer_ms} is not shorter than the grace period without its margin, {usable_ms}",
+            )
     nodes = settings.nodes
     if nodes.HasField("connections") and not nodes.connections:
         yield at("nodes.connections", "0 would reject all connections")
@@ -288,6 +294,7 @@
             kind.movable,
             kind.benefit if kind.HasField("benefit") else 1.0,
             kind.start_cost_milli / 1000 if kind.HasField("start_cost_milli") else 0.05,
+            kind.answer_ms * MS if kind.HasField("answer_ms") else DEFAULT_ANSWER_US,
         )
         for kind in settings.connection_class
     )
--- a/tests/support_gate.py
+++ b/tests/support_gate.py
@@ -49,9 +49,9 @@
     retry_max_us=50 * MS,
 )
 CLASSES = """
-connection_class { name: "board" path_prefix: "/board" movable: true }
-connection_class { name: "till" path_prefix: "/till" writes: true }
-connection_class { name: "desk" path_prefix: "/desk" writes: true movable: true }
+connection_class { name: "board" path_prefix: "/board" movable: true answer_ms: 50 }
+connection_class { name: "till" path_prefix: "/till" writes: true answer_ms: 50 }
+connection_class { name: "desk" path_prefix: "/desk" writes: true movable: true answer_ms: 50 }
 """
 
 
@@ -80,6 +80,8 @@
     bounds: str = "",
     write_life_ms: int = 1,
     lines: Mapping[int, str] | None = None,
+    classes: str = CLASSES,
+    margin_ms: int = 200,
 ) -> str:
     """An operator file for a standalone gate, with the address and state of each node."""
     entries = [
@@ -88,7 +90,7 @@
     ]
     entries += [f'line {{ slice: {number} owner: "{owner}" }}' for number, owner in (lines or {}).items()]
     return (
-        f"{CLASSES}\ndrain {{ grace_ms: {grace_ms} margin_ms: 200 come_back_least_ms: 50 }}\n"
+        f"{classes}\ndrain {{ grace_ms: {grace_ms} margin_ms: {margin_ms} come_back_least_ms: 50 }}\n"
         f"nodes {{ {bounds} }}\n"
         f'gate {{ name: "g" listen: "127.0.0.1:0" slices: 12 key_parameter: "key" '
         f"write_life_ms: {write_life_ms} {more} }}\n" + "\n".join(entries)
