Keep a message whose node's connection was just lost, instead of dropping it

Cause: Tunnel.forward_to_node dropped what Side.forward could not send, since the transport was closing already; node_lost then found nothing cut short and moved the connection. Change: a message begins only if the node can be sent to, and waits for the next node otherwise; where the rest of a message cannot be sent, it counts as cut short and the client is closed with when to return.

--- a/lapispass/gate/frames.py
+++ b/lapispass/gate/frames.py
@@ -97,10 +97,14 @@
             self.message_size = 0
         return True
 
+    @property
+    def can_send(self) -> bool:
+        """Whether anything may be sent: not after a close frame, nor on a lost connection."""
+        return not self.sent_close and not self.writer.transport.is_closing()
+
     def send(self, event: Event) -> bool:
-        """Sends an event and says whether that was possible. It is not after a close frame or on a lost
-        connection."""
-        if self.sent_close or self.writer.transport.is_closing():
+        """Sends an event and says whether that was possible."""
+        if not self.can_send:
             return False
         try:
             data = self.state.send(event)
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -195,8 +195,8 @@
         return (
             self.node is not None
             and not is_switching
-            and not self.node.sent_close
-            and (self.gate.steering.may_write(now, self.held))
+            and self.node.can_send
+            and self.gate.steering.may_write(now, self.held)
         )
 
     def forward_to_node(self, event: Message[Any], now: int) -> None:
@@ -204,11 +204,13 @@
         if not self.client.count_fragment(event, self.limits.message_bytes):
             self.close(1009, "message too long", now)
             return
+        if self.node is None or not self.node.forward(event):
+            self.held.in_message = True  # the rest of this message reaches no node
+            return
         self.held.in_message = self.client.mid_message
-        if self.node is not None and self.node.forward(event):
-            self.count_memory(now)
-            self.gate.steering.message_written(now, self.held, len(event.data), event.message_finished)
-            self.gate.counters["messages.up"] += event.message_finished
+        self.count_memory(now)
+        self.gate.steering.message_written(now, self.held, len(event.data), event.message_finished)
+        self.gate.counters["messages.up"] += event.message_finished
 
     async def read_node(self, now: int) -> None:
         """Forwards what the node sends to the client."""
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -12,6 +12,7 @@
 import pytest
 from support_gate import MS, SHORT_LIMITS, StandaloneGate, standalone_file, standalone_gate, until
 from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
 from working_nodes import AskingClient, Work, WorkingNode, asking
 
 from lapispass.core.tables import slice_of
@@ -251,3 +252,26 @@
     with pytest.raises(operator.BadFile) as caught:
         operator.read(file)
     assert f"{file}:2: connection_class.answer_ms: 2200 is not shorter" in str(caught.value)
+
+
+@pytest.mark.parametrize("steps", range(5))
+async def test_a_message_that_comes_as_its_node_dies_is_answered_or_closed(
+    tmp_path: Path, steps: int
+) -> None:
+    """Guards against a message that was dropped since the node's connection had just been lost, in any order
+    of the two events."""
+    async with working_gate(tmp_path, Work(work_s=0.05)) as env:
+        connections = [await connect(env.url("/board"), compression=None) for _ in range(CLIENTS)]
+        dying = env.nodes[serving(env)]
+        dying.die()  # type: ignore[attr-defined]
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        for connection in connections:
+            await connection.send("question")
+        for connection in connections:
+            async with asyncio.timeout(3):
+                try:
+                    assert str(await connection.recv()).endswith(" end")
+                except ConnectionClosed:
+                    assert connection.close_code == 1012
+            await connection.close()
--- a/tests/working_nodes.py
+++ b/tests/working_nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
 
+from lapispass.gate.frames import RESET
 from lapispass.standins.held_client import RECONNECT_HINT
 from lapispass.standins.nodes import CounterNode
 
@@ -93,6 +95,13 @@
                 transport.resume_reading()
         self.runs.set()
 
+    def die(self) -> None:
+        """Resets every connection, as the system does for a process that is gone."""
+        for connection in self.held:
+            raw_socket = connection.transport.get_extra_info("socket")
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.kill()
+
     async def stop(self) -> None:
         """Stops the node, also while it stands still."""
         self.runs.set()
