Release a connection that was opened across a handover of its slice

Cause: Steering.established did not note that the slice's owner had changed while the connection was being opened, so no tick released it. Change: it is noted as misplaced there, as apply_changes does for connections that are held.

--- a/lapispass/core/steering.py
+++ b/lapispass/core/steering.py
@@ -192,6 +192,8 @@
         self.last_number += 1
         held = HeldConnection(self.last_number, kind, admitted.slice, admitted.node, now, now, key or "")
         self.connections.add(held)
+        if self.is_misplaced(held):  # its slice moved while the connection was being opened
+            self.misplaced[held.number] = None
         return held
 
     def closed(self, held: HeldConnection) -> list[int]:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -7,6 +7,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from support_core import BOARD, NOW, ROOMY, TILL, falling_ceiling, key_of, open_connection, steering
@@ -60,6 +61,22 @@
     assert not gate.may_write(NOW, till)  # it is connected to the former owner
 
 
+@pytest.mark.parametrize("between", [["n1"], [None, "n1"], [None]])
+def test_a_connection_that_was_opened_across_a_handover_goes_to_the_new_owner(
+    between: list[str | None],
+) -> None:
+    """Guards against a message that waits for good: its node is not the owner, and nobody releases it."""
+    gate = steering()
+    admitted = gate.admit(NOW, TILL, key_of(0))
+    assert isinstance(admitted, Admitted) and admitted.node == "n0"
+    for owner in between:
+        gate.apply_changes([SetOwner(0, owner)])
+    till = gate.established(NOW, TILL, admitted, key_of(0))
+    assert not gate.may_write(NOW, till)
+    gate.apply_changes([SetOwner(0, "n1")])
+    assert gate.tick(NOW, SECOND // 10) == [release_policy.Release(till.number, "close")]
+
+
 def test_a_writer_that_has_written_nothing_new_holds_up_no_barrier() -> None:
     gate = steering()
     till = open_connection(gate, TILL, key_of(0))
