Close a client whose message waited too long, instead of dropping it as silent

Callers saw: a client whose message could not be sent on was cut off without a close after 30 s. Cause: what is behind a waiting message is not read, a pong either, so the client counted as silent. Change: such a client is closed with when to return. The time is as it was, ping_us and pong_us. Measured: the new test of tests/test_owed_answers.py failed before (code 1006) and passes now.

--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -16,7 +16,7 @@
 from lapispass.gate import close_codes
 from lapispass.gate.answer_watch import AnswerWatch, PendingClose
 from lapispass.gate.evented_reader import EventedReader
-from lapispass.gate.frames import Side
+from lapispass.gate.frames import PeerFailure, Side
 from lapispass.gate.handshake import Accepted, return_delay_us
 from lapispass.gate.host import GateHost
 from lapispass.gate.move import Move, MoveFailed
@@ -265,7 +265,7 @@
     def client_lost(self, now: int) -> None:
         if self.closing is None:
             self.end_reason = "screen lost"
-        self.close_node(1001, now)
+        self.close_node(close_codes.LEAVING_GATE, now)
 
     def close_node(self, code: int, now: int) -> None:
         """Starts the close handshake with the node, the second half of every end. The node's answer shows
@@ -386,7 +386,7 @@
             return
         if self.closing.step == "client":  # no answer from the client: the node is closed all the same
             self.gate.counters["screens.close_unanswered"] += 1
-            self.close_node(1001, now)
+            self.close_node(close_codes.LEAVING_GATE, now)
         else:
             self.finished = True
 
@@ -397,14 +397,18 @@
             return False
         return self.pending_close is None and not self.gate.steering.may_owe_answer(now, self.held)
 
-    def peer_failed(self, side: Side, why: str, now: int) -> None:
+    def peer_failed(self, side: Side, failure: PeerFailure, now: int) -> None:
         """Handles a peer that does not read or answer: it counts as gone."""
-        if side is self.client:
+        if side is self.client and failure is PeerFailure.SILENT and self.pending_message is not None:
+            # Its pongs are not read either while its message waits, so nothing shows that it is gone.
+            self.end_reason = "message waited too long"
+            self.close_with_retry_delay(close_codes.RESTARTING, now)
+        elif side is self.client:
             side.writer.transport.abort()
-            self.end_reason = f"screen {why}"
-            self.close_node(1001, now)
+            self.end_reason = f"screen {failure}"
+            self.close_node(close_codes.LEAVING_GATE, now)
         else:
-            self.node_lost(why, now)
+            self.node_lost(failure, now)
 
     def start_fence(self, now: int, until: int = NEVER) -> None:
         """Opens a fence: the tables have changed, so the node has to show that it has read everything that
@@ -593,7 +597,7 @@
         self.pending_close = None
         self.gate.steering.begin_release(now, self.held)
         if not self.client.close(code, reason):
-            self.close_node(1001, now)
+            self.close_node(close_codes.LEAVING_GATE, now)
             return
         self.gate.counters[f"screens.closed_{close_codes.label(code)}"] += 1
         self.closing = CloseHandshake("client", now + self.limits.close_us)
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -238,6 +238,18 @@
         assert times["switch"] - times["begin_move"] < ANSWER_MS / 2000
 
 
+async def test_a_client_whose_message_waits_too_long_is_closed_with_when_to_return(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a client that was dropped as silent, since the gate read no pong behind its message."""
+    async with standalone_gate(tmp_path, 1) as env, connect(env.url("/till?key=a")) as till:
+        monkeypatch.setattr(env.gate.steering, "may_write", lambda now, held: False)
+        await till.send("w a 1")
+        with pytest.raises(ConnectionClosed):
+            await asyncio.wait_for(till.recv(), 3)
+        assert till.close_code == 1012 and "come-back-ms=" in (till.close_reason or "")
+
+
 @pytest.mark.parametrize(("answer_ms", "is_refused"), [(0, False), (2_199, False), (2_200, True)])
 def test_an_answer_time_that_no_drain_allows_is_refused(
     tmp_path: Path, answer_ms: int, is_refused: bool
