Send a write listener in full that may have expired while the controller stood still

Cause: Client.advance renewed the listener without its content, as if it had not run out meanwhile. A renewal does not bring back a resource that has expired, and the client acknowledges it all the same. Change: a renewal that may arrive after the listener has expired carries its content. The client stays counted as a proxy throughout, so nothing else changes for handovers.

--- a/lapispass/core/clients.py
+++ b/lapispass/core/clients.py
@@ -161,7 +161,7 @@
             and now - self.renewed_at >= self.limits.renewal_interval_us
             and self.is_current(now)
         ):
-            update = self.watches["lds"].renew(WRITES, now)
+            update = self.watches["lds"].renew(WRITES, now, in_full=self.may_expire_before_renewal(now))
             if update is not None:
                 self.renewed_at = now
                 step.updates.append(update)
@@ -180,6 +180,14 @@
         allowed_us = min(self.limits.delivery_margin_us, self.limits.max_renewal_unacked_us)
         return now <= self.watches["eds"].unacked_since + allowed_us
 
+    def may_expire_before_renewal(self, now: int) -> bool:
+        """Whether the client's write listener may have expired before a renewal sent now arrives.
+
+        None was sent in time where this process stood still. A renewal without the content does not bring
+        back a listener that has expired, and the client acknowledges it all the same.
+        """
+        return now + self.limits.delivery_margin_us >= self.renewed_at + self.limits.ttl_us
+
     def is_expired(self, now: int) -> bool:
         """Whether renewals were withheld until the client's write listener may have expired."""
         return (
--- a/lapispass/core/versions.py
+++ b/lapispass/core/versions.py
@@ -231,8 +231,8 @@
             }
         return self._send(Update(self.kind, self._nonce(), items, tuple(removed)), now)
 
-    def renew(self, name: str, now: int) -> Update | None:
-        """A response that renews a resource's time to live.
+    def renew(self, name: str, now: int, in_full: bool = False) -> Update | None:
+        """A response that renews a resource's time to live, and brings the resource back if it is in full.
 
         None while a response of this kind is in flight, or if the client does not hold the current version.
         """
@@ -243,7 +243,7 @@
         if self.is_sotw and self.kind in FULL_STATE_KINDS:  # the client would remove any that is left out
             items = {other: resource for other, resource in self.cache.by_kind[self.kind].items()
                      if self.wants(other) and other not in self.hidden}  # fmt: skip
-        return self._send(Update(self.kind, self._nonce(), items, (), True), now)
+        return self._send(Update(self.kind, self._nonce(), items, (), not in_full), now)
 
     def _nonce(self) -> str:
         self.last_nonce += 1
--- a/tests/test_xds_core.py
+++ b/tests/test_xds_core.py
@@ -363,6 +363,24 @@
     assert client.advance(later + LIMITS.ack_timeout_us + 1, 1, deque(), numbers).left == 5
 
 
+@pytest.mark.parametrize("paused_renewals", [1, 2, 3, 8])
+def test_a_write_listener_that_may_have_expired_in_a_pause_is_sent_in_full(paused_renewals: int) -> None:
+    """Guards against clients that may not write again, for as long as their stream stands: a renewal does not
+    bring back a listener that has expired."""
+    cache = make_cache()
+    client, numbers = make_client(cache)
+    settle(client, numbers)
+    pause_us = paused_renewals * LIMITS.renewal_interval_us
+    step = client.advance(NOW + pause_us, 0, deque(), numbers)
+    arrives_us = pause_us + LIMITS.delivery_margin_us
+    assert [update.is_renewal for update in step.updates] == [arrives_us < LIMITS.ttl_us]
+    assert WRITES in step.updates[0].resources
+    assert step.left is None
+    client.watches["lds"].handle_answer(step.updates[0].nonce, False, NOW + pause_us + 1)
+    again = client.advance(NOW + pause_us + LIMITS.renewal_interval_us, 0, deque(), numbers)
+    assert [update.is_renewal for update in again.updates] == [True]
+
+
 def test_without_the_controllers_own_session_nobody_writes() -> None:
     """A controller that was paused would have let new clients write by its outdated tables."""
     cache = make_cache()
