Write a log line again whose system call fails for a moment

Cause: at most one line is buffered and further ones are dropped; with poll(2) failing 6 times in 10, as the soak injects (POLL ENOMEM), the line after one that waits is lost. The log of the failed run shows it: clients join 2 ms after the start, and the lines between are missing. That run cannot be played again, so this is by its log and the new test, not by a second run. Change: a call that fails is made again, 32 times at most, before the line waits for the next one.

--- a/lapispass/net/log.py
+++ b/lapispass/net/log.py
@@ -10,6 +10,7 @@
 import time
 
 UNQUOTED = re.compile(r"[\w.:/+@%,;<>()-]+\Z")
+MAX_FAILURES = 32  # of system calls in a row, before a line waits for the next one
 MAX_LINE_BYTES = 4000  # less than PIPE_BUF, so that a pipe takes a line in one write
 
 
@@ -67,12 +68,17 @@
 
     def flush_pending(self) -> None:
         """Writes as much of the buffered line as the descriptor takes."""
-        try:
-            while self.unwritten and self.poll.poll(0):
+        failures = 0
+        while self.unwritten and failures < MAX_FAILURES:
+            try:
+                if not self.poll.poll(0):
+                    return
                 written = os.write(self.descriptor, self.unwritten)
                 self.unwritten = self.unwritten[written:]
-        except OSError:
-            pass  # tried again with the next line
+            except BlockingIOError:
+                return
+            except OSError:
+                failures += 1  # most last for a moment; otherwise it is tried again with the next line
 
 
 def start(descriptor: int = 2, level: int = logging.INFO) -> NonBlockingHandler:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import logging
 import os
+import random
 import re
+from types import SimpleNamespace
 
 import pytest
 
@@ -39,6 +42,34 @@
     os.close(writer)
 
 
+@pytest.mark.parametrize("call", ["poll", "write"])
+def test_a_line_whose_system_call_fails_for_a_moment_is_not_lost(
+    monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
+    """Guards against lines that are dropped since the one before waits: 'listening' was among them."""
+    reader, writer = os.pipe()
+    handler, chance = NonBlockingHandler(writer), random.Random(1)
+
+    def failing(original):
+        def attempt(*arguments):
+            if chance.random() < 0.6:
+                raise OSError(errno.ENOMEM, "no memory for a moment")
+            return original(*arguments)
+
+        return attempt
+
+    if call == "poll":
+        monkeypatch.setattr(handler, "poll", SimpleNamespace(poll=failing(handler.poll.poll)))
+    else:
+        monkeypatch.setattr(os, "write", failing(os.write))
+    for number in range(100):
+        handler.emit(record(f"line {number}"))
+    monkeypatch.undo()
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        assert len(lines.readlines()) == 100 and handler.lost == 0
+
+
 def test_lines_for_which_there_is_no_room_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     reader, writer = os.pipe()
     handler = NonBlockingHandler(writer)
