Replace a watch of the coordination service that has fallen silent

Cause: CoordinationClient.watch had an idle time-out that no read used, so a connection that was dead without a sign was read for ever, while the session went on over another one.

--- a/lapispass/peers/coordination.py
+++ b/lapispass/peers/coordination.py
@@ -35,6 +35,13 @@
     """A watch cannot continue from its revision: the caller has to read a new snapshot."""
 
 
+class WatchSilent(Exception):
+    """A watch has brought nothing for its idle time-out.
+
+    Its connection may be dead without a sign, so the caller opens the next one from the same revision on.
+    """
+
+
 class KeyValue(NamedTuple):
     """The value of a key in the service, and the revisions of its creation and of its last change."""
 
@@ -207,8 +214,9 @@
     async def watch(self, prefix: str, revision: int, idle_us: int) -> AsyncIterator[list[KeyChange]]:
         """Yields the changes below a prefix from a revision on; an empty list for a message without changes.
 
-        Raises `RevisionCompacted` if the service no longer has the changes from that revision on, and
-        `OutcomeUnknown` if the watch ends for another reason.
+        Raises `RevisionCompacted` if the service no longer has the changes from that revision on,
+        `WatchSilent` if nothing comes for `idle_us` (0: no limit), and `OutcomeUnknown` if the watch ends for
+        another reason.
         """
         connection = None
         try:
@@ -222,7 +230,7 @@
             if await within(self.call_timeout_us, opening, self.limits.late_us) != 200:
                 raise OutcomeUnknown("watch: the service rejected the request")
             unparsed = bytearray()
-            while chunk := await connection.read_chunk():
+            while chunk := await self.next_chunk(connection, idle_us):
                 unparsed += chunk
                 if len(unparsed) > MAX_ANSWER_BYTES:
                     raise OutcomeUnknown("watch: a line exceeds the size limit for answers")
@@ -251,6 +259,15 @@
             if connection is not None:
                 connection.close()
 
+    async def next_chunk(self, connection: HttpConnection, idle_us: int) -> bytes | bytearray:
+        """The next chunk of a watch; empty at its end. Raises `WatchSilent`."""
+        if not idle_us:
+            return await connection.read_chunk()
+        try:
+            return await within(idle_us, connection.read_chunk(), self.limits.late_us)
+        except TimeoutError as error:
+            raise WatchSilent(f"{error}") from None
+
     @staticmethod
     async def request_watch(connection: HttpConnection, body: bytes) -> int:
         """Requests a watch; returns the status of the answer."""
--- a/lapispass/peers/host.py
+++ b/lapispass/peers/host.py
@@ -33,6 +33,7 @@
     OutcomeUnknown,
     Put,
     RevisionCompacted,
+    WatchSilent,
 )
 from lapispass.peers.own_lease import OwnLease
 from lapispass.peers.record_writer import RecordWriter
@@ -132,9 +133,8 @@
                     is_snapshot=True,
                 )
                 self.synced.set()
-                async for changes in self.service.watch(records.ROOT, revision + 1, 0):
-                    if changes:
-                        self.apply_changes(changes, max(change.revision for change in changes))
+                while await self.follow_watch():
+                    pass  # the next one goes on where the silent one stopped
             except RevisionCompacted as error:
                 self.counters["peers.compacted"] += 1
                 self.log.rate_limited("watch cancelled, its revision was compacted", at=error)
@@ -143,6 +143,22 @@
                 self.log.rate_limited("reading or watching the coordination service failed", why=error)
             await asyncio.sleep(0.05 + 0.1 * self.xds_server.connect_limiter.returns.draw())
 
+    async def follow_watch(self) -> bool:
+        """Follows the changes from the last known revision on; returns whether the watch fell silent.
+
+        A controller that is a member to others must hear of their changes, so a watch is trusted without a
+        sign for as long as a session lasts. Silence is usual where nothing changes, and costs one request.
+        """
+        idle_us = self.lease.ttl_s * 1_000_000
+        try:
+            async for changes in self.service.watch(records.ROOT, self.watched_revision + 1, idle_us):
+                if changes:
+                    self.apply_changes(changes, max(change.revision for change in changes))
+        except WatchSilent:
+            self.counters["peers.watches_silent"] += 1
+            return True
+        return False
+
     def apply_changes(self, changes: Sequence[KeyChange], revision: int, is_snapshot: bool = False) -> None:
         """Applies changed records, members, acknowledged revisions and withdrawals of nodes.
 
--- a/lapispass/standins/coordination.py
+++ b/lapispass/standins/coordination.py
@@ -212,6 +212,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.state, self.faults = State(), Faults()
+        self.watches = self.muted_watches = 0  # opened so far; how many of them, the first ones, are silent
         self.changed = asyncio.Event()
         self.frozen_at = 0
         self.calls = 0
@@ -235,6 +236,10 @@
                 if self.state.revision != before:
                     self.wake_watches()
 
+    def mute_watches(self) -> None:
+        """All watches that are open now send nothing more; later ones work."""
+        self.muted_watches = self.watches
+
     def wake_watches(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -307,6 +312,8 @@
         """
         key, end = decode_base64(request["key"]), decode_base64(request.get("range_end", ""))
         next_revision = int(request.get("start_revision", 0)) or self.state.revision + 1
+        self.watches += 1
+        number = self.watches
         writer.write(encode_response(connection, 200, None))
 
         def send_result(result: dict[str, Any]) -> None:
@@ -319,7 +326,8 @@
             if next_revision <= self.state.compacted:
                 send_result({"canceled": True, "compact_revision": str(self.state.compacted)})
                 return
-            found = [] if self.faults.silent else self.state.since(next_revision, key, end)
+            is_silent = self.faults.silent or number <= self.muted_watches
+            found = [] if is_silent else self.state.since(next_revision, key, end)
             if found:
                 send_result({"events": [{"kv": encode_key_value(change.key, change.kv)} if change.kv else {
                     "type": "DELETE",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -313,6 +313,27 @@
         assert all(host.snapshot.owners == before for host in fleet.hosts.values())
 
 
+async def test_a_watch_that_falls_silent_is_replaced(tmp_path: Path) -> None:
+    """Guards against a controller whose watch is dead without a sign: it stayed a live member and deaf, and a
+    node that drained kept its slices, or left them without a node for writes, for good."""
+    async with running_fleet(tmp_path, "c0", "c1") as fleet:
+        revision = fleet.hosts["c1"].watched_revision
+        fleet.service.mute_watches()
+        fleet.drain()
+
+        def has_moved(host: SharedHost) -> bool:
+            tables = host.snapshot
+            owners = [tables.owner(number) for number in range(fleet.slices)]
+            return "n0" not in owners and all(
+                owner and tables.may_write(number, owner) for number, owner in enumerate(owners)
+            )
+
+        await until(lambda: all(has_moved(host) for host in fleet.hosts.values()), 5)
+        host = fleet.hosts["c1"]
+        assert host.watched_revision > revision and host.counters["peers.sessions_lost"] == 0
+        assert host.counters["peers.watches_silent"] and host.counters["peers.watches_lost"] == 0
+
+
 async def test_answers_lost_and_compaction_cost_nothing_but_time(tmp_path: Path) -> None:
     async with running_fleet(tmp_path, "a", "b") as fleet:
         fleet.service.faults.lose_answers = 5
