Close all that still wait when a gate's stop is over, and plan drains for answers

Change: close_all closes what is left together, 0.5 s before the end; a drain's curve ends an answer time before its deadline, up to half of what is left; pings are at least 10 ms and at most an answer time apart; a wait ends with its client.

--- a/benchmarks/owed_answers.py
+++ b/benchmarks/owed_answers.py
@@ -1,6 +1,7 @@
 """The price of waiting for answers when connections leave their node: one way a run, with real sockets.
 
-    python benchmarks/owed_answers.py [move|close|stop|owner] [--work-s 0.5] [--at-once 1] [--seed 1]
+    python benchmarks/owed_answers.py move|close|stop|owner [--work-s 0.5] [--at-once 1] [--clients 96]
+        [--seed 1]
 
 A gate that stands alone, as a process, holds clients that ask a question, read its answer, and ask again
 after half a second. Then one of its nodes drains ("move": a class that may be moved; "close": one that may
@@ -20,6 +21,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -27,7 +29,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
-NODES, SLICES, CLIENTS = 8, 16, 96
+NODES, SLICES = 8, 16
 PAUSE_S, GIVE_UP_S = 0.5, 5.5
 GRACE_S = 20.0
 PATHS = {"move": "/board", "stop": "/board", "close": "/till", "owner": "/desk"}
@@ -71,6 +73,7 @@
     waits: list[float] = field(default_factory=list)
     lost: list[str] = field(default_factory=list)  # neither answered nor closed in time
     cut: list[str] = field(default_factory=list)  # closed first
+    codes: Counter[int] = field(default_factory=Counter)  # of the closes; 1006: without a close frame
 
 
 async def ask_again_and_again(url: str, name: str, at_once: int, asked: Asked) -> None:
@@ -92,8 +95,9 @@
                     await asyncio.sleep(PAUSE_S)
         except TimeoutError:
             asked.lost += waiting
-        except ConnectionClosed:
+        except ConnectionClosed as end:
             asked.cut += waiting
+            asked.codes[end.rcvd.code if end.rcvd else 1006] += 1
         except (OSError, InvalidHandshake, EOFError):
             pass
         await asyncio.sleep(1)
@@ -105,8 +109,10 @@
         'connection_class { name: "board" path_prefix: "/board" movable: true }',
         'connection_class { name: "till" path_prefix: "/till" }',
         'connection_class { name: "desk" path_prefix: "/desk" writes: true movable: true }',
+        "nodes { new_per_s: 2000 burst: 2000 }",
         f"drain {{ grace_ms: {GRACE_S * 1000:.0f} margin_ms: 3000 }}",
-        f'gate {{ name: "g" listen: "{listen}" slices: {SLICES} key_parameter: "key" }}',
+        f'gate {{ name: "g" listen: "{listen}" slices: {SLICES} key_parameter: "key"',
+        "  new_per_s: 2000 burst: 2000 }",
     ]
     lines += [f'line {{ slice: {number} owner: "n{owner}" }}' for number, owner in owners.items()]
     for number, node in enumerate(nodes):
@@ -121,7 +127,7 @@
         return f"127.0.0.1:{found.getsockname()[1]}"
 
 
-async def play(way: str, work_s: float, at_once: int, seed: int) -> None:
+async def play(way: str, work_s: float, at_once: int, count: int, seed: int) -> None:
     """Plays one way and prints what was seen."""
     chance, nodes, asked = random.Random(seed), [Node(work_s) for _ in range(NODES)], Asked()
     for node in nodes:
@@ -137,10 +143,10 @@
         )
         await asyncio.sleep(6)  # writes of an earlier process are over
         clients = []
-        for number in range(CLIENTS):
+        for number in range(count):
             url = f"ws://{listen}{PATHS[way]}?key=k{number}"
             clients.append(asyncio.create_task(ask_again_and_again(url, f"c{number}", at_once, asked)))
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(2 / count)
         await asyncio.sleep(2 + chance.random())
         asked.waits.clear()
         leaving, begun = len(nodes[0].held), time.monotonic()
@@ -164,10 +170,12 @@
     taken = set().union(*(node.taken for node in nodes))
     waits = sorted(asked.waits) or [0.0]
     print(
-        f"{way} work={work_s} at_once={at_once} seed={seed}: left={leaving} took={took:.2f} s "
+        f"{way} work={work_s} at_once={at_once} clients={count} seed={seed}: "
+        f"left={leaving} took={took:.2f} s "
         f"answered={len(asked.waits)} lost={len(taken & set(asked.lost))} "
         f"cut_in_work={len(taken & set(asked.cut))} cut_unsent={len(set(asked.cut) - taken)} "
-        f"slowest={waits[-1]:.2f} s half_s_late={sum(wait > work_s + 0.5 for wait in waits)}"
+        f"closed={dict(asked.codes)} slowest={waits[-1]:.2f} s "
+        f"half_s_late={sum(wait > work_s + 0.5 for wait in waits)}"
     )
 
 
@@ -176,9 +184,10 @@
     parser.add_argument("way", choices=PATHS)
     parser.add_argument("--work-s", type=float, default=0.5)
     parser.add_argument("--at-once", type=int, default=1)
+    parser.add_argument("--clients", type=int, default=96)
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
-    asyncio.run(play(arguments.way, arguments.work_s, arguments.at_once, arguments.seed))
+    asyncio.run(play(arguments.way, arguments.work_s, arguments.at_once, arguments.clients, arguments.seed))
 
 
 if __name__ == "__main__":
--- a/lapispass/core/connection_controller.py
+++ b/lapispass/core/connection_controller.py
@@ -73,6 +73,7 @@
     ) -> None:
         self.classes = {kind.name: kind for kind in classes}
         self.terms, self.intake = terms, Intake(bounds)
+        self.longest_answer_us = max((kind.answer_us for kind in self.classes.values()), default=0)
         self.costs = CostEstimator(
             list(self.classes), {name: kind.start_cost for name, kind in self.classes.items()}
         )
@@ -272,7 +273,9 @@
             )
             for node, deadline in sorted(self.drains.items())
         ]
-        ceilings, forecast = drain.plan(now, draining, list(self.nodes.values()), held, self.intake, full)
+        ceilings, forecast = drain.plan(
+            now, draining, list(self.nodes.values()), held, self.intake, full, self.longest_answer_us
+        )
         for node in draining:  # also empty ones get a ceiling, so that no new connections go there
             for gate in connected:
                 ceilings.setdefault(gate.name, {}).setdefault(
--- a/lapispass/core/drain.py
+++ b/lapispass/core/drain.py
@@ -112,19 +112,24 @@
     return [min(room, max(0.0, high - base)) for room, base in pairs], 0.0
 
 
-def safety_margin_us(now: int, deadline_us: int) -> int:
-    """Time left unplanned before a deadline, so that late and repeated moves still finish in time."""
-    return min(2 * SECOND, (deadline_us - now) // 8)
+def safety_margin_us(now: int, deadline_us: int, answer_us: int) -> int:
+    """Time left unplanned before a deadline, so that late and repeated moves still finish in time, and those
+    that wait for an answer."""
+    left_us = deadline_us - now
+    return max(min(2 * SECOND, left_us // 8), min(answer_us, left_us // 2))
 
 
-def curves(now: int, draining: Sequence[DrainingNode], rooms: list[float], width_us: int) -> DrainForecast:
+def curves(
+    now: int, draining: Sequence[DrainingNode], rooms: list[float], width_us: int, answer_us: int
+) -> DrainForecast:
     """A curve for each deadline, the earliest first. Subtracts the planned connections from `rooms`."""
     forecast = DrainForecast(connections=sum(sum(node.held.values()) for node in draining))
     forecast.intake_per_s = max(rooms, default=0.0) * SECOND / width_us
     planned = [0.0] * len(rooms)
     for deadline in sorted({node.deadline_us for node in draining}):
         amount = float(sum(sum(node.held.values()) for node in draining if node.deadline_us == deadline))
-        until = max(1, min(len(rooms), (deadline - safety_margin_us(now, deadline) - now) // width_us))
+        usable_us = deadline - safety_margin_us(now, deadline, answer_us) - now
+        until = max(1, min(len(rooms), usable_us // width_us))
         parts, overflow = spread_evenly(amount, rooms, planned, until)
         for slot, part in enumerate(parts):
             rooms[slot] -= part
@@ -167,13 +172,15 @@
     held: Mapping[NodeId, int],
     intake: Intake,
     full: Mapping[NodeId, float],
+    answer_us: int = 0,
 ) -> tuple[dict[str, dict[NodeId, Ceiling]], DrainForecast]:
-    """The ceilings by gate and node, and the forecast."""
+    """The ceilings by gate and node, and the forecast. A release may have to wait for an answer for
+    `answer_us`."""
     if not draining:
         return {}, DrainForecast()
     count, width_us = time_slots(now, max(node.deadline_us for node in draining))
     rooms = room_by_slot(now, width_us, count, nodes, held, intake, full)
-    forecast = curves(now, draining, rooms, width_us)
+    forecast = curves(now, draining, rooms, width_us, answer_us)
     ceilings: dict[str, dict[NodeId, Ceiling]] = {}
     for node in draining:
         curve = forecast.curves[node.deadline_us]
--- a/lapispass/core/outstanding_answers.py
+++ b/lapispass/core/outstanding_answers.py
@@ -19,6 +19,7 @@
 
 from lapispass.core.shared_types import NEVER
 
+MIN_PROBE_INTERVAL_US = 10_000
 OVERDUE_FACTOR = 2  # an answer that takes this many times its answer time is overdue
 
 
@@ -89,9 +90,10 @@
     ) -> None:
         """`answer_us`: the longest that the node works on a message; 0 where messages get no answer.
         `needs_proof`: the node must show in any case that it has read everything."""
-        self.answers, self.probe_interval_us, self.needs_proof = answers, probe_interval_us, needs_proof
+        self.answers, self.needs_proof = answers, needs_proof
+        self.probe_interval_us = max(MIN_PROBE_INTERVAL_US, min(probe_interval_us, answer_us))
         # A stand-still may begin right after an answer to a ping, so one interval may be counted in excess.
-        self.answer_us = answer_us + probe_interval_us if answer_us else 0
+        self.answer_us = answer_us + self.probe_interval_us if answer_us else 0
         self.patience_us = max(patience_us, self.answer_us)
         self.started_at, self.overdue_at = now, now + OVERDUE_FACTOR * self.answer_us
         self.worked_us = max(0, now - answers.asked_us)
--- a/lapispass/gate/service.py
+++ b/lapispass/gate/service.py
@@ -181,7 +181,12 @@
         for tunnel in list(self.tunnels.values()):
             tunnel.close_when_answered(close_codes.LEAVING_GATE, "gate ended", now, leave_by=leave_by)
         if self.tasks:
-            await asyncio.wait(self.tasks, timeout=self.limits.stop_us / 1e6)
+            await asyncio.wait(self.tasks, timeout=(leave_by - now) / 1e6)
+        # All at once, as many of them may be waiting for their turn until the time is over.
+        for tunnel in list(self.tunnels.values()):
+            tunnel.close_now(self.clock.now())
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=(now + self.limits.stop_us - leave_by) / 1e6)
         for task in self.tasks:
             task.cancel()
         if self.tasks:
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -271,6 +271,7 @@
         """Starts the close handshake with the node, the second half of every end. The node's answer shows
         that it has read everything."""
         self.drop_move()
+        self.pending_close = None
         if self.node is None or self.node.got_close:
             self.finished = True
             return
@@ -537,6 +538,8 @@
 
     def close_now(self, now: int) -> None:
         """Closes the client's connection with a time to come back, whatever its node still owes."""
+        if self.closing is not None:
+            return
         pending = self.pending_close
         # A message that was held back is not accepted any more: its answer could not reach the client.
         self.discarding = not self.client.mid_message
