Send signals in tests without taking the status of an ended process

Cause: asyncio's Process.send_signal calls Popen.send_signal, which polls first; a process that has just ended is reaped by that, before asyncio's watcher asks for its status. Change: Controller.signal sends the signal by the process's id. No bound is touched. Measured: the new test fails before (the status is asked for) and passes now; the race itself was not played.

--- a/tests/faulty_process.py
+++ b/tests/faulty_process.py
@@ -216,7 +216,14 @@
         return await asyncio.open_connection(*self.address)
 
     def signal(self, number: signal.Signals) -> None:
-        self.process.send_signal(number)
+        """Sends a signal; raises ProcessLookupError if the process has ended.
+
+        `Process.send_signal` polls first: it takes the status of a process that has just ended before
+        asyncio's watcher does, which then reports 255.
+        """
+        if self.process.returncode is not None:
+            raise ProcessLookupError(self.process.pid)
+        os.kill(self.process.pid, number)
 
     async def counters(self) -> dict[str, int]:
         after = len(self.lines)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+import signal
+import subprocess
 from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
-from faulty_process import PORT_COUNT, RECORD, Call, Faults
+from faulty_process import PORT_COUNT, RECORD, Call, Controller, Faults
 from parties import LoopbackServer, play
 from soak import PING, PONG, Client, ProcessRun, Verdict, play_day
 
@@ -23,6 +25,21 @@
     play(test(), 90)
 
 
+async def test_a_signal_leaves_the_status_of_an_ended_process_to_the_watcher(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against runs that end with a status of 255 though the process ended in order."""
+    process = await asyncio.create_subprocess_exec("sh", "-c", "read line; exit 3", stdin=subprocess.PIPE)
+    running = Controller(process, Faults(tmp_path / "faults"), ("127.0.0.1", 1))
+    monkeypatch.setattr(subprocess.Popen, "poll", lambda popen: pytest.fail("the status was asked for"))
+    running.signal(signal.SIGCONT)
+    monkeypatch.undo()
+    await process.communicate(b"\n")
+    assert process.returncode == 3
+    with pytest.raises(ProcessLookupError):
+        running.signal(signal.SIGCONT)
+
+
 def day(faults: Faults, due_s: float = 1.0) -> ProcessRun:
     running = SimpleNamespace(faults=faults, lines=[])
     return ProcessRun(running, random.Random(1), Verdict(1), False, due_s=due_s)  # type: ignore[arg-type]
