Leave out rows of a load report whose times are impossible

Cause: load_events bounded counts, but neither times nor intervals. Change: a row with a time or an interval of 12 days or more, or no number, is left out like other malformed rows. Measured: four of the six forms of the new test fail before; all pass now.

--- a/lapispass/xds/codec.py
+++ b/lapispass/xds/codec.py
@@ -10,7 +10,7 @@
 
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.core.v3 import address_pb2, base_pb2, config_source_pb2
-from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
+from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2, load_report_pb2
 from envoy.config.listener.v3 import api_listener_pb2, listener_pb2
 from envoy.config.route.v3 import route_components_pb2, route_pb2
 from envoy.extensions.filters.network.http_connection_manager.v3 import http_connection_manager_pb2
@@ -33,6 +33,7 @@
 }
 KIND_BY_TYPE_URL = {url: kind for kind, url in TYPE_URLS.items()}
 SLICE_HEADER = "x-slice"
+MAX_REPORTED = 1 << 40  # counts and microseconds (12 days) of a load report; a row beyond it is malformed
 
 
 def ads_config_source() -> config_source_pb2.ConfigSource:
@@ -182,6 +183,15 @@
     return " ".join(status.message.split())[:300]
 
 
+def reported_mean_us(endpoint_stats: load_report_pb2.UpstreamEndpointStats) -> int | None:
+    """The mean time of an endpoint's successful requests in us, 0 if none is reported; None if it is not a
+    number or out of bounds."""
+    total_ms = sum(metric.total_metric_value for metric in endpoint_stats.load_metric_stats
+                   if metric.metric_name == "ms")  # fmt: skip
+    mean_us = 1000 * total_ms / max(1, int(endpoint_stats.total_successful_requests))
+    return max(0, int(mean_us)) if abs(mean_us) < MAX_REPORTED else None
+
+
 def load_events(
     report: lrs_pb2.LoadStatsRequest, zone: str, nodes: dict[str, str], slices: int, classes: tuple[str, str]
 ) -> list[interface.Event]:
@@ -198,7 +208,7 @@
             not slice_number.isdecimal()
             or int(slice_number) >= slices
             or suffix not in ("r", "w")
-            or interval_us <= 0
+            or not 0 < interval_us < MAX_REPORTED
         ):
             continue
         requests = failed_requests = 0
@@ -211,24 +221,22 @@
                 tries = int(endpoint_stats.total_successful_requests) + int(
                     endpoint_stats.total_error_requests
                 )
-                if node is None or not 0 < tries < 1 << 40:
+                mean_us = reported_mean_us(endpoint_stats)
+                if node is None or mean_us is None or not 0 < tries < MAX_REPORTED:
                     continue
-                total_ms = sum(metric.total_metric_value for metric in endpoint_stats.load_metric_stats
-                            if metric.metric_name == "ms")  # fmt: skip
-                mean_us = int(1000 * total_ms / max(1, int(endpoint_stats.total_successful_requests)))
                 events.append(
                     interface.ServerReport(
                         node,
                         zone,
                         int(endpoint_stats.total_error_requests),
                         tries,
-                        max(0, mean_us),
+                        mean_us,
                         interval_us,
                         None,
                     )
                 )
         dropped = int(stats.total_dropped_requests)
-        if 0 < requests + dropped < 1 << 40:
+        if 0 < requests + dropped < MAX_REPORTED:
             events.append(
                 interface.RequestReport(
                     int(slice_number),
--- a/tests/test_xds_core.py
+++ b/tests/test_xds_core.py
@@ -11,14 +11,17 @@
 from pathlib import Path
 
 import pytest
+from envoy.service.load_stats.v3 import lrs_pb2
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lapispass import interface
 from lapispass.core import resources, tables
 from lapispass.core.clients import WRITES, Client, ClientLimits, ConnectLimiter, ProxyNumbers
 from lapispass.core.shared_types import SECOND
 from lapispass.core.versions import ResourceCache, Watch
 from lapispass.store.assignments import Assignment, Assignments, CorruptStore
+from lapispass.xds.codec import load_events
 
 NOW = 1_000 * SECOND
 LIMITS = ClientLimits(lease_us=2 * SECOND)
@@ -573,3 +576,30 @@
         assert set(store.owners().values()) <= {f"t{store.turn}"}  # complete, and of a single turn
         acknowledged = store.turn
         store.close()
+
+
+@pytest.mark.parametrize(
+    ("total_ms", "interval_s", "mean_us"),
+    [
+        (20.0, 1, 10_000),
+        (-1.0, 1, 0),
+        (1e305, 1, None),
+        (float("inf"), 1, None),
+        (float("nan"), 1, None),
+        (20.0, 1 << 50, None),
+    ],
+)
+def test_a_load_report_with_impossible_times_is_left_out(
+    total_ms: float, interval_s: int, mean_us: int | None
+) -> None:
+    """Guards against a stream that ends with OverflowError or ValueError, and a sum of times that is infinite
+    for good."""
+    report = lrs_pb2.LoadStatsRequest()
+    stats = report.cluster_stats.add(cluster_name="0.r")
+    stats.load_report_interval.seconds = interval_s
+    endpoint = stats.upstream_locality_stats.add().upstream_endpoint_stats.add(total_successful_requests=2)
+    endpoint.address.socket_address.address, endpoint.address.socket_address.port_value = "h", 1
+    endpoint.load_metric_stats.add(metric_name="ms", total_metric_value=total_ms)
+    events = load_events(report, "east", {"h:1": "n0"}, 4, ("look", "order"))
+    means = [event.mean_latency_us for event in events if isinstance(event, interface.ServerReport)]
+    assert means == ([] if mean_us is None else [mean_us])
