--- a/lapispass/core/outstanding_answers.py
+++ b/lapispass/core/outstanding_answers.py
@@ -6,8 +6,8 @@
 - time: until the node has run for the answer time of the connection's class since the client's last message.
   A node that stands still does not run. Pings show that it runs: the time between two answers to them counts
   up to the interval of the pings, and no more.
-- count: while fewer messages have come from the node than have been sent to it, as long as the client can
-  still wait for them.
+- count: while fewer messages have come from the node than have been sent to it. Such a connection is never
+  moved; its client is closed once the answers have come or nobody can wait for them any more.
 
 The module does no I/O: callers pass the time and report what they send and receive.
 """
@@ -47,15 +47,9 @@
         """A whole message of the node has come."""
         self.unanswered = max(0, self.unanswered - 1)
 
-    def may_be_counted(self, now: int, patience_us: int) -> bool:
-        """Whether answers are missing by count. Nobody waits for one that is older than `patience_us`."""
-        return self.unanswered > 0 and now - self.asked_us < patience_us
-
-    def may_be_owed(self, now: int, answer_us: int, patience_us: int) -> bool:
+    def may_be_owed(self, now: int, answer_us: int) -> bool:
         """Whether an answer may be owed, for callers that cannot ask the node any more."""
-        if not answer_us:
-            return False
-        return now - self.asked_us < answer_us or self.may_be_counted(now, patience_us)
+        return answer_us > 0 and (self.unanswered > 0 or now - self.asked_us < answer_us)
 
 
 class AnswerWait:
@@ -136,13 +130,16 @@
         """Whether the release may go on."""
         if self.needs_proof and not self.is_probed:
             return WaitState.WAITING
-        if now - self.answers.asked_us >= self.patience_us or not self.answer_us:
+        if not self.answer_us:
             return WaitState.SETTLED
-        if not self.is_probed or self.worked_us < self.answer_us:
+        has_worked = self.is_probed and self.worked_us >= self.answer_us
+        if not has_worked and not self.is_given_up(now):
             return WaitState.WAITING
-        if self.answers.may_be_counted(now, self.patience_us):
-            return WaitState.LATE
-        return WaitState.SETTLED
+        return WaitState.LATE if self.answers.unanswered else WaitState.SETTLED
+
+    def is_given_up(self, now: int) -> bool:
+        """Whether the client's last message is so old that no answer to it is waited for any more."""
+        return now - self.answers.asked_us >= self.patience_us
 
     def next_due(self, now: int) -> int:
         """The time at which the state may change even if nothing is received."""
--- a/lapispass/core/steering.py
+++ b/lapispass/core/steering.py
@@ -231,7 +231,7 @@
 
     def may_owe_answer(self, now: int, held: HeldConnection) -> bool:
         """Whether the connection's node may still owe its client an answer."""
-        return held.answers.may_be_owed(now, held.kind.answer_us, self.patience_us)
+        return held.answers.may_be_owed(now, held.kind.answer_us)
 
     def wait_for_answers(
         self, now: int, held: HeldConnection, probe_interval_us: int, needs_proof: bool
--- a/lapispass/gate/tunnel.py
+++ b/lapispass/gate/tunnel.py
@@ -392,11 +392,13 @@
             self.finished = True
 
     def is_idle(self, now: int) -> bool:
-        """Whether no message has passed for the idle time-out, and none is due."""
+        """Whether no message has passed for the idle time-out, and none is due that is not given up."""
         idle_us, idle_for = self.limits.idle_us, now - self.held.last_message_us
         if not idle_us or idle_for <= idle_us or self.closing is not None or self.move is not None:
             return False
-        return self.pending_close is None and not self.gate.steering.may_owe_answer(now, self.held)
+        steering = self.gate.steering
+        is_answer_due = steering.may_owe_answer(now, self.held) and idle_for < steering.patience_us
+        return self.pending_close is None and not is_answer_due
 
     def peer_failed(self, side: Side, failure: PeerFailure, now: int) -> None:
         """Handles a peer that does not read or answer: it counts as gone."""
@@ -504,9 +506,12 @@
         return self.move.watch if self.move is not None and self.move.step == "answering" else None
 
     def is_waiting_in_vain(self, watch: AnswerWatch, now: int) -> bool:
-        """Whether the client already asks for more, which this node will not be sent, while answers are
-        late."""
-        return self.pending_message is not None and watch.wait.is_overdue(now)
+        """Whether late answers are not waited for any more: they are given up, or the client already asks for
+        more, which this node will not be sent."""
+        wait = watch.wait
+        if wait.state(now) is WaitState.LATE and wait.is_given_up(now):
+            return True
+        return self.pending_message is not None and wait.is_overdue(now)
 
     def close_when_answered(self, code: int, end_reason: str, now: int, leave_by: int = NEVER) -> None:
         """Closes the client's connection in order once its node owes it nothing, by the deadline of the
--- a/tests/test_outstanding_answers.py
+++ b/tests/test_outstanding_answers.py
@@ -38,7 +38,7 @@
 def test_nothing_is_waited_for_where_nothing_was_asked() -> None:
     assert wait_for(OutstandingAnswers()).state(NOW) is WaitState.SETTLED
     assert wait_for(asked(NOW), answer_us=0).state(NOW) is WaitState.SETTLED
-    assert wait_for(asked(NOW - PATIENCE_US)).state(NOW) is WaitState.SETTLED
+    assert wait_for(asked(NOW - PATIENCE_US, answered=1)).state(NOW) is WaitState.SETTLED
 
 
 @pytest.mark.parametrize(("age_ms", "most_ms"), [(0, 1750), (1000, 750), (5000, 10)])
@@ -74,12 +74,13 @@
     assert NOW + ANSWER_US < over < NOW + 6000 * MS
 
 
-def test_missing_answers_are_late_after_the_answer_time_until_nobody_waits_for_them() -> None:
+def test_missing_answers_are_late_after_the_answer_time_and_given_up_in_the_end() -> None:
     wait = wait_for(asked(NOW, count=2, answered=1))
     over = run(wait, NOW, NOW + 10_000 * MS)
     assert wait.state(over) is WaitState.LATE
     assert not wait.is_overdue(over) and wait.is_overdue(NOW + 3400 * MS)
-    assert wait.state(NOW + PATIENCE_US) is WaitState.SETTLED
+    assert not wait.is_given_up(over)
+    assert wait.is_given_up(NOW + PATIENCE_US) and wait.state(NOW + PATIENCE_US) is WaitState.LATE
 
 
 def test_a_late_answer_may_have_further_parts() -> None:
@@ -99,7 +100,7 @@
     answers.message_sent(NOW, is_complete=False)
     answers.message_sent(NOW, is_complete=True)
     assert answers.unanswered == 1
-    assert answers.may_be_owed(NOW + ANSWER_US, ANSWER_US, PATIENCE_US)
+    assert answers.may_be_owed(NOW + PATIENCE_US, ANSWER_US) and not answers.may_be_owed(NOW, 0)
     answers.message_received()
-    assert answers.may_be_owed(NOW + ANSWER_US - 1, ANSWER_US, PATIENCE_US)
-    assert not answers.may_be_owed(NOW + ANSWER_US, ANSWER_US, PATIENCE_US)
+    assert answers.may_be_owed(NOW + ANSWER_US - 1, ANSWER_US)
+    assert not answers.may_be_owed(NOW + ANSWER_US, ANSWER_US)
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -213,6 +213,19 @@
         assert not {question for question in clients[0].cut if question in taken(env)}
 
 
+async def test_a_connection_whose_question_was_never_answered_is_closed_and_not_moved(tmp_path: Path) -> None:
+    """Guards against a client that waits for good for an answer which its node gave up."""
+    async with working_gate(tmp_path, Work(work_s=30), grace_s=1.3) as env:
+        async with connect(env.url("/board")) as connection:
+            await connection.send("x")
+            await asyncio.sleep(1.0)  # longer than a drain may last
+            env.set(**{serving(env): "DRAINING"})
+            with pytest.raises(ConnectionClosed):
+                await asyncio.wait_for(connection.recv(), 3)
+            assert connection.close_code == 1012 and "come-back-ms=" in (connection.close_reason or "")
+        assert not env.gate.counters["moves.done"]
+
+
 async def test_an_idle_connection_is_moved_at_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """The price of the wait: none where the client has asked for nothing lately."""
     times: dict[str, float] = {}
