Count an owner whose writes are shut as no writer in the check of rule 2

Cause: check_writes took every published owner for one that may write. By rule 1's emergency a slice is given to its next owner for reads alone, with writes shut, while the former one's writes may still end. Change: a step says whether writes are shut; the former owner may still execute writes until they are opened, and a write at an owner whose writes are shut is a breach, which it was not: as strict, or stricter.

--- a/lapispass/rules/checker.py
+++ b/lapispass/rules/checker.py
@@ -91,10 +91,12 @@
 
     # rule 2
 
-    def step_published(self, at_us: int, number: int, owner: str | None) -> None:
+    def step_published(
+        self, at_us: int, number: int, owner: str | None, are_writes_shut: bool = False
+    ) -> None:
         """A step of a slice's handover was published; None: the table is empty."""
-        self.published.append(PublishedStep(at_us, number, owner))
-        self.note(at_us, f"published slice {number}: {owner}")
+        self.published.append(PublishedStep(at_us, number, owner, are_writes_shut))
+        self.note(at_us, f"published slice {number}: {owner}{', writes shut' if are_writes_shut else ''}")
 
     def write_executed(self, at_us: int, node: str, key: str, number: str) -> None:
         """A node executed a write; `verdict` checks it."""
--- a/lapispass/rules/checks.py
+++ b/lapispass/rules/checks.py
@@ -26,11 +26,15 @@
 
 
 class PublishedStep(NamedTuple):
-    """A handover step that was published for a slice: its owner, or None for an empty table."""
+    """A handover step that was published for a slice: its owner, or None for an empty table.
+
+    While its writes are shut, an owner serves reads only.
+    """
 
     at_us: int
     slice: int
     owner: str | None
+    are_writes_shut: bool = False
 
 
 def check_writes(
@@ -38,8 +42,9 @@
 ) -> list[Breach]:
     """Rule 2: each write is executed once, and only at the slice's owner at that time.
 
-    While the slice has no owner, writes may still be executed at the last one: the settle wait before a new
-    owner exists for them.
+    While the slice has no owner, or its writes are shut, writes may still be executed at the last one that
+    had them: the settle wait before a new owner exists for them. None may be executed at an owner whose
+    writes are shut.
     """
     breaches: list[Breach] = []
     steps: dict[int, list[PublishedStep]] = {}
@@ -59,7 +64,9 @@
             )
         seen.setdefault(write.number, write)
         owners = [
-            step for step in steps.get(slice_of(write.key), ()) if step.at_us <= write.at_us and step.owner
+            step
+            for step in steps.get(slice_of(write.key), ())
+            if step.at_us <= write.at_us and step.owner and not step.are_writes_shut
         ]
         owner = owners[-1].owner if owners else None
         if owner != write.node:
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -508,6 +508,13 @@
     ]
     assert check_writes(good, steps, lambda key: 0) == []
     late = check_writes([*good, ExecutedWrite(26, "a", "k", "4")], steps, lambda key: 0)
+    shut = [PublishedStep(30, 0, None), PublishedStep(32, 0, "c", are_writes_shut=True)]
+    assert check_writes([*good, ExecutedWrite(33, "b", "k", "5")], [*steps, *shut], lambda key: 0) == []
+    early = check_writes([*good, ExecutedWrite(33, "c", "k", "5")], [*steps, *shut], lambda key: 0)
+    assert "executed at c, but owner b" in early[0].detail
+    shut += [PublishedStep(35, 0, "c")]
+    after = check_writes([*good, ExecutedWrite(36, "b", "k", "5")], [*steps, *shut], lambda key: 0)
+    assert "executed at b, but owner c" in after[0].detail
     twice = check_writes([*good, ExecutedWrite(30, "b", "k", "1")], steps, lambda key: 0)
     assert [breach.rule for breach in late + twice] == ["2", "2"]
     assert slice_of("k", 1) == 0
